--- a/peridotdemo/demo.go
+++ b/peridotdemo/demo.go
@@ -21,12 +21,13 @@
 )
 
 const (
-	graceMillis   = 10_000
-	maxBodyBytes  = 4 << 20
-	stopTimeout   = 15 * time.Second
-	tokenInterval = 10 * time.Millisecond
-	orderTime     = 2 * time.Second
-	prefillRate   = 20_000
+	graceMillis       = 10_000
+	maxBodyBytes      = 4 << 20
+	bodyTimeoutMillis = 10_000
+	stopTimeout       = 15 * time.Second
+	tokenInterval     = 10 * time.Millisecond
+	orderTime         = 2 * time.Second
+	prefillRate       = 20_000
 )
 
 // Names of what the demonstration serves.
@@ -140,10 +141,10 @@
 	if err != nil {
 		return err
 	}
+	s.PeerAddress = peer
 	s.Process = peridotsettings.Process{
 		Instance:            instance,
 		Domain:              domain,
-		PeerAddress:         peer,
 		PlatformAddress:     d.address,
 		ShutdownGraceMillis: graceMillis,
 	}
@@ -169,8 +170,9 @@
 				PlatformAddress:     d.address,
 				ShutdownGraceMillis: graceMillis,
 			},
-			CallerAddress: caller,
-			MaxBodyBytes:  maxBodyBytes,
+			CallerAddress:     caller,
+			MaxBodyBytes:      maxBodyBytes,
+			BodyTimeoutMillis: bodyTimeoutMillis,
 		}, peridotplatform.NewClient(d.address)))
 	}
 }
--- a/peridotsettings/settings.go
+++ b/peridotsettings/settings.go
@@ -1,11 +1,6 @@
 package peridotsettings
 
-import (
-	"encoding/json"
-	"os"
-
-	"github.com/pkg/errors"
-)
+import "peridotstack/peridotplatform"
 
 // Process holds what every process of the system is told.
 type Process struct {
@@ -13,8 +8,6 @@
 	Instance string
 	// Domain is the failure domain the instance is in.
 	Domain string
-	// PeerAddress is where other processes of the system reach this one.
-	PeerAddress string
 	// OperatorAddress serves health, readiness, metrics and, on entry instances,
 	// the operator's interface.
 	OperatorAddress string
@@ -22,6 +15,17 @@
 	PlatformAddress string
 	// ShutdownGraceMillis bounds a graceful shutdown.
 	ShutdownGraceMillis int64
+	// TLS secures connections between the system's processes; nil leaves them
+	// open, which is allowed on loopback only.
+	TLS *TLS
+}
+
+// TLS names the PEM files of a process. They are read again when they change.
+type TLS struct {
+	CertificateFile string
+	KeyFile         string
+	// AuthorityFile holds the certificates that sign those of all processes.
+	AuthorityFile string
 }
 
 // Entry is the settings of an entry instance.
@@ -31,11 +35,16 @@
 	CallerAddress string
 	// MaxBodyBytes bounds the body of a caller's request.
 	MaxBodyBytes int
+	// BodyTimeoutMillis bounds how long a caller may take to send a request.
+	BodyTimeoutMillis int64
 }
 
 // Agent is the settings of the process beside a backend server.
 type Agent struct {
 	Process
+	// PeerAddress is where other processes of the system reach this one. Binding
+	// it first also keeps a second agent off the same backend server.
+	PeerAddress string
 	// EngineAddress is set when the backend server is a model engine.
 	EngineAddress string
 	// ServiceAddress and Service are set when it is a plain service.
@@ -43,15 +52,20 @@
 	Service        string
 }
 
-// Load reads the file at path into settings, a pointer to one of the types of
-// this package.
-func Load(path string, settings any) error {
-	file, err := os.Open(path)
-	if err != nil {
-		return errors.Wrap(err, "open settings")
-	}
-	defer file.Close()
-	decoder := json.NewDecoder(file)
-	decoder.DisallowUnknownFields()
-	return errors.Wrap(decoder.Decode(settings), "settings file "+path)
+// Platform is the settings of the platform's stand-in.
+type Platform struct {
+	Address   string
+	Instances []peridotplatform.Instance
+}
+
+// Backend is the settings of the stand-in for a backend server.
+type Backend struct {
+	Address                string
+	Model                  string
+	Version                string
+	PrefillTokensPerSecond float64
+	TokenIntervalMillis    int64
+	OrderMillis            int64
+	// ChecksTokens makes an engine refuse orders with an old fencing token.
+	ChecksTokens bool
 }
