Prove peers to each other by mutual TLS and answer malformed requests

Cause: agents took orders from whoever reached their port; nbhttp closes the connection of an oversized or malformed request without a word, does not cancel a request whose caller left, and its idle timeout cuts streams longer than two minutes. Seen red: with RequireAnyClientCert in place of RequireAndVerifyClientCert the peer signed by another authority is admitted. Not measured.

--- a/peridotagent/agent.go
+++ b/peridotagent/agent.go
@@ -37,6 +37,7 @@
 	backend  peridotbackend.Backend
 	store    peridottable.Store
 	metrics  *peridotmetric.Metrics
+	identity *peridotwire.Identity
 	config   atomic.Pointer[peridotconfig.Config]
 	leaving  atomic.Bool
 
@@ -55,6 +56,12 @@
 	return func(a *Agent) { a.metrics = m }
 }
 
+// WithIdentity makes the agent prove who it is to its peers, and check who they
+// are.
+func WithIdentity(i *peridotwire.Identity) Option {
+	return func(a *Agent) { a.identity = i }
+}
+
 // New returns an agent that has not started.
 func New(s peridotsettings.Agent, store peridottable.Store, options ...Option) *Agent {
 	a := &Agent{settings: s, store: store, metrics: &peridotmetric.Metrics{}, jobs: make(map[string]*job)}
@@ -79,7 +86,7 @@
 	}
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	server := &peridotwire.Server{Listener: listener, Handler: a}
+	server := &peridotwire.Server{Listener: listener, Handler: a, Identity: a.identity, Refused: a.refusedPeer}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(serving) }()
 	go a.followConfig(serving)
@@ -94,6 +101,12 @@
 	return <-served
 }
 
+// refusedPeer counts a peer without a valid certificate.
+func (a *Agent) refusedPeer(err error) {
+	a.metrics.Refused(peridotverdict.PeerRefused)
+	log.Warn(logPrefix + "refused a peer: " + err.Error())
+}
+
 // drain takes no new work and waits for what runs, up to the shutdown grace.
 func (a *Agent) drain() {
 	a.leaving.Store(true)
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -22,6 +22,8 @@
 const (
 	logPrefix    = "entry: "
 	syncInterval = time.Second
+	// maxHeadBytes bounds the request line and headers together.
+	maxHeadBytes = 64 << 10
 )
 
 // Entry is an entry instance. Make one with New.
@@ -56,6 +58,11 @@
 	return e
 }
 
+// WithIdentity makes the entry prove who it is to agents, and check who they are.
+func WithIdentity(i *peridotwire.Identity) Option {
+	return func(e *Entry) { e.pool.identity = i }
+}
+
 // Config returns the configuration in force.
 func (e *Entry) Config() *peridotconfig.Config {
 	return e.config.Load()
@@ -89,13 +96,19 @@
 }
 
 func (e *Entry) callerServer() *nbhttp.Server {
+	e.callers.metrics = e.metrics
+	e.callers.bodyTimeout = time.Duration(e.settings.BodyTimeoutMillis) * time.Millisecond
 	server := nbhttp.NewServer(nbhttp.Config{
 		Network:         "tcp",
 		Addrs:           []string{e.settings.CallerAddress},
 		MaxHTTPBodySize: e.settings.MaxBodyBytes,
+		ReadLimit:       e.settings.MaxBodyBytes + maxHeadBytes,
 		Handler:         http.HandlerFunc(e.serveCaller),
+		OnRequest:       e.callers.received,
 	})
+	server.OnOpen(e.callers.opened)
 	server.OnClose(e.callers.closed)
+	server.OnData(e.callers.arrived)
 	return server
 }
 
--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sync"
 	"time"
 
@@ -35,9 +34,11 @@
 
 // pool keeps one connection to each agent.
 type pool struct {
-	self    string
-	list    func(context.Context) ([]peridotplatform.Instance, error)
-	version func() peridotwire.Version
+	self string
+	// identity proves who this process is to the agents; nil on loopback.
+	identity *peridotwire.Identity
+	list     func(context.Context) ([]peridotplatform.Instance, error)
+	version  func() peridotwire.Version
 
 	mu        sync.Mutex
 	links     map[string]*link
@@ -109,8 +110,7 @@
 
 // connect runs one connection until it fails.
 func (p *pool) connect(ctx context.Context, l *link, address string) error {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.identity.Dial(ctx, address, dialTimeout)
 	if err != nil {
 		return err
 	}
--- a/peridotwire/server.go
+++ b/peridotwire/server.go
@@ -4,13 +4,21 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 )
 
-// Server accepts connections from other processes of the system. Its zero value
-// is not usable; set Listener and Handler.
+// handshakeTimeout bounds how long a new connection may take to prove itself.
+const handshakeTimeout = 5 * time.Second
+
+// Server accepts connections from other processes of the system. Set Listener
+// and Handler before use.
 type Server struct {
 	Listener net.Listener
 	Handler  Handler
+	// Identity proves who both sides are; nil accepts anybody.
+	Identity *Identity
+	// Refused, if set, is told of each peer without a valid certificate.
+	Refused func(err error)
 
 	mu    sync.Mutex
 	peers map[*Peer]bool
@@ -30,9 +38,22 @@
 		if err != nil {
 			return err
 		}
-		// The connection outlives ctx until closeAll, so that answers under way
-		// during a graceful shutdown still get out.
-		s.keep(NewPeer(context.WithoutCancel(ctx), conn, s.Handler))
+		go s.admit(ctx, conn)
+	}
+}
+
+// admit lets a connection in once its other side has proved who it is.
+func (s *Server) admit(ctx context.Context, conn net.Conn) {
+	secure, err := s.Identity.handshake(ctx, conn, handshakeTimeout)
+	if err != nil {
+		if s.Refused != nil {
+			s.Refused(err)
+		}
+		return
+	}
+	s.keep(NewPeer(context.WithoutCancel(ctx), secure, s.Handler))
+	if ctx.Err() != nil {
+		s.closeAll()
 	}
 }
 
