--- /dev/null
+++ b/peridotadmit/admit.go
@@ -0,0 +1,155 @@
+package peridotadmit
+
+import (
+	"time"
+
+	"peridotstack/peridotverdict"
+)
+
+const (
+	// priorityLevels part the requests of one Priority by the load of their
+	// account.
+	priorityLevels = 16
+	// learnShare is the part of a new output length in the learned mean.
+	learnShare = 1.0 / 16
+	// extension is by how much a charge that was too small grows.
+	extension = 0.5
+)
+
+// Admit decides on a request. Done must be called once an admitted request has
+// ended.
+func (d *Admitter) Admit(now time.Duration, id string, ask Ask) Decision {
+	d.advance(now)
+	a, ok := d.accounts[ask.Account]
+	if !ok {
+		return refuse(peridotverdict.NotAllowed, "the client account is unknown", 0)
+	}
+	if hopeless, after := late(ask); hopeless {
+		return refuse(peridotverdict.DeadlineTooShort, "the answer cannot be whole before the deadline", after)
+	}
+	if wait := d.limitWait(now, a); wait > 0 {
+		return refuse(peridotverdict.AccountLimit, "the client account is at its limit of tokens", wait)
+	}
+	if wait := d.overload(a, ask); wait > 0 {
+		return d.refuseOverload(a, ask, wait)
+	}
+	priority := d.priority(a)
+	f := &flight{account: a, prompt: ask.PromptTokens, charged: a.expected(ask)}
+	d.flights[id] = f
+	d.pay(now, a, float64(ask.PromptTokens), f.charged)
+	return Decision{Admit: true, Priority: priority}
+}
+
+// late reports whether ask cannot make its deadline, and when it could: the
+// time to the first token shrinks as others end, the time after it does not.
+func late(ask Ask) (bool, time.Duration) {
+	if ask.Deadline <= 0 || ask.Finish <= ask.Deadline {
+		return false, 0
+	}
+	over := ask.Finish - ask.Deadline
+	if over > ask.Wait {
+		return true, 0
+	}
+	return true, over
+}
+
+// overload returns how long the account's queue is too long for the ask, or 0.
+func (d *Admitter) overload(a *account, ask Ask) time.Duration {
+	return d.queueTime(a, a.finish) - d.longest(ask)
+}
+
+// longest returns the longest queue behind which the ask is admitted.
+func (d *Admitter) longest(ask Ask) time.Duration {
+	if ask.Deadline <= 0 {
+		return d.options.maxQueue
+	}
+	return max(0, min(d.options.maxQueue, ask.Deadline-(ask.Finish-ask.Wait)))
+}
+
+// refuseOverload tells each refused request a later time than the one before,
+// so that not all come back for the same free place.
+func (d *Admitter) refuseOverload(a *account, ask Ask, wait time.Duration) Decision {
+	behind := max(a.promised, a.finish)
+	wait += d.queueTime(a, behind) - d.queueTime(a, a.finish)
+	cost := d.cost(float64(ask.PromptTokens), a.expected(ask))
+	if wait < maxRetryAfter/2 {
+		a.promised = behind + cost/a.weight()
+	}
+	return refuse(peridotverdict.Overloaded, "the client account has used up its share", wait)
+}
+
+// limitWait returns how long the account's limit is used up, or 0.
+func (d *Admitter) limitWait(now time.Duration, a *account) time.Duration {
+	if a.TokensPerSecond <= 0 {
+		return 0
+	}
+	return max(0, a.limitAt-now-d.options.limitBurst)
+}
+
+// pay charges tokens to the account's queue and limit; negative ones are given
+// back.
+func (d *Admitter) pay(now time.Duration, a *account, prompt, output float64) {
+	d.charge(a, d.cost(prompt, output))
+	if a.TokensPerSecond > 0 {
+		a.limitAt = max(a.limitAt, now) + seconds((prompt+output)/(a.TokensPerSecond*d.share))
+	}
+}
+
+func (d *Admitter) cost(prompt, output float64) float64 {
+	return prompt*d.options.promptCost + output
+}
+
+// expected returns the output tokens to charge on arrival.
+func (a *account) expected(ask Ask) float64 {
+	told := float64(ask.ExpectedOutput)
+	switch {
+	case a.output > 0 && told > 0:
+		return min(a.output, told)
+	case a.output > 0:
+		return a.output
+	case told > 0:
+		return told
+	}
+	return defaultOutput
+}
+
+// priority puts the requests of accounts with a short queue before the others,
+// within one Priority of the accounts.
+func (d *Admitter) priority(a *account) int {
+	level := int(priorityLevels * d.queueTime(a, a.finish) / max(1, d.options.maxQueue))
+	return a.Priority*priorityLevels + max(0, priorityLevels-1-level)
+}
+
+// Progress records how many output tokens a request has by now, and charges it
+// more when there are more than expected.
+func (d *Admitter) Progress(now time.Duration, id string, outputTokens int) {
+	f, ok := d.flights[id]
+	if !ok || float64(outputTokens) <= f.charged {
+		return
+	}
+	d.advance(now)
+	more := float64(outputTokens) - f.charged + f.charged*extension
+	f.charged += more
+	d.pay(now, f.account, 0, more)
+}
+
+// Done settles an admitted request by what it really used, and learns from it.
+func (d *Admitter) Done(now time.Duration, id string, promptTokens, outputTokens int) {
+	f, ok := d.flights[id]
+	if !ok {
+		return
+	}
+	delete(d.flights, id)
+	d.advance(now)
+	a := f.account
+	if a.output == 0 {
+		a.output = float64(outputTokens)
+	} else {
+		a.output += (float64(outputTokens) - a.output) * learnShare
+	}
+	d.pay(now, a, float64(promptTokens-f.prompt), float64(outputTokens)-f.charged)
+}
+
+func refuse(code peridotverdict.Code, message string, after time.Duration) Decision {
+	return Decision{Err: peridotverdict.New(code, peridotverdict.NotRun, message, peridotverdict.RetryAfter(after))}
+}
