Route without a herd when load reports are old

Cause: a first estimate (report drained by the server's rate, plus what this entry sent since) was worse than a random choice when reports are 2 to 4 s old and eight entries see the same ones.

Change: a report moves linearly to the mean of all reports and carries nothing beyond its life, 200 ms for prefill and 2 s for running requests; a backlog that cannot have drained yet always counts; own requests since the report count in full.

--- a/peridotroute/choose.go
+++ b/peridotroute/choose.go
@@ -38,15 +38,15 @@
 // candidates fills whole, prefill and decode with the servers to compare.
 func (r *Router) candidates(now time.Duration, g *group, request *Request) {
 	r.whole, r.prefill, r.decode = r.whole[:0], r.prefill[:0], r.decode[:0]
-	r.whole = r.draw(g.mixed, request, r.whole)
+	r.whole = r.draw(g.mixed.servers, request, r.whole)
 	switch request.Role {
 	case Prefill:
-		r.whole = r.draw(g.prefill, request, r.whole)
+		r.whole = r.draw(g.prefill.servers, request, r.whole)
 	case Decode:
-		r.whole = r.draw(g.decode, request, r.whole)
+		r.whole = r.draw(g.decode.servers, request, r.whole)
 	case "":
-		r.prefill = r.draw(g.prefill, request, r.prefill)
-		r.decode = r.draw(g.decode, request, r.decode)
+		r.prefill = r.draw(g.prefill.servers, request, r.prefill)
+		r.decode = r.draw(g.decode.servers, request, r.decode)
 	}
 	r.addHolders(now, request)
 }
@@ -108,14 +108,14 @@
 
 // alone estimates a request that stays on one server.
 func (r *Router) alone(now time.Duration, request *Request, s *server) Choice {
-	s.advance(now)
+	l := s.estimate(now)
 	cached := r.cachedTokens(now, request, s)
-	wait := s.waitFor(float64(request.PromptTokens - cached))
+	wait := s.waitFor(l, float64(request.PromptTokens-cached))
 	return Choice{
 		Instance:     s.Instance,
 		CachedTokens: cached,
 		Wait:         wait,
-		Finish:       wait + s.decodeTime(expected(*request)),
+		Finish:       wait + s.decodeTime(l, expected(*request)),
 	}
 }
 
@@ -131,17 +131,16 @@
 }
 
 func (r *Router) splitFrom(now time.Duration, request *Request, p *server, best Choice) Choice {
-	p.advance(now)
 	cached := r.cachedTokens(now, request, p)
-	read := p.waitFor(float64(request.PromptTokens-cached)) + r.moveTime(request.PromptTokens)
+	read := p.waitFor(p.estimate(now), float64(request.PromptTokens-cached)) + r.moveTime(request.PromptTokens)
 	for _, list := range [][]*server{r.decode, r.whole} {
 		for _, d := range list {
 			if d == p {
 				continue
 			}
-			d.advance(now)
-			wait := read + d.RoundTrip + d.slotWait()
-			finish := wait + d.decodeTime(expected(*request))
+			l := d.estimate(now)
+			wait := read + d.RoundTrip + d.slotWait(l)
+			finish := wait + d.decodeTime(l, expected(*request))
 			if finish < best.Finish {
 				best = Choice{Instance: d.Instance, PrefillInstance: p.Instance, CachedTokens: cached, Wait: wait, Finish: finish}
 			}
--- a/peridotroute/load.go
+++ b/peridotroute/load.go
@@ -9,21 +9,63 @@
 // rates are unknown.
 const unratedWait = 10 * time.Millisecond
 
-// server is a backend server and the estimate of its load at the time at.
+// load is an amount of work at a server, in tokens and requests.
+type load struct {
+	prefill float64
+	decode  float64
+	running float64
+}
+
+// trust holds the ages at which a report has lost its value.
+type trust struct {
+	prefill time.Duration
+	decode  time.Duration
+}
+
+// weigh returns reported for a fresh report, mean for one older than life, and
+// what lies between for the others.
+func weigh(reported, mean float64, age, life time.Duration) float64 {
+	if age >= life {
+		return mean
+	}
+	return mean + (reported-mean)*(1-float64(age)/float64(life))
+}
+
+// roleGroup holds the servers of one target and role that take new requests.
+type roleGroup struct {
+	servers []*server
+	// sum is what all of them reported last.
+	sum load
+}
+
+// mean returns what a server of the group reported on average.
+func (g *roleGroup) mean() load {
+	n := float64(max(1, len(g.servers)))
+	return load{prefill: g.sum.prefill / n, decode: g.sum.decode / n, running: g.sum.running / n}
+}
+
+func (g *roleGroup) count(l load, sign float64) {
+	g.sum.prefill += sign * l.prefill
+	g.sum.decode += sign * l.decode
+	g.sum.running += sign * l.running
+}
+
+// server is a backend server and what is known of its load.
 type server struct {
 	Server
 	number uint32
-
-	at time.Duration
-	// prefill is the estimated backlog in tokens; it drains with time.
-	prefill float64
-	// decode is the estimated number of output tokens still to come.
-	decode float64
-	// running counts the requests at the server, those that wait included.
-	running int
-
-	reported Report
-	hasNews  bool
+	// group is nil for a server that takes no new requests.
+	group *roleGroup
+	trust trust
+
+	// reported is the load at the time described, as the last report told it.
+	reported  load
+	described time.Duration
+	received  time.Duration
+	// mine is what this process has sent since described and has not seen end;
+	// its tokens are drained up to the time at.
+	mine load
+	at   time.Duration
 	// flights are what this process has sent and not seen end, oldest first.
 	flights []*flight
 }
@@ -39,115 +81,156 @@
 	decode  float64
 }
 
-// advance drains the backlog up to now.
-func (s *server) advance(now time.Duration) {
-	if now <= s.at {
-		return
+// work returns what a flight adds to s.
+func (f *flight) work(s *server) load {
+	w := load{running: 1}
+	if f.prefillAt == s {
+		w.prefill = f.prefill
 	}
-	seconds := (now - s.at).Seconds()
-	s.at = now
-	s.prefill = max(0, s.prefill-seconds*s.PrefillTokensPerSecond)
-	s.decode = max(0, s.decode-seconds*s.DecodeTokensPerSecond)
+	if f.decodeAt == s {
+		w.decode = f.decode
+	}
+	return w
 }
 
-// observe replaces the estimate by a report and adds what was sent since the
-// moment that the report describes.
+// observe replaces the report and keeps of mine only what the new one cannot
+// contain.
 func (s *server) observe(report Report, lag time.Duration) {
-	if s.hasNews && report.At < s.reported.At {
+	if report.At < s.received {
 		return
 	}
 	now := max(s.at, report.At)
-	s.hasNews = true
-	s.reported = report
-	s.at = report.At - lag
-	s.prefill = float64(report.PrefillTokens)
-	s.decode = float64(report.DecodeTokens)
-	s.running = report.Running + report.Waiting
-	if s.decode == 0 {
-		s.decode = float64(s.running) * defaultOutput / 2
+	l := load{
+		prefill: float64(report.PrefillTokens),
+		decode:  float64(report.DecodeTokens),
+		running: float64(report.Running + report.Waiting),
 	}
+	if l.decode == 0 {
+		l.decode = l.running * defaultOutput / 2
+	}
+	if s.group != nil {
+		s.group.count(s.reported, -1)
+		s.group.count(l, 1)
+	}
+	s.reported, s.received, s.described = l, report.At, report.At-lag
+	s.mine, s.at = load{}, s.described
 	for _, f := range s.flights {
-		if f.at < report.At-lag {
-			continue
+		if f.at >= s.described {
+			s.drain(f.at)
+			s.count(f)
 		}
-		s.advance(f.at)
-		s.count(f)
 	}
-	s.advance(now)
-	s.running = max(s.running, len(s.flights))
+	s.drain(now)
 }
 
-// count adds the work of a flight to the estimate.
-func (s *server) count(f *flight) {
-	s.running++
-	if f.prefillAt == s {
-		s.prefill += f.prefill
-	}
-	if f.decodeAt == s {
-		s.decode += f.decode
+// drain takes off what s has done of mine by now.
+func (s *server) drain(now time.Duration) {
+	if now <= s.at {
+		return
 	}
+	elapsed := (now - s.at).Seconds()
+	s.at = now
+	s.mine.prefill = max(0, s.mine.prefill-elapsed*s.PrefillTokensPerSecond)
+	s.mine.decode = max(0, s.mine.decode-elapsed*s.DecodeTokensPerSecond)
+}
+
+// count adds a flight to mine.
+func (s *server) count(f *flight) {
+	w := f.work(s)
+	s.mine.prefill += w.prefill
+	s.mine.decode += w.decode
+	s.mine.running++
 }
 
 func (s *server) send(now time.Duration, f *flight) {
-	s.advance(now)
+	s.drain(now)
 	s.flights = append(s.flights, f)
 	s.count(f)
 }
 
 func (s *server) done(now time.Duration, f *flight) {
-	s.advance(now)
 	i := slices.Index(s.flights, f)
 	if i < 0 {
 		return
 	}
 	s.flights = slices.Delete(s.flights, i, i+1)
-	s.running = max(s.running-1, len(s.flights))
-	if s.running == 0 {
-		s.prefill, s.decode = 0, 0
+	s.drain(now)
+	// A flight that the report contains makes mine negative, which is right.
+	s.mine.running--
+	if f.at < s.described {
+		return
 	}
+	w := f.work(s)
+	s.mine.prefill = max(0, s.mine.prefill-w.prefill)
+	s.mine.decode = max(0, s.mine.decode-w.decode)
 }
 
 // progress corrects the work of a flight by the output that came: the prompt
 // has been read, and an output longer than expected is expected to go on.
 func (f *flight) progress(now time.Duration, output float64) {
+	f.prefillAt.drain(now)
+	f.decodeAt.drain(now)
+	if f.at >= f.prefillAt.described {
+		f.prefillAt.mine.prefill = max(0, f.prefillAt.mine.prefill-f.prefill)
+	}
 	f.prefill = 0
-	f.decodeAt.advance(now)
 	if f.decode < output {
-		f.decodeAt.decode += output
+		f.decodeAt.mine.decode += output
 		f.decode = 2 * output
 	}
 }
 
+// estimate returns the load of s now. The older a report, the less it tells
+// beyond the mean of all reports, for every process that saw it has gone to the
+// servers that looked empty. Only a backlog that cannot have drained by now is
+// certain.
+func (s *server) estimate(now time.Duration) load {
+	s.drain(now)
+	age := max(0, now-s.described)
+	mean := s.reported
+	if s.group != nil {
+		mean = s.group.mean()
+	}
+	l := load{
+		prefill: weigh(s.reported.prefill, mean.prefill, age, s.trust.prefill),
+		decode:  weigh(s.reported.decode, mean.decode, age, s.trust.decode),
+		running: weigh(s.reported.running, mean.running, age, s.trust.decode),
+	}
+	l.prefill = max(l.prefill, s.reported.prefill-age.Seconds()*s.PrefillTokensPerSecond) + s.mine.prefill
+	l.decode = max(l.decode, s.reported.decode-age.Seconds()*s.DecodeTokensPerSecond) + s.mine.decode
+	l.running = max(l.running+s.mine.running, float64(len(s.flights)))
+	return l
+}
+
 // waitFor estimates the time until a prompt of which uncached tokens are to be
 // read has been read.
-func (s *server) waitFor(uncached float64) time.Duration {
+func (s *server) waitFor(l load, uncached float64) time.Duration {
 	if s.PrefillTokensPerSecond == 0 {
-		return s.RoundTrip + time.Duration(s.running)*unratedWait
+		return s.RoundTrip + time.Duration(l.running*float64(unratedWait))
 	}
-	return s.RoundTrip + seconds((s.prefill+uncached)/s.PrefillTokensPerSecond) + s.slotWait()
+	return s.RoundTrip + seconds((l.prefill+uncached)/s.PrefillTokensPerSecond) + s.slotWait(l)
 }
 
 // slotWait estimates the time until one of the running requests ends, when
 // there are as many as may run.
-func (s *server) slotWait() time.Duration {
-	if s.MaxRunning == 0 || s.running < s.MaxRunning || s.DecodeTokensPerSecond == 0 {
+func (s *server) slotWait(l load) time.Duration {
+	if s.MaxRunning == 0 || l.running < float64(s.MaxRunning) || s.DecodeTokensPerSecond == 0 {
 		return 0
 	}
-	perRequest := s.decode / float64(s.running)
-	before := float64(s.running - s.MaxRunning + 1)
-	return seconds(before * perRequest / s.DecodeTokensPerSecond)
+	before := l.running - float64(s.MaxRunning) + 1
+	return seconds(before * l.decode / l.running / s.DecodeTokensPerSecond)
 }
 
 // decodeTime estimates the time to generate output tokens beside the others.
-func (s *server) decodeTime(output float64) time.Duration {
+func (s *server) decodeTime(l load, output float64) time.Duration {
 	if s.DecodeTokensPerSecond == 0 {
 		return unratedWait
 	}
-	beside := s.running
+	beside := l.running
 	if s.MaxRunning > 0 {
-		beside = min(beside, s.MaxRunning-1)
+		beside = min(beside, float64(s.MaxRunning-1))
 	}
-	return seconds(output * float64(beside+1) / s.DecodeTokensPerSecond)
+	return seconds(output * (beside + 1) / s.DecodeTokensPerSecond)
 }
 
 func seconds(s float64) time.Duration {
--- a/peridotroute/router.go
+++ b/peridotroute/router.go
@@ -9,12 +9,14 @@
 )
 
 const (
-	defaultReportLag = time.Second
-	defaultOutput    = 128 // tokens
-	defaultChoices   = 2
-	defaultPrefixes  = 1 << 15
-	defaultHintLife  = 5 * time.Minute
-	noBackendRetry   = time.Second
+	defaultReportLag    = time.Second
+	defaultPrefillTrust = 200 * time.Millisecond
+	defaultDecodeTrust  = 2 * time.Second
+	defaultOutput       = 128 // tokens
+	defaultChoices      = 2
+	defaultPrefixes     = 1 << 15
+	defaultHintLife     = 5 * time.Minute
+	noBackendRetry      = time.Second
 )
 
 // Router chooses backend servers. Make one with New.
@@ -40,13 +42,14 @@
 
 // group holds the servers of one target that take new requests, by role.
 type group struct {
-	mixed   []*server
-	prefill []*server
-	decode  []*server
+	mixed   roleGroup
+	prefill roleGroup
+	decode  roleGroup
 }
 
 type options struct {
 	reportLag        time.Duration
+	trust            trust
 	choices          int
 	prefixes         int
 	hintLife         time.Duration
@@ -64,6 +67,12 @@
 	return func(o *options) { o.reportLag = lag }
 }
 
+// Trust sets the ages at which a report of prefill and of running requests has
+// lost its value, which are about the times that a prompt and an output take.
+func Trust(prefill, decode time.Duration) Option {
+	return func(o *options) { o.trust = trust{prefill: prefill, decode: decode} }
+}
+
 // Choices sets how many servers are drawn at random for a request.
 func Choices(n int) Option {
 	return func(o *options) { o.choices = n }
@@ -93,6 +102,7 @@
 func New(seed uint64, choices ...Option) *Router {
 	o := options{
 		reportLag: defaultReportLag,
+		trust:     trust{prefill: defaultPrefillTrust, decode: defaultDecodeTrust},
 		choices:   defaultChoices,
 		prefixes:  defaultPrefixes,
 		hintLife:  defaultHintLife,
@@ -132,17 +142,18 @@
 	known, ok := r.servers[s.Instance]
 	if !ok {
 		r.numbers++
-		known = &server{number: r.numbers, at: now}
+		known = &server{number: r.numbers, trust: r.options.trust, at: now, described: now}
 		r.servers[s.Instance] = known
 		r.cache.holders[known.number] = known
 	}
-	known.advance(now)
+	known.drain(now)
 	known.Server = s
 	return known
 }
 
 // add puts a server that takes new requests into its group.
 func (r *Router) add(s *server) {
+	s.group = nil
 	if s.Leaving || s.Down {
 		return
 	}
@@ -152,14 +163,15 @@
 		g = &group{}
 		r.groups[key] = g
 	}
+	s.group = &g.mixed
 	switch s.Role {
 	case Prefill:
-		g.prefill = append(g.prefill, s)
+		s.group = &g.prefill
 	case Decode:
-		g.decode = append(g.decode, s)
-	default:
-		g.mixed = append(g.mixed, s)
+		s.group = &g.decode
 	}
+	s.group.servers = append(s.group.servers, s)
+	s.group.count(s.reported, 1)
 }
 
 // Observe takes a report. One that is older than the last is ignored.
--- /dev/null
+++ b/peridotroute/router_test.go
@@ -0,0 +1,222 @@
+package peridotroute
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"peridotstack/peridotverdict"
+)
+
+func engine(instance, role string) Server {
+	return Server{Instance: instance, Model: "m", Role: role, PrefillTokensPerSecond: 10_000, DecodeTokensPerSecond: 1000}
+}
+
+func TestChoose(t *testing.T) {
+	leaving, down := engine("a", Mixed), engine("a", Mixed)
+	leaving.Leaving = true
+	down.Down = true
+	tests := []struct {
+		name    string
+		servers []Server
+		request Request
+		want    Choice
+		code    peridotverdict.Code
+	}{
+		{name: "none", request: Request{Model: "m"}, code: peridotverdict.NoBackend},
+		{name: "other model", servers: []Server{engine("a", Mixed)}, request: Request{Model: "n"}, code: peridotverdict.NoBackend},
+		{name: "leaving", servers: []Server{leaving}, request: Request{Model: "m"}, code: peridotverdict.NoBackend},
+		{name: "down", servers: []Server{down}, request: Request{Model: "m"}, code: peridotverdict.NoBackend},
+		{name: "excluded", servers: []Server{engine("a", Mixed)}, request: Request{Model: "m", Exclude: []string{"a"}}, code: peridotverdict.NoBackend},
+		{name: "prefill only", servers: []Server{engine("a", Prefill)}, request: Request{Model: "m"}, code: peridotverdict.NoBackend},
+		{
+			name: "one", servers: []Server{engine("a", Mixed)}, request: Request{Model: "m", PromptTokens: 1000, ExpectedOutput: 100},
+			want: Choice{Instance: "a", Wait: 100 * time.Millisecond, Finish: 200 * time.Millisecond},
+		},
+		{
+			name: "the other", servers: []Server{engine("a", Mixed), engine("b", Mixed)}, request: Request{Model: "m", ExpectedOutput: 100, Exclude: []string{"a"}},
+			want: Choice{Instance: "b", Finish: 100 * time.Millisecond},
+		},
+		{
+			name: "role", servers: []Server{engine("a", Prefill)}, request: Request{Model: "m", Role: Prefill, ExpectedOutput: 100},
+			want: Choice{Instance: "a", Finish: 100 * time.Millisecond},
+		},
+		{
+			name: "split", servers: []Server{engine("a", Prefill), engine("b", Decode)}, request: Request{Model: "m", PromptTokens: 1000, ExpectedOutput: 100},
+			want: Choice{Instance: "b", PrefillInstance: "a", Wait: 211 * time.Millisecond, Finish: 311 * time.Millisecond},
+		},
+	}
+	for _, test := range tests {
+		r := New(1, MoveKV(1000, 1e7, 11*time.Millisecond))
+		r.SetServers(0, test.servers)
+		got, err := r.Choose(0, test.request)
+		if got != test.want {
+			t.Errorf("%s: got %+v, want %+v", test.name, got, test.want)
+		}
+		if test.code == "" && err == nil {
+			continue
+		}
+		if !peridotverdict.Is(err, test.code) || peridotverdict.Of(err) != peridotverdict.NotRun {
+			t.Errorf("%s: got error %v, want %s with NotRun", test.name, err, test.code)
+		}
+	}
+}
+
+// TestPrefixAgainstQueue fills the queue of the server that holds the prefix.
+func TestPrefixAgainstQueue(t *testing.T) {
+	r := New(1)
+	r.SetServers(0, []Server{engine("a", Mixed), engine("b", Mixed)})
+	r.HintPrefix(0, "a", []uint64{1, 2, 3}, false)
+	request := Request{Model: "m", PromptTokens: 4000, ExpectedOutput: 1, PrefixHash: []uint64{1, 2, 3, 4}}
+	counts := make([]int, 2)
+	for i := range 4 {
+		request.ID = fmt.Sprint(i)
+		c, err := r.Choose(0, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 && (c.Instance != "a" || c.CachedTokens != 3000) {
+			t.Errorf("idle: got %+v, want a with 3000 cached tokens", c)
+		}
+		if c.Instance == "a" {
+			counts[0]++
+		} else {
+			counts[1]++
+		}
+		// Unlike real ones, these requests do not make their prefixes known.
+		sent := request
+		sent.PrefixHash = nil
+		c.CachedTokens = 0
+		r.Sent(0, sent, c)
+	}
+	if want := 2; counts[0] != want {
+		t.Errorf("requests at the holder: got %d, want %d", counts[0], want)
+	}
+	r.HintPrefix(0, "a", []uint64{1, 2, 3}, true)
+	c, err := r.Choose(0, request)
+	if err != nil || c.CachedTokens != 0 {
+		t.Errorf("after the prefix is gone: got %+v, %v, want none cached", c, err)
+	}
+}
+
+// TestHolderMovesKV lets a busy holder of the prefix do the prefill only.
+func TestHolderMovesKV(t *testing.T) {
+	busy := engine("a", Mixed)
+	busy.DecodeTokensPerSecond = 100
+	r := New(1, MoveKV(1000, 1e9, time.Millisecond))
+	r.SetServers(0, []Server{busy, engine("b", Mixed)})
+	r.HintPrefix(0, "a", []uint64{1}, false)
+	got, err := r.Choose(0, Request{Model: "m", PromptTokens: 10_000, ExpectedOutput: 100, PrefixHash: []uint64{1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Instance != "b" || got.PrefillInstance != "a" {
+		t.Errorf("got %+v, want prefill on a and decode on b", got)
+	}
+}
+
+// TestLoadSettles checks for random schedules that nothing is left of ended
+// requests, and that no estimate is negative on the way.
+func TestLoadSettles(t *testing.T) {
+	for seed := range seeds(t) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		r := New(seed)
+		list := []Server{engine("a", Mixed), engine("b", Mixed), engine("c", Mixed)}
+		r.SetServers(0, list)
+		var open []string
+		now := time.Duration(0)
+		for i := range 300 {
+			now += time.Duration(random.IntN(int(50 * time.Millisecond)))
+			switch random.IntN(5) {
+			case 0, 1:
+				request := Request{ID: fmt.Sprint(i), Model: "m", PromptTokens: random.IntN(3000), ExpectedOutput: random.IntN(300)}
+				c, err := r.Choose(now, request)
+				if err != nil || c.Wait < 0 || c.Finish < c.Wait {
+					t.Fatalf("seed %d: got %+v, %v, want times that are not negative", seed, c, err)
+				}
+				r.Sent(now, request, c)
+				open = append(open, request.ID)
+			case 2:
+				r.Observe(now, Report{Instance: list[random.IntN(3)].Instance, At: now - time.Duration(random.IntN(int(time.Second))), Running: random.IntN(9), PrefillTokens: random.IntN(9000)})
+			case 3:
+				if len(open) > 0 {
+					r.Progress(now, open[random.IntN(len(open))], random.IntN(1000))
+				}
+			case 4:
+				if len(open) > 0 {
+					r.Done(now, open[0], 0)
+					open = open[1:]
+				}
+			}
+		}
+		for _, id := range open {
+			r.Done(now, id, 0)
+		}
+		for _, s := range list {
+			r.Observe(now, Report{Instance: s.Instance, At: now})
+		}
+		for _, s := range list {
+			if got := r.servers[s.Instance].estimate(now + time.Minute); got != (load{}) {
+				t.Errorf("seed %d: load of %s: got %+v, want none", seed, s.Instance, got)
+			}
+		}
+		if got := len(r.flights); got != 0 {
+			t.Errorf("seed %d: requests under way: got %d, want 0", seed, got)
+		}
+	}
+}
+
+// TestSubset checks that subsets are stable and that no server is left out.
+func TestSubset(t *testing.T) {
+	var list []Server
+	for i := range 700 {
+		list = append(list, Server{Instance: fmt.Sprint("w", i)})
+	}
+	picks := make([]int, len(list))
+	index := make(map[string]int)
+	for i, s := range list {
+		index[s.Instance] = i
+	}
+	moved := 0
+	for e := range 1200 {
+		entry := fmt.Sprint("e", e)
+		before := Subset(entry, list, 20)
+		after := Subset(entry, list[1:], 20)
+		for _, s := range before {
+			picks[index[s.Instance]]++
+		}
+		if before[19] != after[19] {
+			moved++
+		}
+	}
+	least, most := picks[0], picks[0]
+	for _, n := range picks {
+		least, most = min(least, n), max(most, n)
+	}
+	t.Logf("entries per server: least %d, most %d, mean %d", least, most, 1200*20/700)
+	if least == 0 {
+		t.Error("a server is in no subset")
+	}
+	if moved != picks[0] {
+		t.Errorf("subsets changed by one server's leaving: got %d, want the %d that held it", moved, picks[0])
+	}
+}
+
+func ExampleRouter() {
+	r := New(1)
+	r.SetServers(0, []Server{
+		{Instance: "engine-1", Model: "hino-llm", PrefillTokensPerSecond: 10_000, DecodeTokensPerSecond: 1000},
+		{Instance: "engine-2", Model: "hino-llm", PrefillTokensPerSecond: 10_000, DecodeTokensPerSecond: 1000},
+	})
+	r.Observe(0, Report{Instance: "engine-1", Running: 4, PrefillTokens: 50_000, DecodeTokens: 400})
+	request := Request{ID: "r1", Model: "hino-llm", PromptTokens: 1000, ExpectedOutput: 100}
+	choice, err := r.Choose(0, request)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	r.Sent(0, request, choice)
+	fmt.Println(choice.Instance, choice.Wait)
+	// Output: engine-2 100ms
+}
