Admit by weighted fair queueing, with a true time to come back

Cause: nothing bounded what a flooding client account started. Ways weighed: a token bucket per account (an idle share is lost, or saved up and spent at once), a shared queue (first come, first served), and one virtual queue per account that drains by weighted fair queueing; the last was taken. Nothing is held back: a queue that is too long refuses.

A first try told every refused request the time at which the queue is short enough; when 40 come back they meet for the same free place.

--- a/peridotadmit/admit.go
+++ b/peridotadmit/admit.go
@@ -14,6 +14,8 @@
 	learnShare = 1.0 / 16
 	// extension is by how much a charge that was too small grows.
 	extension = 0.5
+	// margin makes up for rounding in the time to come back.
+	margin = time.Millisecond
 )
 
 // Admit decides on a request. Done must be called once an admitted request has
@@ -27,11 +29,11 @@
 	if hopeless, after := late(ask); hopeless {
 		return refuse(peridotverdict.DeadlineTooShort, "the answer cannot be whole before the deadline", after)
 	}
-	if wait := d.limitWait(now, a); wait > 0 {
-		return refuse(peridotverdict.AccountLimit, "the client account is at its limit of tokens", wait)
+	if d.limitWait(now, a.limitAt, a) > 0 {
+		return d.refuseLoad(now, a, ask, peridotverdict.AccountLimit, "the client account is at its limit of tokens")
 	}
-	if wait := d.overload(a, ask); wait > 0 {
-		return d.refuseOverload(a, ask, wait)
+	if d.queueWait(a.finish, a, ask) > 0 {
+		return d.refuseLoad(now, a, ask, peridotverdict.Overloaded, "the client account has used up its share")
 	}
 	priority := d.priority(a)
 	f := &flight{account: a, prompt: ask.PromptTokens, charged: a.expected(ask)}
@@ -53,9 +55,19 @@
 	return true, over
 }
 
-// overload returns how long the account's queue is too long for the ask, or 0.
-func (d *Admitter) overload(a *account, ask Ask) time.Duration {
-	return d.queueTime(a, a.finish) - d.longest(ask)
+// queueWait returns how much too long for the ask the account's queue is when
+// it ends at the virtual time finish.
+func (d *Admitter) queueWait(finish float64, a *account, ask Ask) time.Duration {
+	return d.queueTime(a, finish) - d.longest(ask)
+}
+
+// limitWait returns how long the account's limit stays used up when it is
+// wholly free again at a time.
+func (d *Admitter) limitWait(now, free time.Duration, a *account) time.Duration {
+	if a.TokensPerSecond <= 0 {
+		return 0
+	}
+	return free - now - d.options.limitBurst
 }
 
 // longest returns the longest queue behind which the ask is admitted.
@@ -66,33 +78,33 @@
 	return max(0, min(d.options.maxQueue, ask.Deadline-(ask.Finish-ask.Wait)))
 }
 
-// refuseOverload tells each refused request a later time than the one before,
-// so that not all come back for the same free place.
-func (d *Admitter) refuseOverload(a *account, ask Ask, wait time.Duration) Decision {
-	behind := max(a.promised, a.finish)
-	wait += d.queueTime(a, behind) - d.queueTime(a, a.finish)
-	cost := d.cost(float64(ask.PromptTokens), a.expected(ask))
-	if wait < maxRetryAfter/2 {
-		a.promised = behind + cost/a.weight()
+// refuseLoad tells each refused request a later time than the one before, so
+// that not all come back for the same free place.
+func (d *Admitter) refuseLoad(now time.Duration, a *account, ask Ask, code peridotverdict.Code, message string) Decision {
+	finish := max(a.promised, a.finish)
+	free := max(a.limitPromised, a.limitAt, now)
+	wait := max(d.queueWait(finish, a, ask), d.limitWait(now, free, a))
+	if wait < d.options.maxPromise {
+		output := a.expected(ask)
+		a.promised = max(finish, d.virtual) + d.cost(float64(ask.PromptTokens), output)/a.weight()
+		a.limitPromised = free + d.limitTime(a, float64(ask.PromptTokens)+output)
 	}
-	return refuse(peridotverdict.Overloaded, "the client account has used up its share", wait)
-}
-
-// limitWait returns how long the account's limit is used up, or 0.
-func (d *Admitter) limitWait(now time.Duration, a *account) time.Duration {
-	if a.TokensPerSecond <= 0 {
-		return 0
-	}
-	return max(0, a.limitAt-now-d.options.limitBurst)
+	return refuse(code, message, wait)
 }
 
 // pay charges tokens to the account's queue and limit; negative ones are given
 // back.
 func (d *Admitter) pay(now time.Duration, a *account, prompt, output float64) {
 	d.charge(a, d.cost(prompt, output))
-	if a.TokensPerSecond > 0 {
-		a.limitAt = max(a.limitAt, now) + seconds((prompt+output)/(a.TokensPerSecond*d.share))
+	a.limitAt = max(a.limitAt, now) + d.limitTime(a, prompt+output)
+}
+
+// limitTime returns how long the account's limit takes to allow tokens.
+func (d *Admitter) limitTime(a *account, tokens float64) time.Duration {
+	if a.TokensPerSecond <= 0 {
+		return 0
 	}
+	return seconds(tokens / (a.TokensPerSecond * d.share))
 }
 
 func (d *Admitter) cost(prompt, output float64) float64 {
@@ -150,6 +162,10 @@
 	d.pay(now, a, float64(promptTokens-f.prompt), float64(outputTokens)-f.charged)
 }
 
+// refuse returns a refusal; after is zero when coming back makes no sense.
 func refuse(code peridotverdict.Code, message string, after time.Duration) Decision {
+	if after > 0 {
+		after += margin
+	}
 	return Decision{Err: peridotverdict.New(code, peridotverdict.NotRun, message, peridotverdict.RetryAfter(after))}
 }
--- a/peridotadmit/admitter.go
+++ b/peridotadmit/admitter.go
@@ -10,6 +10,7 @@
 const (
 	defaultMaxQueue   = time.Second
 	defaultLimitBurst = 2 * time.Second
+	defaultMaxPromise = 30 * time.Second
 	defaultOutput     = 128 // tokens
 	// maxRetryAfter bounds the time to come back that a refusal tells.
 	maxRetryAfter = 10 * time.Minute
@@ -73,6 +74,7 @@
 	maxQueue   time.Duration
 	limitBurst time.Duration
 	promptCost float64
+	maxPromise time.Duration
 }
 
 // Option sets an optional part of an Admitter.
@@ -94,9 +96,15 @@
 	return func(o *options) { o.promptCost = cost }
 }
 
+// MaxPromise bounds by how much refused requests that come back may put off the
+// time that later ones are told.
+func MaxPromise(d time.Duration) Option {
+	return func(o *options) { o.maxPromise = d }
+}
+
 // New returns an Admitter without accounts, whose capacity is unknown.
 func New(choices ...Option) *Admitter {
-	o := options{maxQueue: defaultMaxQueue, limitBurst: defaultLimitBurst, promptCost: 1}
+	o := options{maxQueue: defaultMaxQueue, limitBurst: defaultLimitBurst, promptCost: 1, maxPromise: defaultMaxPromise}
 	for _, option := range choices {
 		option(&o)
 	}
@@ -113,9 +121,10 @@
 	Account
 	// finish is the virtual time at which the queue is empty.
 	finish float64
-	// promised is the virtual time up to which refused requests were told to
-	// come back.
-	promised float64
+	// promised is the virtual time that finish reaches, and limitPromised the
+	// time that limitAt reaches, once the refused requests have come back.
+	promised      float64
+	limitPromised time.Duration
 	// index is the place in the active queue, or -1.
 	index int
 	// limitAt is the time at which the limit is wholly free again.
--- a/peridotadmit/queue.go
+++ b/peridotadmit/queue.go
@@ -63,7 +63,11 @@
 }
 
 // charge lengthens the account's queue by cost, or shortens it by a negative one.
+// Without a known capacity no queue would ever drain, so there is none.
 func (d *Admitter) charge(a *account, cost float64) {
+	if d.capacity <= 0 {
+		return
+	}
 	a.finish = max(a.finish, d.virtual) + cost/a.weight()
 	switch {
 	case a.finish <= d.virtual:
