--- a/peridotretry/policy.go
+++ b/peridotretry/policy.go
@@ -57,6 +57,8 @@
 
 	accounts map[string]*Budget
 	servers  map[string]*Budget
+	// spent names the servers that have had their share of retries.
+	spent []string
 }
 
 // Option sets an optional part of a Policy.
@@ -161,17 +163,34 @@
 func (p *Policy) Retried(_ time.Duration, account, instance string) {
 	p.budgetOf(p.accounts, account).Take()
 	p.budgetOf(p.servers, instance).Take()
+	p.note(instance)
 }
 
 // Succeeded pays in for a success.
 func (p *Policy) Succeeded(_ time.Duration, account, instance string) {
 	p.budgetOf(p.accounts, account).Succeeded()
 	p.budgetOf(p.servers, instance).Succeeded()
+	p.note(instance)
+}
+
+// note keeps spent up to date after a change of a server's budget.
+func (p *Policy) note(instance string) {
+	i := slices.Index(p.spent, instance)
+	left := p.servers[instance].Left()
+	switch {
+	case left && i >= 0:
+		p.spent = slices.Delete(p.spent, i, i+1)
+	case !left && i < 0:
+		p.spent = append(p.spent, instance)
+	}
 }
 
-// Forget drops the budgets of an instance that is gone.
+// Forget drops the budget of an instance that is gone.
 func (p *Policy) Forget(instance string) {
 	delete(p.servers, instance)
+	if i := slices.Index(p.spent, instance); i >= 0 {
+		p.spent = slices.Delete(p.spent, i, i+1)
+	}
 }
 
 // ForgetAccount drops the budget of a client account that is gone.
@@ -192,13 +211,7 @@
 // exclude names the instances tried and those that have had their share of
 // retries.
 func (p *Policy) exclude(a Attempt) []string {
-	names := append(slices.Clone(a.Tried), a.Instance)
-	for instance, b := range p.servers {
-		if !b.Left() && !slices.Contains(names, instance) {
-			names = append(names, instance)
-		}
-	}
-	return names
+	return append(append(slices.Clone(a.Tried), a.Instance), p.spent...)
 }
 
 // jitter returns a random pause that grows with each try.
--- /dev/null
+++ b/peridotretry/policy_test.go
@@ -0,0 +1,210 @@
+package peridotretry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"peridotstack/peridotverdict"
+)
+
+const defaultSeeds = 100
+
+// seeds returns how many seeded schedules a test runs.
+func seeds(t *testing.T) uint64 {
+	text := os.Getenv("PERIDOT_SEEDS")
+	if text == "" {
+		return defaultSeeds
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("PERIDOT_SEEDS: %v", err)
+	}
+	return n
+}
+
+func failed(code peridotverdict.Code, verdict peridotverdict.Verdict) *peridotverdict.Error {
+	return peridotverdict.New(code, verdict, "it failed")
+}
+
+func TestNext(t *testing.T) {
+	const (
+		notRun = peridotverdict.NotRun
+		mayRun = peridotverdict.MayHaveRun
+		ran    = peridotverdict.Ran
+	)
+	tests := []struct {
+		name    string
+		attempt Attempt
+		retry   bool
+		code    peridotverdict.Code
+		verdict peridotverdict.Verdict
+	}{
+		{name: "not run", attempt: Attempt{Err: failed(peridotverdict.Leaving, notRun)}, retry: true},
+		{name: "may have run", attempt: Attempt{Err: failed(peridotverdict.PeerLost, mayRun)}, code: peridotverdict.PeerLost, verdict: mayRun},
+		{name: "ran", attempt: Attempt{Err: failed(peridotverdict.ShortAnswer, ran)}, code: peridotverdict.ShortAnswer, verdict: ran},
+		{name: "may have run, idempotent", attempt: Attempt{Err: failed(peridotverdict.PeerLost, mayRun), Idempotent: true}, retry: true},
+		{name: "ran, idempotent", attempt: Attempt{Err: failed(peridotverdict.ShortAnswer, ran), Idempotent: true}, retry: true},
+		{name: "passed on", attempt: Attempt{Err: failed(peridotverdict.ShortAnswer, ran), Idempotent: true, Passed: 1}, code: peridotverdict.ShortAnswer, verdict: ran},
+		{name: "not run, passed on", attempt: Attempt{Err: failed(peridotverdict.Leaving, notRun), Passed: 1}, code: peridotverdict.Leaving, verdict: notRun},
+		{name: "an earlier try may have run", attempt: Attempt{Err: failed(peridotverdict.Leaving, notRun), EarlierMayHaveRun: true}, code: peridotverdict.Leaving, verdict: mayRun},
+		{name: "the same everywhere", attempt: Attempt{Err: failed(peridotverdict.BadKey, notRun), Idempotent: true}, code: peridotverdict.BadKey, verdict: notRun},
+		{name: "tried enough", attempt: Attempt{Err: failed(peridotverdict.Leaving, notRun), Number: 3}, code: peridotverdict.Leaving, verdict: notRun},
+		{name: "no time left", attempt: Attempt{Err: failed(peridotverdict.Leaving, notRun), Left: time.Second, Finish: time.Second}, code: peridotverdict.Leaving, verdict: notRun},
+		{name: "budget spent", attempt: Attempt{Account: "spent", Err: failed(peridotverdict.Leaving, notRun)}, code: peridotverdict.RetryBudgetSpent, verdict: notRun},
+	}
+	for _, test := range tests {
+		p := New(1)
+		for range 10 {
+			p.Retried(0, "spent", "elsewhere")
+		}
+		a := test.attempt
+		a.Instance = "s1"
+		if a.Number == 0 {
+			a.Number = 1
+		}
+		if a.Left == 0 {
+			a.Left = time.Minute
+		}
+		got := p.Next(0, a)
+		if got.Retry != test.retry {
+			t.Errorf("%s: got retry %v, want %v", test.name, got.Retry, test.retry)
+			continue
+		}
+		if got.Retry {
+			if want := []string{"s1", "elsewhere"}; !slices.Equal(got.Exclude, want) {
+				t.Errorf("%s: got excluded %v, want %v", test.name, got.Exclude, want)
+			}
+			continue
+		}
+		if got.Err.Code != test.code || got.Err.Verdict != test.verdict {
+			t.Errorf("%s: got %v, want %s with %s", test.name, got.Err, test.code, test.verdict)
+		}
+	}
+}
+
+// retryAll sends requests of which a share fails, with retries, and returns how
+// many were sent for each that arrived.
+func retryAll(p *Policy, random *rand.Rand, requests int, failing float64) float64 {
+	sent := 0
+	for i := range requests {
+		account := fmt.Sprint("a", i%3)
+		a := Attempt{Account: account, Idempotent: true, Left: time.Minute}
+		for {
+			sent++
+			a.Number++
+			a.Instance = fmt.Sprint("s", random.IntN(8))
+			if a.Number > 1 {
+				p.Retried(0, account, a.Instance)
+			}
+			if random.Float64() >= failing {
+				p.Succeeded(0, account, a.Instance)
+				break
+			}
+			a.Err = failed(peridotverdict.PeerLost, peridotverdict.MayHaveRun)
+			d := p.Next(0, a)
+			if !d.Retry {
+				break
+			}
+			a.EarlierMayHaveRun = true
+			a.Tried = append(a.Tried, a.Instance)
+		}
+	}
+	return float64(sent) / float64(requests)
+}
+
+// TestRetriesStayFew bounds how much retries multiply the load.
+func TestRetriesStayFew(t *testing.T) {
+	const requests = 3000
+	for seed := range seeds(t) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		for _, failing := range []float64{1, 0.9, 0.5, 0.1, 0.01} {
+			got := retryAll(New(seed), random, requests, failing)
+			// Three accounts start with a reserve of ten retries each.
+			reserve := 30.0 / requests
+			if want := 1.1 + reserve; got > want {
+				t.Errorf("seed %d: %.0f%% failing: sent %.3f times, want at most %.3f", seed, 100*failing, got, want)
+			}
+			if failing == 1 && got > 1+reserve {
+				t.Errorf("seed %d: all failing: sent %.3f times, want at most %.3f", seed, got, 1+reserve)
+			}
+			if failing == 0.01 && got < 1.005 {
+				t.Errorf("seed %d: few failing: sent %.3f times, want them retried", seed, got)
+			}
+		}
+	}
+}
+
+// TestServerBudget checks that one server gets only its share of retries.
+func TestServerBudget(t *testing.T) {
+	p := New(1)
+	a := Attempt{Account: "a", Instance: "s1", Number: 1, Err: failed(peridotverdict.Leaving, peridotverdict.NotRun), Left: time.Minute}
+	for range 10 {
+		p.Retried(0, "b", "s2")
+	}
+	if got := p.Next(0, a).Exclude; !slices.Contains(got, "s2") {
+		t.Errorf("after ten retries at s2: got excluded %v, want s2 among them", got)
+	}
+	for range 10 {
+		p.Succeeded(0, "b", "s2")
+	}
+	if got := p.Next(0, a).Exclude; slices.Contains(got, "s2") {
+		t.Errorf("after ten successes at s2: got excluded %v, want s2 not among them", got)
+	}
+}
+
+func TestHedge(t *testing.T) {
+	slow := Attempt{Account: "a", Instance: "s1", Number: 1, Idempotent: true, Left: time.Minute}
+	passed, once := slow, slow
+	passed.Passed = 1
+	once.Idempotent = false
+	tests := []struct {
+		name    string
+		policy  *Policy
+		attempt Attempt
+		waited  time.Duration
+		want    bool
+	}{
+		{"off by default", New(1), slow, time.Hour, false},
+		{"slow", New(1, HedgeAfter(time.Second)), slow, time.Second, true},
+		{"not slow yet", New(1, HedgeAfter(time.Second)), slow, time.Second / 2, false},
+		{"something came", New(1, HedgeAfter(time.Second)), passed, time.Second, false},
+		{"runs at most once", New(1, HedgeAfter(time.Second)), once, time.Second, false},
+	}
+	for _, test := range tests {
+		if got := test.policy.Hedge(0, test.attempt, test.waited).Retry; got != test.want {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+func ExamplePolicy() {
+	p := New(1)
+	d := p.Next(0, Attempt{
+		Account:  "matriz-recife",
+		Instance: "engine-1",
+		Number:   1,
+		Err:      peridotverdict.New(peridotverdict.Leaving, peridotverdict.NotRun, "the backend server is leaving"),
+		Left:     time.Second,
+	})
+	fmt.Println(d.Retry, d.Exclude)
+	// Output: true [engine-1]
+}
+
+func BenchmarkNext(b *testing.B) {
+	p := New(1)
+	for i := range 1000 {
+		p.Succeeded(0, "a", fmt.Sprint("s", i))
+	}
+	a := Attempt{Account: "a", Instance: "s1", Number: 1, Err: failed(peridotverdict.Leaving, peridotverdict.NotRun), Left: time.Minute}
+	b.ReportAllocs()
+	for b.Loop() {
+		if !p.Next(0, a).Retry {
+			b.Fatal("given up")
+		}
+	}
+}
