Route, admit and retry in the entry instance

The entry took the agent with the fewest outstanding requests of its own and admitted everything. It now chooses by peridotroute, admits by peridotadmit (one admitter for the accounts' limits over all models and one for the capacity of each model) and retries by peridotretry, the only layer that does. Each try has its own request id and exchange; an exchange that is over takes no more chunks, so a late one of an earlier try cannot get into the answer.

An entry's part of a model's capacity is the part of the running requests that it has sent, and at least an equal one: an equal part alone would refuse at half the capacity where all callers sit at one of two entries.

Engines of every role do whole requests, because the wire cannot move a KV cache yet.

--- a/peridotadmit/admit.go
+++ b/peridotadmit/admit.go
@@ -107,8 +107,32 @@
 	return seconds(tokens / (a.TokensPerSecond * d.share))
 }
 
+// Expected returns the output tokens that a request of the account is expected
+// to have, at most told when that is not 0.
+func (d *Admitter) Expected(name string, told int) int {
+	expected := defaultOutput
+	if a, ok := d.accounts[name]; ok && a.output > 0 {
+		expected = int(a.output)
+	}
+	if told > 0 {
+		expected = min(expected, told)
+	}
+	return max(1, expected)
+}
+
+// Cancel gives back what an admitted request that did not run was charged.
+func (d *Admitter) Cancel(now time.Duration, id string) {
+	f, ok := d.flights[id]
+	if !ok {
+		return
+	}
+	delete(d.flights, id)
+	d.advance(now)
+	d.pay(now, f.account, float64(-f.prompt), -f.charged)
+}
+
 func (d *Admitter) cost(prompt, output float64) float64 {
-	return prompt*d.options.promptCost + output
+	return prompt*d.promptCost + output
 }
 
 // expected returns the output tokens to charge on arrival.
--- a/peridotadmit/admit_test.go
+++ b/peridotadmit/admit_test.go
@@ -123,6 +123,15 @@
 	if got, want := a.finish, 272.0+260; got != want {
 		t.Errorf("the next: got %v tokens, want %v", got, want)
 	}
+	d.Cancel(0, "2")
+	if got, want := a.finish, 272.0; got != want {
+		t.Errorf("after the next did not run: got %v tokens, want %v", got, want)
+	}
+	for _, test := range []struct{ told, want int }{{0, 260}, {100, 100}, {4096, 260}} {
+		if got := d.Expected("a", test.told); got != test.want {
+			t.Errorf("expected with %d told: got %d, want %d", test.told, got, test.want)
+		}
+	}
 }
 
 // demand is what one account asks for in a random schedule.
--- a/peridotadmit/admitter.go
+++ b/peridotadmit/admitter.go
@@ -56,6 +56,8 @@
 	options options
 	// capacity is in cost units a second; 0 means unknown, which bounds nothing.
 	capacity float64
+	// promptCost is the cost of a prompt token; an output token costs 1.
+	promptCost float64
 	// share is the part of each account's limit that this process hands out.
 	share    float64
 	accounts map[string]*account
@@ -73,7 +75,6 @@
 type options struct {
 	maxQueue   time.Duration
 	limitBurst time.Duration
-	promptCost float64
 	maxPromise time.Duration
 }
 
@@ -90,12 +91,6 @@
 	return func(o *options) { o.limitBurst = d }
 }
 
-// PromptCost sets the cost of a prompt token against an output token's 1. The
-// limits of accounts count every token as 1.
-func PromptCost(cost float64) Option {
-	return func(o *options) { o.promptCost = cost }
-}
-
 // MaxPromise bounds by how much refused requests that come back may put off the
 // time that later ones are told.
 func MaxPromise(d time.Duration) Option {
@@ -104,15 +99,16 @@
 
 // New returns an Admitter without accounts, whose capacity is unknown.
 func New(choices ...Option) *Admitter {
-	o := options{maxQueue: defaultMaxQueue, limitBurst: defaultLimitBurst, promptCost: 1, maxPromise: defaultMaxPromise}
+	o := options{maxQueue: defaultMaxQueue, limitBurst: defaultLimitBurst, maxPromise: defaultMaxPromise}
 	for _, option := range choices {
 		option(&o)
 	}
 	return &Admitter{
-		options:  o,
-		share:    1,
-		accounts: make(map[string]*account),
-		flights:  make(map[string]*flight),
+		options:    o,
+		promptCost: 1,
+		share:      1,
+		accounts:   make(map[string]*account),
+		flights:    make(map[string]*flight),
 	}
 }
 
@@ -186,6 +182,13 @@
 	d.capacity = tokensPerSecond
 }
 
+// SetPromptCost sets the cost of a prompt token against an output token's 1. The
+// limits of accounts count every token as 1.
+func (d *Admitter) SetPromptCost(now time.Duration, cost float64) {
+	d.advance(now)
+	d.promptCost = cost
+}
+
 // SetShare sets the part of each account's limit that this process hands out,
 // which is 1 over the number of processes that callers are spread over.
 func (d *Admitter) SetShare(now time.Duration, share float64) {
--- a/peridotentry/caller.go
+++ b/peridotentry/caller.go
@@ -181,19 +181,21 @@
 	}, nil
 }
 
-// serveRun sends a request to an agent and writes the answer to the caller.
+// serveRun admits a request, has it run and writes the answer to the caller.
 func (e *Entry) serveRun(ctx context.Context, w http.ResponseWriter, run peridotwire.Run) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(run.TimeoutMillis)*time.Millisecond)
 	defer cancel()
-	l, peer, err := e.pool.acquire(run.Model + run.Service)
-	if err != nil {
-		e.refuse(w, peridotverdict.As(err), "")
+	id := newRequestID(e.settings.Instance)
+	first, refused := e.traffic.admit(id, &run)
+	if refused != nil {
+		e.refuse(w, refused, "")
 		return
 	}
-	defer e.pool.release(l)
-	run.RequestID = newRequestID(l.instance.ID)
-	x := newExchange(run, 0)
-	e.serveExchange(ctx, w, peer, x, false)
+	run.Priority = first.priority
+	a := newAnswer(run.Stream, run.Idempotent, 0)
+	e.serveAnswer(ctx, w, a, func() (*peridotstream.End, *peridotverdict.Error) {
+		return e.tryUntilDone(ctx, id, run, a, first.choice)
+	})
 }
 
 // serveResume continues an answer behind the caller's last event.
@@ -215,49 +217,54 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
 	defer cancel()
-	x := newExchange(peridotwire.Run{RequestID: requestID, Account: who.account.Name, Stream: true}, after)
-	e.serveExchange(ctx, w, nil, x, true)
+	a := newAnswer(true, false, after)
+	a.setID(requestID)
+	x := newExchange(peridotwire.Run{RequestID: requestID, Account: who.account.Name, Stream: true}, after, &a.timeline)
+	e.serveAnswer(ctx, w, a, func() (*peridotstream.End, *peridotverdict.Error) {
+		return e.conduct(ctx, nil, x, true)
+	})
 }
 
-// serveExchange conducts an exchange and writes its answer as it comes.
-func (e *Entry) serveExchange(ctx context.Context, w http.ResponseWriter, peer *peridotwire.Peer, x *exchange, started bool) {
+// serveAnswer has an answer made and writes it as it comes.
+func (e *Entry) serveAnswer(ctx context.Context, w http.ResponseWriter, a *answer, produce func() (*peridotstream.End, *peridotverdict.Error)) {
 	go func() {
-		end, err := e.conduct(ctx, peer, x, started)
+		end, err := produce()
 		if err != nil {
 			end = &peridotstream.End{Err: err}
 		}
-		x.timeline.Close(*end)
+		a.timeline.Close(*end)
 	}()
-	if x.request.Stream {
-		e.writeStream(ctx, w, x)
+	if a.stream {
+		e.writeStream(ctx, w, a)
 	} else {
-		e.writeWhole(ctx, w, x)
+		e.writeWhole(ctx, w, a)
 	}
 	if ctx.Err() != nil {
-		e.cancelRun(x)
+		e.cancelRun(a)
 	}
 }
 
 // cancelRun tells the agent that nobody waits for the answer any more. A
 // request that runs at most once goes on, for its caller may ask again.
-func (e *Entry) cancelRun(x *exchange) {
-	if !x.request.Idempotent {
+func (e *Entry) cancelRun(a *answer) {
+	if !a.idempotent {
 		return
 	}
-	instance, _ := agentOf(x.request.RequestID)
+	requestID := a.id()
+	instance, _ := agentOf(requestID)
 	if peer := e.pool.peerOf(instance); peer != nil {
-		_ = peer.Notify(context.Background(), peridotwire.MethodCancel, peridotwire.Cancel{RequestID: x.request.RequestID})
+		_ = peer.Notify(context.Background(), peridotwire.MethodCancel, peridotwire.Cancel{RequestID: requestID})
 	}
 }
 
 // writeWhole writes an answer only once it is known to be whole.
-func (e *Entry) writeWhole(ctx context.Context, w http.ResponseWriter, x *exchange) {
+func (e *Entry) writeWhole(ctx context.Context, w http.ResponseWriter, a *answer) {
 	var body strings.Builder
 	seen := 0
 	for {
-		chunks, end, err := x.timeline.Next(ctx, seen)
+		chunks, end, err := a.timeline.Next(ctx, seen)
 		if err != nil {
-			e.refuse(w, deadlinePassed(), x.request.RequestID)
+			e.refuse(w, deadlinePassed(), a.id())
 			return
 		}
 		seen += len(chunks)
@@ -268,12 +275,12 @@
 			continue
 		}
 		if end.Err != nil {
-			e.refuse(w, end.Err, x.request.RequestID)
+			e.refuse(w, end.Err, a.id())
 			return
 		}
 		header := w.Header()
 		header.Set("Content-Type", end.ContentType)
-		header.Set(headerRequestID, x.request.RequestID)
+		header.Set(headerRequestID, a.id())
 		w.WriteHeader(end.Status)
 		_, _ = io.WriteString(w, body.String())
 		return
@@ -281,26 +288,26 @@
 }
 
 // writeStream writes chunks as numbered server-sent events.
-func (e *Entry) writeStream(ctx context.Context, w http.ResponseWriter, x *exchange) {
+func (e *Entry) writeStream(ctx context.Context, w http.ResponseWriter, a *answer) {
 	written := 0
 	for {
-		chunks, end, err := x.timeline.Next(ctx, written)
+		chunks, end, err := a.timeline.Next(ctx, written)
 		if err != nil {
 			end = &peridotstream.End{Err: deadlinePassed()}
 		}
 		if written == 0 && len(chunks) == 0 && end.Err != nil {
-			e.refuse(w, end.Err, x.request.RequestID)
+			e.refuse(w, end.Err, a.id())
 			return
 		}
 		if written == 0 {
-			startStream(w, x.request.RequestID)
+			startStream(w, a.id())
 		}
 		for _, chunk := range chunks {
 			written++
-			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", x.after+written, chunk)
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", a.after+written, chunk)
 		}
 		if end != nil {
-			e.endStream(w, end, x.request.RequestID)
+			e.endStream(w, end, a.id())
 			return
 		}
 		w.(http.Flusher).Flush()
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
@@ -31,6 +32,7 @@
 	metrics  *peridotmetric.Metrics
 	config   atomic.Pointer[peridotconfig.Config]
 	pool     *pool
+	traffic  *traffic
 	callers  callers
 	stopping atomic.Bool
 	// running waits for callers' requests during a graceful shutdown.
@@ -50,12 +52,19 @@
 	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}}
 	e.config.Store(&peridotconfig.Config{})
 	e.pool = newPool(s.Instance, platform.Instances, e.version)
+	e.traffic = newTraffic(seedOf(s.Instance), e.pool, e.Config)
+	e.pool.observe = e.traffic.observe
 	for _, option := range options {
 		option(e)
 	}
 	return e
 }
 
+// seedOf returns a seed that differs between instances.
+func seedOf(instance string) uint64 {
+	return xxhash.Sum64String(instance)
+}
+
 // Config returns the configuration in force.
 func (e *Entry) Config() *peridotconfig.Config {
 	return e.config.Load()
--- a/peridotentry/exchange.go
+++ b/peridotentry/exchange.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"peridotstack/peridotstream"
 	"peridotstack/peridotverdict"
 	"peridotstack/peridotwire"
@@ -40,43 +42,64 @@
 	return requestID[:i], true
 }
 
+var errAbandoned = errors.New("the exchange is over")
+
 // exchange is one request under way at one agent. Its answer collects in
 // timeline, from where the caller's connection is written.
 type exchange struct {
-	request peridotwire.Run
-	// after is how many chunks the caller already had.
-	after    int
-	timeline peridotstream.Timeline
+	request  peridotwire.Run
+	timeline *peridotstream.Timeline
+	// progress, if set, is told how many chunks have come.
+	progress func(chunks int)
 
 	mu      sync.Mutex
 	checker *peridotstream.Checker
 	broken  error
 }
 
-func newExchange(r peridotwire.Run, after int) *exchange {
-	x := &exchange{request: r, after: after, checker: peridotstream.NewChecker(after)}
-	x.timeline.MaxBytes = maxAnswer
-	return x
+// newExchange returns an exchange whose caller already had the first after
+// chunks.
+func newExchange(r peridotwire.Run, after int, t *peridotstream.Timeline) *exchange {
+	return &exchange{request: r, timeline: t, checker: peridotstream.NewChecker(after)}
 }
 
 // take accepts chunks from the agent.
 func (x *exchange) take(c peridotwire.Chunks) {
+	received := x.accept(c)
+	if received > 0 && x.progress != nil {
+		x.progress(received)
+	}
+}
+
+// accept appends what is new and returns the checkpoint, or 0 once the exchange
+// is broken or over.
+func (x *exchange) accept(c peridotwire.Chunks) int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.broken != nil {
-		return
+		return 0
 	}
 	fresh, err := x.checker.Accept(c.First, c.Data)
 	if err != nil {
 		x.broken = err
-		return
+		return 0
 	}
 	for _, chunk := range fresh {
 		if err := x.timeline.Append(chunk); err != nil {
 			x.broken = err
-			return
+			return 0
 		}
 	}
+	return x.checker.Received
+}
+
+// abandon makes the exchange take no more chunks, for another one may now write
+// to the same answer, and returns how many it took.
+func (x *exchange) abandon() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.broken = errAbandoned
+	return x.checker.Received
 }
 
 // received returns the checkpoint.
@@ -117,6 +140,9 @@
 	if result.Err != nil {
 		return nil, result.Err
 	}
+	if result.End.Err != nil {
+		return nil, result.End.Err
+	}
 	if bad := x.verify(*result.End); bad != nil {
 		return nil, peridotverdict.As(bad)
 	}
@@ -129,6 +155,7 @@
 	}
 	var result peridotwire.Result
 	err := peer.Call(ctx, peridotwire.MethodRun, x.request, &result)
+	e.observe(x, err, result)
 	return result, peridotverdict.As(err)
 }
 
@@ -146,5 +173,16 @@
 		Account:   x.request.Account,
 		After:     x.received(),
 	}, &result)
+	e.observe(x, err, result)
 	return result, peridotverdict.As(err)
 }
+
+// observe takes the load that came with an answer.
+func (e *Entry) observe(x *exchange, err error, result peridotwire.Result) {
+	if err != nil {
+		return
+	}
+	if instance, ok := agentOf(x.request.RequestID); ok {
+		e.traffic.observe(instance, result.Load)
+	}
+}
--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -1,15 +1,18 @@
 package peridotentry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"peridotstack/peridotplatform"
+	"peridotstack/peridotroute"
 	"peridotstack/peridotverdict"
 	"peridotstack/peridotwire"
 )
@@ -38,10 +41,15 @@
 	self    string
 	list    func(context.Context) ([]peridotplatform.Instance, error)
 	version func() peridotwire.Version
+	// observe is told the load of an agent that answered a heartbeat.
+	observe func(instance string, l peridotwire.Load)
 
 	mu        sync.Mutex
 	links     map[string]*link
 	exchanges map[string]*exchange
+	// changes counts the changes of what servers and entries return.
+	changes uint64
+	entries int
 }
 
 func newPool(self string, list func(context.Context) ([]peridotplatform.Instance, error), version func() peridotwire.Version) *pool {
@@ -49,6 +57,7 @@
 		self:      self,
 		list:      list,
 		version:   version,
+		observe:   func(string, peridotwire.Load) {},
 		links:     make(map[string]*link),
 		exchanges: make(map[string]*exchange),
 	}
@@ -74,8 +83,13 @@
 func (p *pool) update(ctx context.Context, instances []peridotplatform.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.changes++
+	p.entries = 0
 	listed := make(map[string]bool)
 	for _, instance := range instances {
+		if instance.Role == peridotplatform.RoleEntry && !instance.Leaving {
+			p.entries++
+		}
 		if instance.Role != peridotplatform.RoleAgent {
 			continue
 		}
@@ -133,46 +147,75 @@
 	if err := peer.Call(ctx, peridotwire.MethodPing, peridotwire.Ping{From: p.self, Version: p.version()}, &pong); err != nil {
 		return err
 	}
+	p.observe(p.answered(l, peer, pong), pong.Load)
+	return nil
+}
+
+// answered keeps what an agent answered to a heartbeat and returns its instance.
+func (p *pool) answered(l *link, peer *peridotwire.Peer, pong peridotwire.Pong) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if l.peer != peer || l.pong.Leaving != pong.Leaving {
+		p.changes++
+	}
 	l.pong = pong
 	l.peer = peer
-	return nil
+	return l.instance.ID
 }
 
 func (p *pool) setPeer(l *link, peer *peridotwire.Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.changes++
 	l.peer = peer
 }
 
-// acquire picks the connected agent for target with the fewest outstanding
-// requests. release must be called once the request has ended.
-func (p *pool) acquire(target string) (*link, *peridotwire.Peer, error) {
+// acquire returns the connection to an agent. release must be called once the
+// request has ended.
+func (p *pool) acquire(instance string) (*link, *peridotwire.Peer, *peridotverdict.Error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *link
-	for _, l := range p.links {
-		if !l.serves(target) {
-			continue
-		}
-		if best == nil || l.outstanding < best.outstanding {
-			best = l
-		}
-	}
-	if best == nil {
-		return nil, nil, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no backend server for "+target, peridotverdict.RetryAfter(time.Second))
+	l, ok := p.links[instance]
+	if !ok || l.peer == nil {
+		return nil, nil, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the backend server "+instance+" is out of reach", peridotverdict.RetryAfter(time.Second))
 	}
-	best.outstanding++
-	return best, best.peer, nil
+	l.outstanding++
+	return l, l.peer, nil
 }
 
-// serves reports whether new work for target may go over the link.
-func (l *link) serves(target string) bool {
-	if l.peer == nil || l.pong.Leaving || l.instance.Leaving {
-		return false
+// change returns a number that grows when servers or entryCount may return
+// something new.
+func (p *pool) change() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changes
+}
+
+// servers returns the backend servers that the agents stand beside.
+func (p *pool) servers() []peridotroute.Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]peridotroute.Server, 0, len(p.links))
+	for _, l := range p.links {
+		list = append(list, peridotroute.Server{
+			Instance: l.instance.ID,
+			Domain:   l.instance.Domain,
+			Model:    l.instance.Model,
+			Service:  l.instance.Service,
+			Leaving:  l.instance.Leaving || l.pong.Leaving,
+			Down:     l.peer == nil,
+		})
 	}
-	return l.instance.Model == target || l.instance.Service == target
+	// The order decides which servers a random draw hits.
+	slices.SortFunc(list, func(a, b peridotroute.Server) int { return cmp.Compare(a.Instance, b.Instance) })
+	return list
+}
+
+// entryCount returns how many entry instances callers are spread over.
+func (p *pool) entryCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(1, p.entries)
 }
 
 // release ends a request on a link.
--- /dev/null
+++ b/peridotentry/retry.go
@@ -0,0 +1,153 @@
+package peridotentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"peridotstack/peridotretry"
+	"peridotstack/peridotroute"
+	"peridotstack/peridotstream"
+	"peridotstack/peridotverdict"
+	"peridotstack/peridotwire"
+)
+
+// progressChunks is how many chunks pass between two corrections of a request's
+// cost.
+const progressChunks = 32
+
+// answer is what the caller of one request gets, from one try or several.
+type answer struct {
+	timeline peridotstream.Timeline
+	stream   bool
+	// after is how many chunks the caller already had.
+	after int
+	// idempotent requests are canceled when their caller goes away.
+	idempotent bool
+
+	mu        sync.Mutex
+	requestID string
+}
+
+func newAnswer(stream, idempotent bool, after int) *answer {
+	a := &answer{stream: stream, idempotent: idempotent, after: after}
+	a.timeline.MaxBytes = maxAnswer
+	return a
+}
+
+// id returns the id of the try under way, or of the last.
+func (a *answer) id() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.requestID
+}
+
+func (a *answer) setID(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.requestID = id
+}
+
+// tryUntilDone runs an admitted request, again on another backend server as
+// long as the policy allows it. This is the only layer that retries.
+func (e *Entry) tryUntilDone(ctx context.Context, id string, run peridotwire.Run, a *answer, choice peridotroute.Choice) (*peridotstream.End, *peridotverdict.Error) {
+	attempt := peridotretry.Attempt{Account: run.Account, Idempotent: run.Idempotent}
+	for {
+		run.TimeoutMillis = left(ctx).Milliseconds()
+		run.RequestID = newRequestID(choice.Instance)
+		end, passed, err := e.tryOnce(ctx, id, run, a, choice)
+		if err == nil {
+			e.traffic.succeeded(run.Account, choice.Instance)
+			e.traffic.end(id, &run, used(&run, end))
+			return end, nil
+		}
+		attempt.Number++
+		attempt.Instance = choice.Instance
+		attempt.Err = err
+		attempt.Passed = passed
+		attempt.Left = left(ctx)
+		attempt.Finish = choice.Finish
+		next := e.nextTry(ctx, &run, attempt)
+		if next.refused != nil {
+			e.settleFailed(id, &run, next.refused, passed)
+			return nil, next.refused
+		}
+		e.metrics.Retried(err.Code)
+		attempt.EarlierMayHaveRun = attempt.EarlierMayHaveRun || err.Verdict != peridotverdict.NotRun
+		attempt.Tried = append(attempt.Tried, choice.Instance)
+		choice = next.choice
+	}
+}
+
+// nextTry is where a request goes after a try that failed, or its final answer.
+type nextTry struct {
+	choice  peridotroute.Choice
+	refused *peridotverdict.Error
+}
+
+func (e *Entry) nextTry(ctx context.Context, run *peridotwire.Run, attempt peridotretry.Attempt) nextTry {
+	d := e.traffic.next(attempt)
+	if !d.Retry {
+		return nextTry{refused: d.Err}
+	}
+	wait(ctx, d.After)
+	if ctx.Err() != nil {
+		return nextTry{refused: e.traffic.policy.GiveUp(attempt)}
+	}
+	choice, err := e.traffic.again(run, d.Exclude)
+	if err != nil {
+		return nextTry{refused: e.traffic.policy.GiveUp(attempt)}
+	}
+	return nextTry{choice: choice}
+}
+
+// tryOnce runs a request on one backend server. It also returns how many chunks
+// reached the answer; no more follow once it has returned.
+func (e *Entry) tryOnce(ctx context.Context, id string, run peridotwire.Run, a *answer, choice peridotroute.Choice) (*peridotstream.End, int, *peridotverdict.Error) {
+	a.setID(run.RequestID)
+	e.traffic.sent(&run, choice)
+	defer e.traffic.over(&run)
+	l, peer, err := e.pool.acquire(choice.Instance)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer e.pool.release(l)
+	x := newExchange(run, 0, &a.timeline)
+	x.progress = func(chunks int) {
+		if chunks == 1 || chunks%progressChunks == 0 {
+			e.traffic.progress(id, &run, chunks)
+		}
+	}
+	end, err := e.conduct(ctx, peer, x, false)
+	return end, x.abandon(), err
+}
+
+// settleFailed gives back what a request was charged that surely did not run.
+func (e *Entry) settleFailed(id string, run *peridotwire.Run, err *peridotverdict.Error, passed int) {
+	if err.Verdict == peridotverdict.NotRun {
+		e.traffic.end(id, run, nil)
+		return
+	}
+	e.traffic.end(id, run, &usage{prompt: promptTokens(run), output: passed})
+}
+
+// used returns what the engine counted, or else an estimate.
+func used(run *peridotwire.Run, end *peridotstream.End) *usage {
+	u := &usage{prompt: end.PromptTokens, output: end.OutputTokens}
+	if u.prompt == 0 {
+		u.prompt = promptTokens(run)
+	}
+	if u.output == 0 {
+		u.output = end.Chunks
+	}
+	return u
+}
+
+// left returns the time until the deadline of ctx.
+func left(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return defaultTimeout
+	}
+	return time.Until(deadline)
+}
--- /dev/null
+++ b/peridotentry/traffic.go
@@ -0,0 +1,274 @@
+package peridotentry
+
+import (
+	"sync"
+	"time"
+
+	"peridotstack/peridotadmit"
+	"peridotstack/peridotconfig"
+	"peridotstack/peridotretry"
+	"peridotstack/peridotroute"
+	"peridotstack/peridotverdict"
+	"peridotstack/peridotwire"
+)
+
+const (
+	// bytesPerToken is how long a token of a prompt is taken to be.
+	bytesPerToken = 4
+	// reportLag is how old an agent's count of its own requests may be.
+	reportLag = 100 * time.Millisecond
+	// maxQueue bounds the virtual queue of one account at one model.
+	maxQueue = 2 * time.Second
+)
+
+// traffic puts the decisions on routing, admission and retries behind a lock
+// and on the process's clock. It is safe for concurrent use.
+type traffic struct {
+	start  time.Time
+	pool   *pool
+	config func() *peridotconfig.Config
+
+	mu     sync.Mutex
+	router *peridotroute.Router
+	policy *peridotretry.Policy
+	// limits keeps the accounts' limits, which hold over all models; it knows no
+	// capacity. models share out the capacity of one model each.
+	limits *peridotadmit.Admitter
+	models map[string]*peridotadmit.Admitter
+	// change and known are the state of the pool and the configuration that the
+	// decisions are made by.
+	change uint64
+	known  *peridotconfig.Config
+}
+
+func newTraffic(seed uint64, p *pool, config func() *peridotconfig.Config) *traffic {
+	return &traffic{
+		start:  time.Now(),
+		pool:   p,
+		config: config,
+		router: peridotroute.New(seed, peridotroute.ReportLag(reportLag)),
+		policy: peridotretry.New(seed),
+		limits: peridotadmit.New(),
+		models: make(map[string]*peridotadmit.Admitter),
+	}
+}
+
+// now is the time since the start on the monotonic clock.
+func (t *traffic) now() time.Duration {
+	return time.Since(t.start)
+}
+
+// observe takes the load of an agent's backend server.
+func (t *traffic) observe(instance string, l peridotwire.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.router.Observe(now, peridotroute.Report{
+		Instance:      instance,
+		At:            now,
+		Running:       l.Running,
+		Waiting:       l.Waiting,
+		PrefillTokens: l.PrefillTokens,
+		DecodeTokens:  l.DecodeTokens,
+		FreeBlocks:    l.FreeBlocks,
+	})
+}
+
+// refresh follows the configuration and the list of backend servers. The mutex
+// is held.
+func (t *traffic) refresh(now time.Duration) {
+	config, change := t.config(), t.pool.change()
+	if t.known == config && t.change == change {
+		return
+	}
+	t.known, t.change = config, change
+	list := t.pool.servers()
+	for i := range list {
+		if m, ok := config.Model(list[i].Model); ok {
+			list[i].PrefillTokensPerSecond = m.PrefillTokensPerSecond
+			list[i].DecodeTokensPerSecond = m.DecodeTokensPerSecond
+		}
+	}
+	t.router.SetServers(now, list)
+	t.limits.SetAccounts(now, accountsOf(config, true))
+	t.limits.SetShare(now, 1/float64(t.pool.entryCount()))
+	for _, m := range config.Models {
+		t.setModel(now, config, m, list)
+	}
+}
+
+// setModel tells the admitter of a model this entry's part of the capacity, in
+// output tokens a second.
+func (t *traffic) setModel(now time.Duration, config *peridotconfig.Config, m peridotconfig.Model, list []peridotroute.Server) {
+	d := t.models[m.Name]
+	if d == nil {
+		d = peridotadmit.New(peridotadmit.MaxQueue(maxQueue))
+		t.models[m.Name] = d
+	}
+	running := 0
+	for _, s := range list {
+		if s.Model == m.Name && !s.Leaving && !s.Down {
+			running++
+		}
+	}
+	d.SetAccounts(now, accountsOf(config, false))
+	d.SetCapacity(now, float64(running)*m.DecodeTokensPerSecond*t.share(m.Name))
+	if m.PrefillTokensPerSecond > 0 {
+		d.SetPromptCost(now, m.DecodeTokensPerSecond/m.PrefillTokensPerSecond)
+	}
+}
+
+// share returns this entry's part of a model's capacity: that of the requests
+// under way which it has sent, but no less than an equal one.
+func (t *traffic) share(model string) float64 {
+	mine, total := t.router.Running(model, "")
+	if total == 0 {
+		return 1
+	}
+	return max(float64(mine)/float64(total), 1/float64(t.pool.entryCount()))
+}
+
+func accountsOf(config *peridotconfig.Config, limits bool) []peridotadmit.Account {
+	list := make([]peridotadmit.Account, len(config.Accounts))
+	for i, a := range config.Accounts {
+		list[i] = peridotadmit.Account{Name: a.Name, Weight: a.Weight, Priority: a.Priority}
+		if limits {
+			list[i].TokensPerSecond = a.TokensPerSecond
+		}
+	}
+	return list
+}
+
+// try is one attempt to run a request.
+type try struct {
+	choice peridotroute.Choice
+	// priority is for the engine.
+	priority int
+}
+
+// admit chooses a backend server for a request and decides whether it may
+// start. end must be called with the same id once an admitted request is over.
+func (t *traffic) admit(id string, run *peridotwire.Run) (try, *peridotverdict.Error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.refresh(now)
+	choice, err := t.router.Choose(now, t.request(run, nil))
+	if err != nil {
+		return try{}, peridotverdict.As(err)
+	}
+	if run.Model == "" {
+		return try{choice: choice, priority: run.Priority}, nil
+	}
+	ask := peridotadmit.Ask{
+		Account:        run.Account,
+		PromptTokens:   promptTokens(run),
+		ExpectedOutput: t.limits.Expected(run.Account, run.MaxTokens),
+		Deadline:       time.Duration(run.TimeoutMillis) * time.Millisecond,
+		Wait:           choice.Wait,
+		Finish:         choice.Finish,
+	}
+	if d := t.limits.Admit(now, id, ask); !d.Admit {
+		return try{}, d.Err
+	}
+	d := t.models[run.Model].Admit(now, id, ask)
+	if !d.Admit {
+		t.limits.Cancel(now, id)
+		return try{}, d.Err
+	}
+	return try{choice: choice, priority: d.Priority}, nil
+}
+
+// again chooses a backend server for a retry.
+func (t *traffic) again(run *peridotwire.Run, exclude []string) (peridotroute.Choice, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.refresh(now)
+	choice, err := t.router.Choose(now, t.request(run, exclude))
+	if err == nil {
+		t.policy.Retried(now, run.Account, choice.Instance)
+	}
+	return choice, err
+}
+
+// request returns what the choice of a server depends on. Engines of every role
+// do whole requests, for the agents cannot move a KV cache between them.
+func (t *traffic) request(run *peridotwire.Run, exclude []string) peridotroute.Request {
+	return peridotroute.Request{
+		ID:             run.RequestID,
+		Model:          run.Model,
+		Service:        run.Service,
+		PromptTokens:   promptTokens(run),
+		MaxTokens:      run.MaxTokens,
+		ExpectedOutput: t.limits.Expected(run.Account, run.MaxTokens),
+		Deadline:       time.Duration(run.TimeoutMillis) * time.Millisecond,
+		Exclude:        exclude,
+	}
+}
+
+func promptTokens(run *peridotwire.Run) int {
+	return len(run.Body)/bytesPerToken + 1
+}
+
+// sent records that a try goes out under run.RequestID.
+func (t *traffic) sent(run *peridotwire.Run, choice peridotroute.Choice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.router.Sent(t.now(), t.request(run, nil), choice)
+}
+
+// progress records how many chunks of an answer have come.
+func (t *traffic) progress(id string, run *peridotwire.Run, chunks int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.router.Progress(now, run.RequestID, chunks)
+	t.limits.Progress(now, id, chunks)
+	if d := t.models[run.Model]; d != nil {
+		d.Progress(now, id, chunks)
+	}
+}
+
+// over records that a try has ended.
+func (t *traffic) over(run *peridotwire.Run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.router.Done(t.now(), run.RequestID, 0)
+}
+
+// next decides what follows a try that failed.
+func (t *traffic) next(a peridotretry.Attempt) peridotretry.Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.policy.Next(t.now(), a)
+}
+
+// usage is what a request really took.
+type usage struct {
+	prompt int
+	output int
+}
+
+// end settles an admitted request. Of one that did not run, u is nil.
+func (t *traffic) end(id string, run *peridotwire.Run, u *usage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, d := range []*peridotadmit.Admitter{t.limits, t.models[run.Model]} {
+		switch {
+		case d == nil:
+		case u == nil:
+			d.Cancel(now, id)
+		default:
+			d.Done(now, id, u.prompt, u.output)
+		}
+	}
+}
+
+// succeeded pays into the retry budgets.
+func (t *traffic) succeeded(account, instance string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.policy.Succeeded(t.now(), account, instance)
+}
--- a/peridotretry/policy.go
+++ b/peridotretry/policy.go
@@ -115,6 +115,11 @@
 	return Decision{Retry: true, After: after, Exclude: p.exclude(a)}
 }
 
+// GiveUp returns the final answer of a request whose retry has nowhere to go.
+func (p *Policy) GiveUp(a Attempt) *peridotverdict.Error {
+	return final(a, a.Err.Code, a.Err.Message)
+}
+
 // Hedge decides whether to start a second try beside one that has brought
 // nothing for the time waited.
 func (p *Policy) Hedge(_ time.Duration, a Attempt, waited time.Duration) Decision {
--- a/peridotroute/router.go
+++ b/peridotroute/router.go
@@ -240,6 +240,19 @@
 	}
 }
 
+// Running returns how many requests this process has under way at the servers
+// of a target, and how many all processes together are known to have.
+func (r *Router) Running(model, service string) (mine, total int) {
+	for _, s := range r.servers {
+		if s.Model != model || s.Service != service {
+			continue
+		}
+		mine += len(s.flights)
+		total += max(int(s.reported.running+s.mine.running), len(s.flights))
+	}
+	return mine, total
+}
+
 func noBackend(t target) error {
 	return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no backend server for "+t.model+t.service, peridotverdict.RetryAfter(noBackendRetry))
 }
--- a/peridotroute/router_test.go
+++ b/peridotroute/router_test.go
@@ -203,6 +203,18 @@
 	}
 }
 
+func TestRunning(t *testing.T) {
+	r := New(1)
+	r.SetServers(0, []Server{engine("a", Mixed), engine("b", Mixed)})
+	r.Observe(0, Report{Instance: "a", Running: 3, Waiting: 1})
+	r.Sent(2*time.Second, Request{ID: "1", Model: "m"}, Choice{Instance: "a"})
+	r.Sent(2*time.Second, Request{ID: "2", Model: "m"}, Choice{Instance: "b"})
+	mine, total := r.Running("m", "")
+	if mine != 2 || total != 6 {
+		t.Errorf("got %d of %d, want 2 of 6", mine, total)
+	}
+}
+
 func ExampleRouter() {
 	r := New(1)
 	r.SetServers(0, []Server{
