--- /dev/null
+++ b/peridotentry/agent_test.go
@@ -0,0 +1,148 @@
+package peridotentry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"peridotstack/peridotconfig"
+	"peridotstack/peridotkey"
+	"peridotstack/peridotplatform"
+	"peridotstack/peridotsettings"
+	"peridotstack/peridotstream"
+	"peridotstack/peridotverdict"
+	"peridotstack/peridotwire"
+)
+
+const (
+	testModel   = "hino-llm"
+	testService = "quadro-api"
+	testAccount = "matriz-recife"
+)
+
+// scripted is an agent that answers as a test says, and logs what it was asked
+// to run.
+type scripted struct {
+	instance string
+	model    string
+	service  string
+	onRun    func(p *peridotwire.Peer, r peridotwire.Run) (any, error)
+
+	mu   sync.Mutex
+	runs []peridotwire.Run
+}
+
+func (s *scripted) Call(_ context.Context, p *peridotwire.Peer, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case peridotwire.MethodPing:
+		return peridotwire.Pong{From: s.instance}, nil
+	case peridotwire.MethodRun:
+		var r peridotwire.Run
+		if err := json.Unmarshal(params, &r); err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		s.runs = append(s.runs, r)
+		s.mu.Unlock()
+		return s.onRun(p, r)
+	}
+	return peridotwire.Result{Err: peridotverdict.New(peridotverdict.UnknownRequest, peridotverdict.MayHaveRun, "no such request")}, nil
+}
+
+func (s *scripted) Notice(*peridotwire.Peer, string, json.RawMessage) {}
+
+// ran returns what the agent was asked to run.
+func (s *scripted) ran() []peridotwire.Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.runs)
+}
+
+// answered is the result of a whole answer of the given chunks.
+func answered(chunks ...string) peridotwire.Result {
+	var t peridotstream.Timeline
+	for _, chunk := range chunks {
+		if err := t.Append(chunk); err != nil {
+			panic(err)
+		}
+	}
+	t.Close(peridotstream.End{Status: http.StatusOK})
+	return peridotwire.Result{End: t.Ended()}
+}
+
+func send(p *peridotwire.Peer, id string, first int, chunks ...string) {
+	// The peer is gone when this fails, which the caller's answer then shows.
+	_ = p.Notify(context.Background(), peridotwire.MethodChunks, peridotwire.Chunks{RequestID: id, First: first, Data: chunks})
+}
+
+// echo answers every request with its body.
+func echo(p *peridotwire.Peer, r peridotwire.Run) (any, error) {
+	send(p, r.RequestID, 0, r.Body)
+	return answered(r.Body), nil
+}
+
+func refuseLeaving(*peridotwire.Peer, peridotwire.Run) (any, error) {
+	return peridotwire.Result{Err: peridotverdict.New(peridotverdict.Leaving, peridotverdict.NotRun, "the backend server is leaving")}, nil
+}
+
+// hangUp closes the connection once the request has arrived.
+func hangUp(p *peridotwire.Peer, _ peridotwire.Run) (any, error) {
+	_ = p.Close()
+	return nil, nil
+}
+
+// entryWith returns an entry that is connected to the given agents, and the key
+// of its client account.
+func entryWith(t *testing.T, agents ...*scripted) (*Entry, string) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	var serving sync.WaitGroup
+	t.Cleanup(func() {
+		stop()
+		serving.Wait()
+	})
+	var list []peridotplatform.Instance
+	for _, s := range agents {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &peridotwire.Server{Listener: listener, Handler: s}
+		serving.Go(func() { _ = server.Serve(ctx) })
+		list = append(list, peridotplatform.Instance{ID: s.instance, Role: peridotplatform.RoleAgent, Address: listener.Addr().String(), Model: s.model, Service: s.service})
+	}
+	key, id, hash := peridotkey.New()
+	e := New(peridotsettings.Entry{Process: peridotsettings.Process{Instance: "entry-1"}}, nil)
+	e.config.Store(&peridotconfig.Config{
+		Seq:         1,
+		Models:      []peridotconfig.Model{{Name: testModel, PrefillTokensPerSecond: 10_000, DecodeTokensPerSecond: 1000}},
+		Services:    []peridotconfig.Service{{Name: testService, Routes: []peridotconfig.Route{{Method: http.MethodPost, Path: "/push"}}}},
+		Accounts:    []peridotconfig.Account{{Name: testAccount, Models: []string{testModel}, Services: []string{testService}, Weight: 1}},
+		Keys:        []peridotconfig.Key{{ID: id, Account: testAccount, Hash: hash}},
+		Deployments: []peridotconfig.Deployment{{Model: testModel, Replicas: len(agents)}},
+	})
+	e.pool.list = func(context.Context) ([]peridotplatform.Instance, error) { return list, nil }
+	serving.Go(func() { _ = e.pool.Serve(ctx) })
+	for _, s := range agents {
+		for e.pool.peerOf(s.instance) == nil {
+			wait(ctx, pollInterval)
+		}
+	}
+	return e, key
+}
+
+// ask sends a caller's request to the entry and returns the whole response.
+func ask(e *Entry, key, path, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set("Authorization", bearer+key)
+	r.Header.Set(headerIdempotency, "push-1")
+	w := httptest.NewRecorder()
+	e.serveCaller(w, r)
+	return w
+}
