Let an account with a short queue pass a flood when its deadline is weighed

Cause: the router's estimate takes requests in the order they come, so a small account with a short deadline was refused behind a flood although the engine would serve it first by its priority. The estimate is now the smaller of that and of the account's own virtual queue.

--- a/peridotadmit/admit.go
+++ b/peridotadmit/admit.go
@@ -26,7 +26,7 @@
 	if !ok {
 		return refuse(peridotverdict.NotAllowed, "the client account is unknown", 0)
 	}
-	if hopeless, after := late(ask); hopeless {
+	if hopeless, after := d.late(a, ask); hopeless {
 		return refuse(peridotverdict.DeadlineTooShort, "the answer cannot be whole before the deadline", after)
 	}
 	if d.limitWait(now, a.limitAt, a) > 0 {
@@ -44,12 +44,17 @@
 
 // late reports whether ask cannot make its deadline, and when it could: the
 // time to the first token shrinks as others end, the time after it does not.
-func late(ask Ask) (bool, time.Duration) {
-	if ask.Deadline <= 0 || ask.Finish <= ask.Deadline {
-		return false, 0
+func (d *Admitter) late(a *account, ask Ask) (bool, time.Duration) {
+	wait := ask.Wait
+	if ask.Alone > 0 {
+		// The engine lets an account with a short queue pass a flood.
+		wait = min(wait, ask.Alone+d.queueTime(a, a.finish))
 	}
-	over := ask.Finish - ask.Deadline
-	if over > ask.Wait {
+	over := wait + ask.Finish - ask.Wait - ask.Deadline
+	switch {
+	case ask.Deadline <= 0 || over <= 0:
+		return false, 0
+	case over > wait-ask.Alone:
 		return true, 0
 	}
 	return true, over
--- a/peridotadmit/admit_test.go
+++ b/peridotadmit/admit_test.go
@@ -66,6 +66,12 @@
 			name: "never in time", ask: Ask{Account: "a", Deadline: time.Second, Wait: 100 * time.Millisecond, Finish: 2 * time.Second},
 			want: peridotverdict.DeadlineTooShort,
 		},
+		{name: "in time by its priority", ask: Ask{Account: "a", Deadline: time.Second, Wait: 5 * time.Second, Finish: 5500 * time.Millisecond, Alone: 100 * time.Millisecond}},
+		{
+			name: "late behind its own queue", before: []Ask{{Account: "a", PromptTokens: 500, ExpectedOutput: 100}},
+			ask: Ask{Account: "a", Deadline: time.Second, Wait: 5 * time.Second, Finish: 5500 * time.Millisecond, Alone: 100 * time.Millisecond}, want: peridotverdict.DeadlineTooShort, after: 201 * time.Millisecond,
+		},
+		{name: "never in time alone", ask: Ask{Account: "a", Deadline: time.Second, Wait: 5 * time.Second, Finish: 5500 * time.Millisecond, Alone: 600 * time.Millisecond}, want: peridotverdict.DeadlineTooShort},
 	}
 	for _, test := range tests {
 		d := New()
--- a/peridotadmit/admitter.go
+++ b/peridotadmit/admitter.go
@@ -36,9 +36,13 @@
 	ExpectedOutput int
 	// Deadline is the time left for the whole answer; 0 means no deadline.
 	Deadline time.Duration
-	// Wait and Finish are the estimated times to the first token and to the end.
+	// Wait and Finish are the estimated times to the first token and to the end
+	// on an engine that takes requests in the order they come.
 	Wait   time.Duration
 	Finish time.Duration
+	// Alone is the part of Wait that would be left without other requests, for
+	// engines that honour priorities; 0 means that they do not.
+	Alone time.Duration
 }
 
 // Decision answers an Ask.
--- a/peridotentry/agent_test.go
+++ b/peridotentry/agent_test.go
@@ -139,9 +139,15 @@
 
 // ask sends a caller's request to the entry and returns the whole response.
 func ask(e *Entry, key, path, body string) *httptest.ResponseRecorder {
+	return askWithin(e, key, path, body, "")
+}
+
+// askWithin is ask with a time limit in milliseconds.
+func askWithin(e *Entry, key, path, body, millis string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
 	r.Header.Set("Authorization", bearer+key)
 	r.Header.Set(headerIdempotency, "push-1")
+	r.Header.Set(headerTimeout, millis)
 	w := httptest.NewRecorder()
 	e.serveCaller(w, r)
 	return w
--- a/peridotentry/traffic.go
+++ b/peridotentry/traffic.go
@@ -167,6 +167,7 @@
 		Deadline:       time.Duration(run.TimeoutMillis) * time.Millisecond,
 		Wait:           choice.Wait,
 		Finish:         choice.Finish,
+		Alone:          choice.Alone,
 	}
 	if d := t.limits.Admit(now, id, ask); !d.Admit {
 		return try{}, d.Err
--- a/peridotroute/choose.go
+++ b/peridotroute/choose.go
@@ -110,11 +110,13 @@
 func (r *Router) alone(now time.Duration, request *Request, s *server) Choice {
 	l := s.estimate(now)
 	cached := r.cachedTokens(now, request, s)
-	wait := s.waitFor(l, float64(request.PromptTokens-cached))
+	uncached := float64(request.PromptTokens - cached)
+	wait := s.waitFor(l, uncached)
 	return Choice{
 		Instance:     s.Instance,
 		CachedTokens: cached,
 		Wait:         wait,
+		Alone:        s.aloneFor(uncached),
 		Finish:       wait + s.decodeTime(l, expected(*request)),
 	}
 }
@@ -132,7 +134,9 @@
 
 func (r *Router) splitFrom(now time.Duration, request *Request, p *server, best Choice) Choice {
 	cached := r.cachedTokens(now, request, p)
-	read := p.waitFor(p.estimate(now), float64(request.PromptTokens-cached)) + r.moveTime(request.PromptTokens)
+	uncached := float64(request.PromptTokens - cached)
+	move := r.moveTime(request.PromptTokens)
+	read := p.waitFor(p.estimate(now), uncached) + move
 	for _, list := range [][]*server{r.decode, r.whole} {
 		for _, d := range list {
 			if d == p {
@@ -142,7 +146,14 @@
 			wait := read + d.RoundTrip + d.slotWait(l)
 			finish := wait + d.decodeTime(l, expected(*request))
 			if finish < best.Finish {
-				best = Choice{Instance: d.Instance, PrefillInstance: p.Instance, CachedTokens: cached, Wait: wait, Finish: finish}
+				best = Choice{
+					Instance:        d.Instance,
+					PrefillInstance: p.Instance,
+					CachedTokens:    cached,
+					Wait:            wait,
+					Alone:           p.aloneFor(uncached) + move + d.RoundTrip,
+					Finish:          finish,
+				}
 			}
 		}
 	}
--- a/peridotroute/load.go
+++ b/peridotroute/load.go
@@ -211,6 +211,14 @@
 	return s.RoundTrip + seconds((l.prefill+uncached)/s.PrefillTokensPerSecond) + s.slotWait(l)
 }
 
+// aloneFor estimates the same on an idle server.
+func (s *server) aloneFor(uncached float64) time.Duration {
+	if s.PrefillTokensPerSecond == 0 {
+		return s.RoundTrip
+	}
+	return s.RoundTrip + seconds(uncached/s.PrefillTokensPerSecond)
+}
+
 // slotWait estimates the time until one of the running requests ends, when
 // there are as many as may run.
 func (s *server) slotWait(l load) time.Duration {
--- a/peridotroute/server.go
+++ b/peridotroute/server.go
@@ -87,6 +87,8 @@
 	CachedTokens int
 	// Wait is the estimated time from now to the first token.
 	Wait time.Duration
+	// Alone is the part of Wait that would be left without other requests.
+	Alone time.Duration
 	// Finish is the estimated time from now to the end of the answer.
 	Finish time.Duration
 }
