Send prompts that begin alike to the engine that has read the beginning

Cached tokens cost no share, for a prompt that need not be read again takes no capacity; they count for the limit. Retry budgets of instances and accounts that are gone are dropped.

TestPrefixAffinity: eight prompts of 8,500 tokens go to one of two engines. Not measured under load.

--- a/peridotadmit/admit.go
+++ b/peridotadmit/admit.go
@@ -36,9 +36,9 @@
 		return d.refuseLoad(now, a, ask, peridotverdict.Overloaded, "the client account has used up its share")
 	}
 	priority := d.priority(a)
-	f := &flight{account: a, prompt: ask.PromptTokens, charged: a.expected(ask)}
+	f := &flight{account: a, prompt: ask.PromptTokens, cached: ask.CachedTokens, charged: a.expected(ask)}
 	d.flights[id] = f
-	d.pay(now, a, float64(ask.PromptTokens), f.charged)
+	d.pay(now, f, float64(f.prompt), float64(f.cached), f.charged)
 	return Decision{Admit: true, Priority: priority}
 }
 
@@ -91,16 +91,17 @@
 	wait := max(d.queueWait(finish, a, ask), d.limitWait(now, free, a))
 	if wait < d.options.maxPromise {
 		output := a.expected(ask)
-		a.promised = max(finish, d.virtual) + d.cost(float64(ask.PromptTokens), output)/a.weight()
+		a.promised = max(finish, d.virtual) + d.cost(float64(ask.PromptTokens-ask.CachedTokens), output)/a.weight()
 		a.limitPromised = free + d.limitTime(a, float64(ask.PromptTokens)+output)
 	}
 	return refuse(code, message, wait)
 }
 
-// pay charges tokens to the account's queue and limit; negative ones are given
-// back.
-func (d *Admitter) pay(now time.Duration, a *account, prompt, output float64) {
-	d.charge(a, d.cost(prompt, output))
+// pay charges tokens of a request to its account's queue and limit; negative
+// ones are given back.
+func (d *Admitter) pay(now time.Duration, f *flight, prompt, cached, output float64) {
+	a := f.account
+	d.charge(a, d.cost(prompt-cached, output))
 	a.limitAt = max(a.limitAt, now) + d.limitTime(a, prompt+output)
 }
 
@@ -133,7 +134,7 @@
 	}
 	delete(d.flights, id)
 	d.advance(now)
-	d.pay(now, f.account, float64(-f.prompt), -f.charged)
+	d.pay(now, f, float64(-f.prompt), float64(-f.cached), -f.charged)
 }
 
 func (d *Admitter) cost(prompt, output float64) float64 {
@@ -171,7 +172,7 @@
 	d.advance(now)
 	more := float64(outputTokens) - f.charged + f.charged*extension
 	f.charged += more
-	d.pay(now, f.account, 0, more)
+	d.pay(now, f, 0, 0, more)
 }
 
 // Done settles an admitted request by what it really used, and learns from it.
@@ -188,7 +189,7 @@
 	} else {
 		a.output += (float64(outputTokens) - a.output) * learnShare
 	}
-	d.pay(now, a, float64(promptTokens-f.prompt), float64(outputTokens)-f.charged)
+	d.pay(now, f, float64(promptTokens-f.prompt), 0, float64(outputTokens)-f.charged)
 }
 
 // refuse returns a refusal; after is zero when coming back makes no sense.
--- a/peridotadmit/admitter.go
+++ b/peridotadmit/admitter.go
@@ -31,6 +31,9 @@
 type Ask struct {
 	Account      string
 	PromptTokens int
+	// CachedTokens is how much of the prompt need not be read again. It costs no
+	// share, but counts for the account's limit.
+	CachedTokens int
 	// ExpectedOutput bounds the output tokens as far as the caller told; 0 means
 	// that it did not.
 	ExpectedOutput int
@@ -141,6 +144,7 @@
 type flight struct {
 	account *account
 	prompt  int
+	cached  int
 	// charged is the number of output tokens paid for.
 	charged float64
 }
--- a/peridotentry/caller.go
+++ b/peridotentry/caller.go
@@ -185,16 +185,15 @@
 func (e *Entry) serveRun(ctx context.Context, w http.ResponseWriter, run peridotwire.Run) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(run.TimeoutMillis)*time.Millisecond)
 	defer cancel()
-	id := newRequestID(e.settings.Instance)
-	first, refused := e.traffic.admit(id, &run)
+	c := newCall(e.settings.Instance, run)
+	choice, refused := e.traffic.admit(c)
 	if refused != nil {
 		e.refuse(w, refused, "")
 		return
 	}
-	run.Priority = first.priority
 	a := newAnswer(run.Stream, run.Idempotent, 0)
 	e.serveAnswer(ctx, w, a, func() (*peridotstream.End, *peridotverdict.Error) {
-		return e.tryUntilDone(ctx, id, run, a, first.choice)
+		return e.tryUntilDone(ctx, c, a, choice)
 	})
 }
 
--- a/peridotentry/retry.go
+++ b/peridotentry/retry.go
@@ -48,17 +48,17 @@
 	a.requestID = id
 }
 
-// tryUntilDone runs an admitted request, again on another backend server as
-// long as the policy allows it. This is the only layer that retries.
-func (e *Entry) tryUntilDone(ctx context.Context, id string, run peridotwire.Run, a *answer, choice peridotroute.Choice) (*peridotstream.End, *peridotverdict.Error) {
-	attempt := peridotretry.Attempt{Account: run.Account, Idempotent: run.Idempotent}
+// tryUntilDone runs an admitted call, again on another backend server as long
+// as the policy allows it. This is the only layer that retries.
+func (e *Entry) tryUntilDone(ctx context.Context, c *call, a *answer, choice peridotroute.Choice) (*peridotstream.End, *peridotverdict.Error) {
+	attempt := peridotretry.Attempt{Account: c.run.Account, Idempotent: c.run.Idempotent}
 	for {
-		run.TimeoutMillis = left(ctx).Milliseconds()
-		run.RequestID = newRequestID(choice.Instance)
-		end, passed, err := e.tryOnce(ctx, id, run, a, choice)
+		c.run.TimeoutMillis = left(ctx).Milliseconds()
+		c.run.RequestID = newRequestID(choice.Instance)
+		end, passed, err := e.tryOnce(ctx, c, a, choice)
 		if err == nil {
-			e.traffic.succeeded(run.Account, choice.Instance)
-			e.traffic.end(id, &run, used(&run, end))
+			e.traffic.succeeded(c.run.Account, choice.Instance)
+			e.traffic.end(c, used(&c.run, end))
 			return end, nil
 		}
 		attempt.Number++
@@ -67,68 +67,64 @@
 		attempt.Passed = passed
 		attempt.Left = left(ctx)
 		attempt.Finish = choice.Finish
-		next := e.nextTry(ctx, &run, attempt)
-		if next.refused != nil {
-			e.settleFailed(id, &run, next.refused, passed)
-			return nil, next.refused
+		next, refused := e.nextTry(ctx, c, attempt)
+		if refused != nil {
+			e.settleFailed(c, refused, passed)
+			return nil, refused
 		}
 		e.metrics.Retried(err.Code)
 		attempt.EarlierMayHaveRun = attempt.EarlierMayHaveRun || err.Verdict != peridotverdict.NotRun
 		attempt.Tried = append(attempt.Tried, choice.Instance)
-		choice = next.choice
+		choice = next
 	}
 }
 
-// nextTry is where a request goes after a try that failed, or its final answer.
-type nextTry struct {
-	choice  peridotroute.Choice
-	refused *peridotverdict.Error
-}
-
-func (e *Entry) nextTry(ctx context.Context, run *peridotwire.Run, attempt peridotretry.Attempt) nextTry {
+// nextTry returns where a call goes after a try that failed, or its final
+// answer.
+func (e *Entry) nextTry(ctx context.Context, c *call, attempt peridotretry.Attempt) (peridotroute.Choice, *peridotverdict.Error) {
 	d := e.traffic.next(attempt)
 	if !d.Retry {
-		return nextTry{refused: d.Err}
+		return peridotroute.Choice{}, d.Err
 	}
 	wait(ctx, d.After)
 	if ctx.Err() != nil {
-		return nextTry{refused: e.traffic.policy.GiveUp(attempt)}
+		return peridotroute.Choice{}, attempt.GiveUp()
 	}
-	choice, err := e.traffic.again(run, d.Exclude)
+	choice, err := e.traffic.again(c, d.Exclude)
 	if err != nil {
-		return nextTry{refused: e.traffic.policy.GiveUp(attempt)}
+		return choice, attempt.GiveUp()
 	}
-	return nextTry{choice: choice}
+	return choice, nil
 }
 
-// tryOnce runs a request on one backend server. It also returns how many chunks
+// tryOnce runs a call on one backend server. It also returns how many chunks
 // reached the answer; no more follow once it has returned.
-func (e *Entry) tryOnce(ctx context.Context, id string, run peridotwire.Run, a *answer, choice peridotroute.Choice) (*peridotstream.End, int, *peridotverdict.Error) {
-	a.setID(run.RequestID)
-	e.traffic.sent(&run, choice)
-	defer e.traffic.over(&run)
+func (e *Entry) tryOnce(ctx context.Context, c *call, a *answer, choice peridotroute.Choice) (*peridotstream.End, int, *peridotverdict.Error) {
+	a.setID(c.run.RequestID)
+	e.traffic.sent(c, choice)
+	defer e.traffic.over(c.run.RequestID)
 	l, peer, err := e.pool.acquire(choice.Instance)
 	if err != nil {
 		return nil, 0, err
 	}
 	defer e.pool.release(l)
-	x := newExchange(run, 0, &a.timeline)
+	x := newExchange(c.run, 0, &a.timeline)
 	x.progress = func(chunks int) {
 		if chunks == 1 || chunks%progressChunks == 0 {
-			e.traffic.progress(id, &run, chunks)
+			e.traffic.progress(c.id, &x.request, chunks)
 		}
 	}
 	end, err := e.conduct(ctx, peer, x, false)
 	return end, x.abandon(), err
 }
 
-// settleFailed gives back what a request was charged that surely did not run.
-func (e *Entry) settleFailed(id string, run *peridotwire.Run, err *peridotverdict.Error, passed int) {
+// settleFailed gives back what a call was charged that surely did not run.
+func (e *Entry) settleFailed(c *call, err *peridotverdict.Error, passed int) {
 	if err.Verdict == peridotverdict.NotRun {
-		e.traffic.end(id, run, nil)
+		e.traffic.end(c, nil)
 		return
 	}
-	e.traffic.end(id, run, &usage{prompt: promptTokens(run), output: passed})
+	e.traffic.end(c, &usage{prompt: promptTokens(&c.run), output: passed})
 }
 
 // used returns what the engine counted, or else an estimate.
--- a/peridotentry/traffic.go
+++ b/peridotentry/traffic.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"peridotstack/peridotadmit"
 	"peridotstack/peridotconfig"
 	"peridotstack/peridotretry"
@@ -15,6 +17,10 @@
 const (
 	// bytesPerToken is how long a token of a prompt is taken to be.
 	bytesPerToken = 4
+	// prefixBlock and maxPrefixBlocks say which beginnings of a body are looked
+	// at for a cached prefix, in bytes and blocks.
+	prefixBlock     = 1 << 10
+	maxPrefixBlocks = 64
 	// reportLag is how old an agent's count of its own requests may be.
 	reportLag = 100 * time.Millisecond
 	// maxQueue bounds the virtual queue of one account at one model.
@@ -90,11 +96,17 @@
 		}
 	}
 	t.router.SetServers(now, list)
+	t.policy.Keep(namesOf(config.Accounts), instancesOf(list))
 	t.limits.SetAccounts(now, accountsOf(config, true))
 	t.limits.SetShare(now, 1/float64(t.pool.entryCount()))
 	for _, m := range config.Models {
 		t.setModel(now, config, m, list)
 	}
+	for name := range t.models {
+		if _, ok := config.Model(name); !ok {
+			delete(t.models, name)
+		}
+	}
 }
 
 // setModel tells the admitter of a model this entry's part of the capacity, in
@@ -128,6 +140,22 @@
 	return max(float64(mine)/float64(total), 1/float64(t.pool.entryCount()))
 }
 
+func namesOf(accounts []peridotconfig.Account) []string {
+	names := make([]string, len(accounts))
+	for i, a := range accounts {
+		names[i] = a.Name
+	}
+	return names
+}
+
+func instancesOf(list []peridotroute.Server) []string {
+	names := make([]string, len(list))
+	for i, s := range list {
+		names[i] = s.Instance
+	}
+	return names
+}
+
 func accountsOf(config *peridotconfig.Config, limits bool) []peridotadmit.Account {
 	list := make([]peridotadmit.Account, len(config.Accounts))
 	for i, a := range config.Accounts {
@@ -139,71 +167,102 @@
 	return list
 }
 
-// try is one attempt to run a request.
-type try struct {
-	choice peridotroute.Choice
-	// priority is for the engine.
-	priority int
+// call is one request of a caller, which may take several tries.
+type call struct {
+	// id stays the same over all tries; run.RequestID names one of them.
+	id  string
+	run peridotwire.Run
+	// prefixes holds the hashes of the body's beginnings.
+	prefixes []uint64
 }
 
-// admit chooses a backend server for a request and decides whether it may
-// start. end must be called with the same id once an admitted request is over.
-func (t *traffic) admit(id string, run *peridotwire.Run) (try, *peridotverdict.Error) {
+func newCall(entry string, run peridotwire.Run) *call {
+	c := &call{id: newRequestID(entry), run: run}
+	if run.Model != "" {
+		c.prefixes = prefixHashes(run.Body)
+	}
+	return c
+}
+
+// prefixHashes hashes the beginnings of a body that are whole blocks long, the
+// longest last. Requests that begin alike have prompts that do.
+func prefixHashes(body string) []uint64 {
+	blocks := min(len(body)/prefixBlock, maxPrefixBlocks)
+	if blocks == 0 {
+		return nil
+	}
+	hashes := make([]uint64, blocks)
+	var d xxhash.Digest
+	d.Reset()
+	for i := range hashes {
+		d.WriteString(body[i*prefixBlock : (i+1)*prefixBlock]) // Writing to a Digest never fails.
+		hashes[i] = d.Sum64()
+	}
+	return hashes
+}
+
+// admit chooses a backend server for a call, decides whether it may start and
+// sets its priority. end must be called once an admitted call is over.
+func (t *traffic) admit(c *call) (peridotroute.Choice, *peridotverdict.Error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	t.refresh(now)
-	choice, err := t.router.Choose(now, t.request(run, nil))
+	choice, err := t.router.Choose(now, t.request(c, nil))
 	if err != nil {
-		return try{}, peridotverdict.As(err)
+		return choice, peridotverdict.As(err)
 	}
-	if run.Model == "" {
-		return try{choice: choice, priority: run.Priority}, nil
+	d := t.models[c.run.Model]
+	if d == nil {
+		return choice, nil
 	}
 	ask := peridotadmit.Ask{
-		Account:        run.Account,
-		PromptTokens:   promptTokens(run),
-		ExpectedOutput: t.limits.Expected(run.Account, run.MaxTokens),
-		Deadline:       time.Duration(run.TimeoutMillis) * time.Millisecond,
+		Account:        c.run.Account,
+		PromptTokens:   promptTokens(&c.run),
+		CachedTokens:   choice.CachedTokens,
+		ExpectedOutput: t.limits.Expected(c.run.Account, c.run.MaxTokens),
+		Deadline:       time.Duration(c.run.TimeoutMillis) * time.Millisecond,
 		Wait:           choice.Wait,
 		Finish:         choice.Finish,
 		Alone:          choice.Alone,
 	}
-	if d := t.limits.Admit(now, id, ask); !d.Admit {
-		return try{}, d.Err
+	if limited := t.limits.Admit(now, c.id, ask); !limited.Admit {
+		return choice, limited.Err
 	}
-	d := t.models[run.Model].Admit(now, id, ask)
-	if !d.Admit {
-		t.limits.Cancel(now, id)
-		return try{}, d.Err
+	decision := d.Admit(now, c.id, ask)
+	if !decision.Admit {
+		t.limits.Cancel(now, c.id)
+		return choice, decision.Err
 	}
-	return try{choice: choice, priority: d.Priority}, nil
+	c.run.Priority = decision.Priority
+	return choice, nil
 }
 
 // again chooses a backend server for a retry.
-func (t *traffic) again(run *peridotwire.Run, exclude []string) (peridotroute.Choice, error) {
+func (t *traffic) again(c *call, exclude []string) (peridotroute.Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	t.refresh(now)
-	choice, err := t.router.Choose(now, t.request(run, exclude))
+	choice, err := t.router.Choose(now, t.request(c, exclude))
 	if err == nil {
-		t.policy.Retried(now, run.Account, choice.Instance)
+		t.policy.Retried(now, c.run.Account, choice.Instance)
 	}
 	return choice, err
 }
 
 // request returns what the choice of a server depends on. Engines of every role
 // do whole requests, for the agents cannot move a KV cache between them.
-func (t *traffic) request(run *peridotwire.Run, exclude []string) peridotroute.Request {
+func (t *traffic) request(c *call, exclude []string) peridotroute.Request {
 	return peridotroute.Request{
-		ID:             run.RequestID,
-		Model:          run.Model,
-		Service:        run.Service,
-		PromptTokens:   promptTokens(run),
-		MaxTokens:      run.MaxTokens,
-		ExpectedOutput: t.limits.Expected(run.Account, run.MaxTokens),
-		Deadline:       time.Duration(run.TimeoutMillis) * time.Millisecond,
+		ID:             c.run.RequestID,
+		Model:          c.run.Model,
+		Service:        c.run.Service,
+		PromptTokens:   promptTokens(&c.run),
+		MaxTokens:      c.run.MaxTokens,
+		ExpectedOutput: t.limits.Expected(c.run.Account, c.run.MaxTokens),
+		PrefixHash:     c.prefixes,
+		Deadline:       time.Duration(c.run.TimeoutMillis) * time.Millisecond,
 		Exclude:        exclude,
 	}
 }
@@ -212,30 +271,30 @@
 	return len(run.Body)/bytesPerToken + 1
 }
 
-// sent records that a try goes out under run.RequestID.
-func (t *traffic) sent(run *peridotwire.Run, choice peridotroute.Choice) {
+// sent records that a try goes out under the request id that the call has now.
+func (t *traffic) sent(c *call, choice peridotroute.Choice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.router.Sent(t.now(), t.request(run, nil), choice)
+	t.router.Sent(t.now(), t.request(c, nil), choice)
 }
 
-// progress records how many chunks of an answer have come.
-func (t *traffic) progress(id string, run *peridotwire.Run, chunks int) {
+// progress records how many chunks of the answer to a try of a call have come.
+func (t *traffic) progress(id string, try *peridotwire.Run, chunks int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	t.router.Progress(now, run.RequestID, chunks)
+	t.router.Progress(now, try.RequestID, chunks)
 	t.limits.Progress(now, id, chunks)
-	if d := t.models[run.Model]; d != nil {
+	if d := t.models[try.Model]; d != nil {
 		d.Progress(now, id, chunks)
 	}
 }
 
 // over records that a try has ended.
-func (t *traffic) over(run *peridotwire.Run) {
+func (t *traffic) over(requestID string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.router.Done(t.now(), run.RequestID, 0)
+	t.router.Done(t.now(), requestID, 0)
 }
 
 // next decides what follows a try that failed.
@@ -245,24 +304,24 @@
 	return t.policy.Next(t.now(), a)
 }
 
-// usage is what a request really took.
+// usage is what a call really took.
 type usage struct {
 	prompt int
 	output int
 }
 
-// end settles an admitted request. Of one that did not run, u is nil.
-func (t *traffic) end(id string, run *peridotwire.Run, u *usage) {
+// end settles an admitted call. Of one that did not run, u is nil.
+func (t *traffic) end(c *call, u *usage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	for _, d := range []*peridotadmit.Admitter{t.limits, t.models[run.Model]} {
+	for _, d := range []*peridotadmit.Admitter{t.limits, t.models[c.run.Model]} {
 		switch {
 		case d == nil:
 		case u == nil:
-			d.Cancel(now, id)
+			d.Cancel(now, c.id)
 		default:
-			d.Done(now, id, u.prompt, u.output)
+			d.Done(now, c.id, u.prompt, u.output)
 		}
 	}
 }
--- a/peridotentry/traffic_test.go
+++ b/peridotentry/traffic_test.go
@@ -70,7 +70,7 @@
 	e, key := entryWith(t, agent)
 	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":1}`, testModel, strings.Repeat("psalm", 32_000))
 	run := peridotwire.Run{Account: testAccount, Model: testModel, Body: body, MaxTokens: 1, TimeoutMillis: 1000}
-	_, err := e.traffic.admit("x", &run)
+	_, err := e.traffic.admit(newCall("entry-1", run))
 	if err == nil || err.Code != peridotverdict.DeadlineTooShort || err.Verdict != peridotverdict.NotRun {
 		t.Errorf("got %v, want %s with NotRun", err, peridotverdict.DeadlineTooShort)
 	}
@@ -78,3 +78,20 @@
 		t.Errorf("with more time: got status %d (%s), want 200", got.Code, got.Body)
 	}
 }
+
+// TestPrefixAffinity sends prompts that begin alike to the engine that has read
+// the beginning.
+func TestPrefixAffinity(t *testing.T) {
+	a := &scripted{instance: "a", model: testModel, onRun: echo}
+	b := &scripted{instance: "b", model: testModel, onRun: echo}
+	e, key := entryWith(t, a, b)
+	for i := range 8 {
+		body := fmt.Sprintf(`{"model":%q,"prompt":"%s%d","max_tokens":1}`, testModel, strings.Repeat("order of service ", 2000), i)
+		if got := ask(e, key, completions, body); got.Code != http.StatusOK {
+			t.Fatalf("request %d: got status %d (%s), want 200", i, got.Code, got.Body)
+		}
+	}
+	if got := len(a.ran()) * len(b.ran()); got != 0 {
+		t.Errorf("requests: got %d at a and %d at b, want all at one", len(a.ran()), len(b.ran()))
+	}
+}
--- a/peridotretry/policy.go
+++ b/peridotretry/policy.go
@@ -116,7 +116,7 @@
 }
 
 // GiveUp returns the final answer of a request whose retry has nowhere to go.
-func (p *Policy) GiveUp(a Attempt) *peridotverdict.Error {
+func (a Attempt) GiveUp() *peridotverdict.Error {
 	return final(a, a.Err.Code, a.Err.Message)
 }
 
@@ -190,17 +190,26 @@
 	}
 }
 
-// Forget drops the budget of an instance that is gone.
-func (p *Policy) Forget(instance string) {
-	delete(p.servers, instance)
-	if i := slices.Index(p.spent, instance); i >= 0 {
-		p.spent = slices.Delete(p.spent, i, i+1)
-	}
+// Keep drops the budgets of all client accounts and instances but those named.
+func (p *Policy) Keep(accounts, instances []string) {
+	keep(p.accounts, accounts)
+	keep(p.servers, instances)
+	p.spent = slices.DeleteFunc(p.spent, func(instance string) bool {
+		_, known := p.servers[instance]
+		return !known
+	})
 }
 
-// ForgetAccount drops the budget of a client account that is gone.
-func (p *Policy) ForgetAccount(account string) {
-	delete(p.accounts, account)
+func keep(budgets map[string]*Budget, names []string) {
+	named := make(map[string]bool, len(names))
+	for _, name := range names {
+		named[name] = true
+	}
+	for name := range budgets {
+		if !named[name] {
+			delete(budgets, name)
+		}
+	}
 }
 
 func (p *Policy) budgetOf(budgets map[string]*Budget, name string) *Budget {
--- a/peridotretry/policy_test.go
+++ b/peridotretry/policy_test.go
@@ -149,12 +149,23 @@
 	if got := p.Next(0, a).Exclude; !slices.Contains(got, "s2") {
 		t.Errorf("after ten retries at s2: got excluded %v, want s2 among them", got)
 	}
+	p.Keep([]string{"a"}, []string{"s2"})
+	if got := p.Next(0, a).Exclude; !slices.Contains(got, "s2") {
+		t.Errorf("s2 kept: got excluded %v, want s2 among them", got)
+	}
 	for range 10 {
 		p.Succeeded(0, "b", "s2")
 	}
 	if got := p.Next(0, a).Exclude; slices.Contains(got, "s2") {
 		t.Errorf("after ten successes at s2: got excluded %v, want s2 not among them", got)
 	}
+	for range 10 {
+		p.Retried(0, "b", "s2")
+	}
+	p.Keep(nil, nil)
+	if got := p.Next(0, a).Exclude; slices.Contains(got, "s2") {
+		t.Errorf("s2 gone: got excluded %v, want s2 not among them", got)
+	}
 }
 
 func TestHedge(t *testing.T) {
