--- a/peridotentry/callers.go
+++ b/peridotentry/callers.go
@@ -32,6 +32,8 @@
 
 // callerConn is the state of one connection, guarded by callers.
 type callerConn struct {
+	// open is false for a connection that closed before its request was served.
+	open bool
 	// sending runs while a request is arriving.
 	sending *time.Timer
 	// cancel ends the request under way, or is nil.
@@ -57,18 +59,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, open := c.conns[remote]; !open {
-		// The connection closed before its request was served.
-		cancel()
-		return ctx, cancel
-	}
-	c.conns[remote].cancel = cancel
+	cc := c.conn(remote)
+	cc.cancel = cancel
 	return ctx, func() {
 		cancel()
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if cc, open := c.conns[remote]; open {
-			cc.cancel = nil
+		cc.cancel = nil
+		if !cc.open {
+			delete(c.conns, remote)
 		}
 	}
 }
@@ -77,7 +76,7 @@
 func (c *callers) opened(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conn(conn.RemoteAddr().String())
+	c.conn(conn.RemoteAddr().String()).open = true
 }
 
 // closed is called by nbhttp when a connection has closed.
