--- a/peridotconfig/change.go
+++ b/peridotconfig/change.go
@@ -31,6 +31,19 @@
 // WithdrawKey withdraws a key for good.
 type WithdrawKey struct{ ID string }
 
+// PurgeKeys forgets keys that were withdrawn. A forgotten key is unknown, and an
+// unknown key is refused just as a withdrawn one.
+type PurgeKeys struct{ IDs []string }
+
+// AppointPanel puts a new panel of witnesses in office. The panels before it
+// stay listed, and must acknowledge every commit, until they are relieved.
+type AppointPanel struct{ Panel Panel }
+
+// RelievePanels drops the panels before the last one. It may be committed only
+// once a majority of each of them has acknowledged the appointment of the next,
+// or is gone for good.
+type RelievePanels struct{ Through int64 }
+
 // PutOperator adds or replaces an operator.
 type PutOperator struct{ Operator Operator }
 
@@ -46,19 +59,31 @@
 func (PutAccount) change()     {}
 func (GiveKey) change()        {}
 func (WithdrawKey) change()    {}
+func (PurgeKeys) change()      {}
+func (AppointPanel) change()   {}
+func (RelievePanels) change()  {}
 func (PutOperator) change()    {}
 func (SetDeployments) change() {}
 
 // Apply returns c with the changes made. It leaves c as it is and fails with
 // the code BadRequest when a change does not fit.
 func (c *Config) Apply(changes ...Change) (*Config, error) {
-	next := *c
+	next := c.draft()
 	for _, ch := range changes {
 		if err := next.apply(ch); err != nil {
 			return nil, err
 		}
 	}
-	return &next, nil
+	return next, nil
+}
+
+// draft returns a copy of c whose accounts and keys may be changed in place.
+func (c *Config) draft() *Config {
+	next := *c
+	next.Accounts = slices.Clone(c.Accounts)
+	next.Keys = slices.Clone(c.Keys)
+	next.index = c.index.clone(&next)
+	return &next
 }
 
 func (c *Config) apply(ch Change) error {
@@ -73,12 +98,17 @@
 		same := func(s Service) bool { return s.Name == ch.Service.Name }
 		c.Services = append(slices.DeleteFunc(slices.Clone(c.Services), same), ch.Service)
 	case PutAccount:
-		same := func(a Account) bool { return a.Name == ch.Account.Name }
-		c.Accounts = append(slices.DeleteFunc(slices.Clone(c.Accounts), same), ch.Account)
+		c.putAccount(ch.Account)
 	case GiveKey:
 		return c.giveKey(ch.Key)
 	case WithdrawKey:
 		return c.withdrawKey(ch.ID)
+	case PurgeKeys:
+		return c.purgeKeys(ch.IDs)
+	case AppointPanel:
+		return c.appoint(ch.Panel)
+	case RelievePanels:
+		return c.relieve(ch.Through)
 	case PutOperator:
 		same := func(o Operator) bool { return o.ID == ch.Operator.ID }
 		c.Operators = append(slices.DeleteFunc(slices.Clone(c.Operators), same), ch.Operator)
@@ -91,6 +121,15 @@
 	return nil
 }
 
+func (c *Config) putAccount(a Account) {
+	if i := c.accountAt(a.Name); i >= 0 {
+		c.Accounts[i] = a
+		return
+	}
+	c.Accounts = append(c.Accounts, a)
+	c.index.accounts[a.Name] = len(c.Accounts) - 1
+}
+
 func (c *Config) giveKey(k Key) error {
 	if _, ok := c.Account(k.Account); !ok {
 		return badField("Account", "no client account "+k.Account)
@@ -98,20 +137,31 @@
 	if _, ok := c.Key(k.ID); ok {
 		return badField("ID", "key "+k.ID+" was given before")
 	}
-	c.Keys = append(slices.Clone(c.Keys), k)
+	c.Keys = append(c.Keys, k)
+	c.index.keys[k.ID] = len(c.Keys) - 1
 	return nil
 }
 
 func (c *Config) withdrawKey(id string) error {
-	i := slices.IndexFunc(c.Keys, func(k Key) bool { return k.ID == id })
+	i := c.keyAt(id)
 	if i < 0 {
 		return badField("ID", "no key "+id)
 	}
-	c.Keys = slices.Clone(c.Keys)
 	c.Keys[i].Withdrawn = true
 	return nil
 }
 
+func (c *Config) purgeKeys(ids []string) error {
+	for _, id := range ids {
+		if k, ok := c.Key(id); ok && !k.Withdrawn {
+			return badField("IDs", "key "+id+" is not withdrawn")
+		}
+	}
+	c.Keys = slices.DeleteFunc(c.Keys, func(k Key) bool { return slices.Contains(ids, k.ID) })
+	c.index = newIndex(c)
+	return nil
+}
+
 func badField(field, message string) error {
 	return peridotverdict.New(peridotverdict.BadRequest, peridotverdict.NotRun, message, peridotverdict.Field(field))
 }
--- a/peridotconfig/config.go
+++ b/peridotconfig/config.go
@@ -27,6 +27,13 @@
 	// CostCeilingPerHour bounds what all running backend servers may cost
 	// together, in the currency of the deployment; 0 means no ceiling.
 	CostCeilingPerHour float64
+	// Panels are the sets of witnesses whose majorities acknowledge commits; the
+	// last one is in office, those before it are not yet relieved.
+	Panels []Panel
+
+	// index finds keys and accounts by name. It is nil in a Config that was not
+	// made by Apply or Replay; lookups then go through the lists.
+	index *index
 }
 
 // Domain is a failure domain.
@@ -108,24 +115,32 @@
 
 // Account returns the account with the given name.
 func (c *Config) Account(name string) (Account, bool) {
-	for _, a := range c.Accounts {
-		if a.Name == name {
-			return a, true
-		}
+	if i := c.accountAt(name); i >= 0 {
+		return c.Accounts[i], true
 	}
 	return Account{}, false
 }
 
 // Key returns the key with the given identifier.
 func (c *Config) Key(id string) (Key, bool) {
-	for _, k := range c.Keys {
-		if k.ID == id {
-			return k, true
-		}
+	if i := c.keyAt(id); i >= 0 {
+		return c.Keys[i], true
 	}
 	return Key{}, false
 }
 
+// Admits is the second check of a request, at another process than the one that
+// knew the caller's key and decided by the configuration seq. It refuses a key
+// that is withdrawn here, and one that is unknown here although seq is not newer:
+// such a key was forgotten after it had been withdrawn.
+func (c *Config) Admits(keyID string, seq int64) bool {
+	key, ok := c.Key(keyID)
+	if ok {
+		return !key.Withdrawn
+	}
+	return seq > c.Seq
+}
+
 // Model returns the model with the given name.
 func (c *Config) Model(name string) (Model, bool) {
 	for _, m := range c.Models {
--- a/peridotconfig/encode.go
+++ b/peridotconfig/encode.go
@@ -17,6 +17,9 @@
 	PutAccount     *PutAccount     `json:",omitempty"`
 	GiveKey        *GiveKey        `json:",omitempty"`
 	WithdrawKey    *WithdrawKey    `json:",omitempty"`
+	PurgeKeys      *PurgeKeys      `json:",omitempty"`
+	AppointPanel   *AppointPanel   `json:",omitempty"`
+	RelievePanels  *RelievePanels  `json:",omitempty"`
 	PutOperator    *PutOperator    `json:",omitempty"`
 	SetDeployments *SetDeployments `json:",omitempty"`
 }
@@ -66,6 +69,12 @@
 		return envelope{GiveKey: &ch}, nil
 	case WithdrawKey:
 		return envelope{WithdrawKey: &ch}, nil
+	case PurgeKeys:
+		return envelope{PurgeKeys: &ch}, nil
+	case AppointPanel:
+		return envelope{AppointPanel: &ch}, nil
+	case RelievePanels:
+		return envelope{RelievePanels: &ch}, nil
 	case PutOperator:
 		return envelope{PutOperator: &ch}, nil
 	case SetDeployments:
@@ -89,6 +98,12 @@
 		return *e.GiveKey, nil
 	case e.WithdrawKey != nil:
 		return *e.WithdrawKey, nil
+	case e.PurgeKeys != nil:
+		return *e.PurgeKeys, nil
+	case e.AppointPanel != nil:
+		return *e.AppointPanel, nil
+	case e.RelievePanels != nil:
+		return *e.RelievePanels, nil
 	case e.PutOperator != nil:
 		return *e.PutOperator, nil
 	case e.SetDeployments != nil:
--- a/peridotconfig/log.go
+++ b/peridotconfig/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -82,22 +83,23 @@
 // Replay applies commits in order. It skips those that base already holds and
 // stops at a gap.
 func Replay(base *Config, commits []Commit) (*Config, error) {
-	config := base
-	for _, commit := range commits {
-		if commit.Seq <= config.Seq {
-			continue
-		}
-		if commit.Seq != config.Seq+1 {
-			return config, nil
+	fresh := slices.IndexFunc(commits, func(c Commit) bool { return c.Seq > base.Seq })
+	if fresh < 0 || commits[fresh].Seq != base.Seq+1 {
+		return base, nil
+	}
+	next := base.draft()
+	for _, commit := range commits[fresh:] {
+		if commit.Seq != next.Seq+1 {
+			break
 		}
-		next, err := config.Apply(commit.Changes...)
-		if err != nil {
-			return nil, errors.Wrapf(err, "commit %d", commit.Seq)
+		for _, ch := range commit.Changes {
+			if err := next.apply(ch); err != nil {
+				return nil, errors.Wrapf(err, "commit %d", commit.Seq)
+			}
 		}
 		next.Seq = commit.Seq
-		config = next
 	}
-	return config, nil
+	return next, nil
 }
 
 // Append commits changes on top of base, which must hold every earlier commit.
@@ -157,7 +159,7 @@
 		switch ch.(type) {
 		case PutDomain, PutModel, PutService, SetDeployments:
 			return true
-		case PutAccount, GiveKey, WithdrawKey, PutOperator:
+		case PutAccount, GiveKey, WithdrawKey, PurgeKeys, PutOperator, AppointPanel, RelievePanels:
 		}
 	}
 	return false
