--- a/peridotconfig/index.go
+++ b/peridotconfig/index.go
@@ -1,6 +1,7 @@
 package peridotconfig
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 )
@@ -30,6 +31,16 @@
 	return &index{keys: maps.Clone(x.keys), accounts: maps.Clone(x.accounts)}
 }
 
+// UnmarshalJSON reads a whole configuration.
+func (c *Config) UnmarshalJSON(data []byte) error {
+	type plain Config
+	if err := json.Unmarshal(data, (*plain)(c)); err != nil {
+		return err
+	}
+	c.index = newIndex(c)
+	return nil
+}
+
 // keyAt returns the position of a key, or -1.
 func (c *Config) keyAt(id string) int {
 	if c.index == nil {
--- a/peridotconfig/log.go
+++ b/peridotconfig/log.go
@@ -48,13 +48,66 @@
 	return fmt.Sprintf("%s%019d", commitPrefix, seq)
 }
 
-// Load returns base with every later commit applied.
+// Load returns base with every later commit applied. On the empty configuration
+// it begins with the last snapshot.
 func (l *Log) Load(ctx context.Context, base *Config) (*Config, error) {
-	commits, err := l.After(ctx, base.Seq)
+	update, err := l.Update(ctx, base)
 	if err != nil {
 		return nil, err
 	}
-	return Replay(base, commits)
+	return update.Apply(base)
+}
+
+// Update reads what base lacks. On the empty configuration it begins with the
+// last snapshot.
+func (l *Log) Update(ctx context.Context, base *Config) (Update, error) {
+	var u Update
+	seq := base.Seq
+	if seq == 0 {
+		whole, err := l.ReadSnapshot(ctx)
+		if err != nil {
+			return u, err
+		}
+		seq = whole.Seq
+		if seq > 0 {
+			u.Whole = whole
+		}
+	}
+	var err error
+	u.Commits, err = l.After(ctx, seq)
+	return u, err
+}
+
+// HeadCheck asks the table service for the number of the newest commit in a way
+// that a stale copy cannot answer: it demands, in an empty transaction, that the
+// row has the version seen last, and reads the row only when that has changed. It
+// is not safe for concurrent use.
+type HeadCheck struct {
+	Store peridottable.Store
+
+	row peridottable.Row
+	seq int64
+}
+
+// Newest returns the number of the newest commit at some time during the call.
+func (h *HeadCheck) Newest(ctx context.Context) (int64, error) {
+	_, err := h.Store.Commit(ctx, peridottable.Txn{Checks: []peridottable.Check{{Key: HeadKey, Version: h.row.Version}}})
+	if err == nil {
+		return h.seq, nil
+	}
+	if !peridottable.IsConflict(err) {
+		return 0, err
+	}
+	row, err := peridottable.GetCurrent(ctx, h.Store, HeadKey)
+	if err != nil {
+		return 0, err
+	}
+	var head Head
+	if err := json.Unmarshal(row.Value, &head); err != nil {
+		return 0, errors.Wrap(err, "row "+HeadKey)
+	}
+	h.row, h.seq = row, head.Seq
+	return h.seq, nil
 }
 
 // After returns the commits that follow the given number, as far as the read
@@ -124,6 +177,10 @@
 	if _, err := l.Store.Commit(ctx, txn); err != nil {
 		return nil, err
 	}
+	if next.Seq%SnapshotEvery == 0 {
+		// Without this snapshot the next one comes later and readers read more rows.
+		_ = l.WriteSnapshot(ctx, next, id)
+	}
 	return next, nil
 }
 
--- /dev/null
+++ b/peridotconfig/log_test.go
@@ -0,0 +1,225 @@
+package peridotconfig
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+
+	"peridotstack/peridottable"
+	"peridotstack/peridotverdict"
+)
+
+// write appends one commit, and follows the timeline until it fits.
+func write(t *testing.T, l *Log, base *Config, id string, changes Changes) *Config {
+	t.Helper()
+	for {
+		next, err := l.Append(context.Background(), base, id, "ana", changes)
+		if err == nil {
+			return next
+		}
+		if !peridotverdict.Is(err, peridotverdict.Conflict) {
+			t.Fatal(err)
+		}
+		if base, err = l.Load(context.Background(), base); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestRacingOperators(t *testing.T) {
+	const operators, each = 4, 20
+	store := &peridottable.Faulty{Store: &peridottable.Memory{}}
+	var all sync.WaitGroup
+	for operator := range operators {
+		all.Go(func() {
+			base := &Config{}
+			for i := range each {
+				name := fmt.Sprintf("account-%d-%d", operator, i)
+				base = write(t, &Log{Store: store}, base, name, Changes{PutAccount{Account{Name: name}}})
+			}
+		})
+	}
+	all.Wait()
+	commits, err := (&Log{Store: store}).After(context.Background(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(commits), operators*each; got != want {
+		t.Errorf("commits: got %d, want %d", got, want)
+	}
+	for i, c := range commits {
+		if got, want := c.Seq, int64(i+1); got != want {
+			t.Fatalf("number of commit %d: got %d, want %d", i, got, want)
+		}
+	}
+}
+
+// TestStaleHead freezes the reads of the head row, as a lagging copy does.
+func TestStaleHead(t *testing.T) {
+	ctx := context.Background()
+	store := &peridottable.Faulty{Store: &peridottable.Memory{}}
+	l := &Log{Store: store}
+	base := write(t, l, &Config{}, "one", Changes{PutAccount{Account{Name: "a"}}})
+	check := &HeadCheck{Store: store}
+	if got, err := check.Newest(ctx); err != nil || got != 1 {
+		t.Fatalf("Newest: got %d and %v, want 1", got, err)
+	}
+	if err := store.FreezeReads(ctx, HeadKey); err != nil {
+		t.Fatal(err)
+	}
+	row, err := store.Get(ctx, HeadKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	txn, err := appendTxn(row, Commit{Seq: base.Seq + 1, ID: "two"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Commit(ctx, txn); err != nil {
+		t.Fatal(err)
+	}
+	late, cancel := context.WithCancel(ctx)
+	cancel()
+	if got, err := check.Newest(late); err == nil {
+		t.Errorf("Newest by stale reads: got %d, want an error", got)
+	}
+	store.ThawReads()
+	if got, err := check.Newest(ctx); err != nil || got != 2 {
+		t.Errorf("Newest: got %d and %v, want 2", got, err)
+	}
+}
+
+func TestLostAnswer(t *testing.T) {
+	ctx := context.Background()
+	store := &peridottable.Faulty{Store: &peridottable.Memory{}}
+	l := &Log{Store: store}
+	store.LoseAnswers(1)
+	_, err := l.Append(ctx, &Config{}, "one", "ana", Changes{PutAccount{Account{Name: "a"}}})
+	if got, want := peridotverdict.Of(err), peridotverdict.MayHaveRun; got != want {
+		t.Errorf("verdict: got %v, want %v", got, want)
+	}
+	c, err := l.Load(ctx, &Config{})
+	if err != nil || c.Seq != 1 {
+		t.Fatalf("Load: got version %d and %v, want 1", c.Seq, err)
+	}
+	if _, err := l.Append(ctx, &Config{}, "one", "ana", nil); !peridottable.IsConflict(err) {
+		t.Errorf("the same commit again: got %v, want a conflict", err)
+	}
+}
+
+func TestSnapshotBoundsReads(t *testing.T) {
+	ctx := context.Background()
+	store := &peridottable.Faulty{Store: &peridottable.Memory{}}
+	l := &Log{Store: store}
+	whole := &Config{}
+	big := strings.Repeat("x", 1<<10)
+	for i := range 2*SnapshotEvery + 7 {
+		whole = write(t, l, whole, fmt.Sprint("commit-", i), Changes{PutAccount{Account{Name: fmt.Sprint(big, i)}}})
+	}
+	update, err := l.Update(ctx, &Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(update.Commits), 7; got != want {
+		t.Errorf("commits read behind the snapshot: got %d, want %d", got, want)
+	}
+	c, err := update.Apply(&Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(c, whole) {
+		t.Errorf("Load: got a configuration of version %d that differs from the one written at %d", c.Seq, whole.Seq)
+	}
+	if err := l.WriteSnapshot(ctx, &Config{Seq: 3}, "old"); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := l.ReadSnapshot(ctx); err != nil || c.Seq != 2*SnapshotEvery {
+		t.Errorf("ReadSnapshot after an older one: got %d and %v, want %d", c.Seq, err, 2*SnapshotEvery)
+	}
+}
+
+func TestUpdate(t *testing.T) {
+	var recent Recent
+	full := &Config{}
+	for i := range maxRecent + 10 {
+		commit := Commit{Seq: int64(i + 1), Changes: Changes{PutAccount{Account{Name: fmt.Sprint("a", i)}}}}
+		var err error
+		if full, err = Replay(full, []Commit{commit}); err != nil {
+			t.Fatal(err)
+		}
+		recent.Add(commit)
+	}
+	tests := []struct {
+		base    int64
+		whole   bool
+		commits int
+	}{
+		{0, true, 0},
+		{9, true, 0},
+		{10, false, maxRecent},
+		{maxRecent + 9, false, 1},
+		{maxRecent + 10, false, 0},
+		{maxRecent + 11, false, 0},
+	}
+	for _, tt := range tests {
+		got := recent.Since(full, tt.base)
+		if (got.Whole != nil) != tt.whole || len(got.Commits) != tt.commits {
+			t.Errorf("Since(%d): got whole %t and %d commits, want %t and %d", tt.base, got.Whole != nil, len(got.Commits), tt.whole, tt.commits)
+		}
+	}
+	body, err := json.Marshal(recent.Since(full, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var update Update
+	if err := json.Unmarshal(body, &update); err != nil {
+		t.Fatal(err)
+	}
+	got, err := update.Apply(&Config{Seq: 4})
+	if err != nil || !reflect.DeepEqual(got, full) {
+		t.Errorf("Apply: got %v and version %d, want %d", err, got.Seq, full.Seq)
+	}
+	if newer, err := update.Apply(&Config{Seq: 9999}); err != nil || newer.Seq != 9999 {
+		t.Errorf("Apply on a newer configuration: got version %d and %v, want 9999", newer.Seq, err)
+	}
+}
+
+func TestAdmits(t *testing.T) {
+	c, err := (&Config{}).Apply(
+		PutAccount{Account{Name: "a"}},
+		GiveKey{Key{ID: "live", Account: "a"}},
+		GiveKey{Key{ID: "withdrawn", Account: "a"}},
+		GiveKey{Key{ID: "purged", Account: "a"}},
+		WithdrawKey{"withdrawn"},
+		WithdrawKey{"purged"},
+		PurgeKeys{[]string{"purged"}},
+	)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Seq = 7
+	tests := []struct {
+		key  string
+		seq  int64
+		want bool
+	}{
+		{"live", 3, true},
+		{"withdrawn", 3, false},
+		{"withdrawn", 8, false},
+		{"purged", 3, false},
+		{"purged", 7, false},
+		{"given later", 8, true},
+	}
+	for _, tt := range tests {
+		if got := c.Admits(tt.key, tt.seq); got != tt.want {
+			t.Errorf("Admits(%q, %d): got %t, want %t", tt.key, tt.seq, got, tt.want)
+		}
+	}
+	if _, err := c.Apply(PurgeKeys{[]string{"live"}}); !peridotverdict.Is(err, peridotverdict.BadRequest) {
+		t.Errorf("purge of a live key: got %v, want %s", err, peridotverdict.BadRequest)
+	}
+}
