Follow the configuration from peer to peer, and check keys at the agent too

Cause: entry instances and agents each polled the table service; an entry instance cut off from it served withdrawn keys for ever, an agent that was marked as leaving got new work from every entry instance that could not read the list, and an operator could not tell a stored commit from an accepted one.

Change: peridotsync.Node runs the follower. Each ping is a three-way exchange: Ping, Pong with a stamp, and a Confirm that carries the stamp back, so that both sides know a time before the other computed the age of its proof. Agents read nothing from the store; they fetch commits from an entry instance over the connection that it dialed. Keyed work needs a proof of at most 3 s at the entry instance and again at the agent: config_stale, NotRun, Retry-After 1 s. Operators get Accepted with each commit, and GET /operator/versions shows the version in force per instance. A ping tells an agent that it is listed as leaving; it then refuses new work and says so to everyone. Entry instances keep a panel of one agent per failure domain as witnesses.

Guards removed, as seen (then restored, green with -race): - TestWithdrawnKeyStops without the checks at both processes: "/services/api/read: got status 200". With one of the two checks it stays green: each stands alone. - TestServesWithTheStoreDown without the witnesses' proof: "got status 503 config_stale"; TestServesThroughStoreOutage "process 0, 2.1s into the outage: got a stale configuration" - TestLeavingServerGetsNoNewWork without Leaving in the ping: "agent-0 out of use: did not happen"

Also: an operator's commit that was stored but could not be read back was answered as a failure; it is answered as stored and not yet accepted.

Not done: entry instances still link to every agent; peridotmember.Links is not wired. The platform's list is read whole by every entry instance each second.

--- a/peridotagent/agent.go
+++ b/peridotagent/agent.go
@@ -12,9 +12,9 @@
 	"github.com/pkg/errors"
 
 	"peridotstack/peridotbackend"
-	"peridotstack/peridotconfig"
 	"peridotstack/peridotmetric"
 	"peridotstack/peridotsettings"
+	"peridotstack/peridotsync"
 	"peridotstack/peridottable"
 	"peridotstack/peridotverdict"
 	"peridotstack/peridotwire"
@@ -25,8 +25,6 @@
 	maxJobs = 4096
 	// keepEnded is how long an ended answer waits for a reader to resume.
 	keepEnded = 30 * time.Second
-	// syncInterval is the time between two looks at the configuration.
-	syncInterval = time.Second
 	// logPrefix starts every log line of this part.
 	logPrefix = "agent: "
 )
@@ -37,7 +35,8 @@
 	backend  peridotbackend.Backend
 	store    peridottable.Store
 	metrics  *peridotmetric.Metrics
-	config   atomic.Pointer[peridotconfig.Config]
+	node     *peridotsync.Node
+	entries  entries
 	leaving  atomic.Bool
 
 	mu   sync.Mutex
@@ -63,10 +62,10 @@
 	} else {
 		a.backend = peridotbackend.NewService(s.ServiceAddress)
 	}
-	a.config.Store(&peridotconfig.Config{})
 	for _, option := range options {
 		option(a)
 	}
+	a.node = peridotsync.New(s.Instance, nil, &a.entries, peridotsync.WithMetrics(a.metrics))
 	return a
 }
 
@@ -82,7 +81,7 @@
 	server := &peridotwire.Server{Listener: listener, Handler: a}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(serving) }()
-	go a.followConfig(serving)
+	go a.node.Serve(serving)
 	log.Info(logPrefix + "serving on " + listener.Addr().String())
 	select {
 	case <-ctx.Done():
@@ -112,26 +111,6 @@
 	}
 }
 
-// followConfig keeps the configuration up to date.
-func (a *Agent) followConfig(ctx context.Context) {
-	ticker := time.NewTicker(syncInterval)
-	defer ticker.Stop()
-	timeline := &peridotconfig.Log{Store: a.store}
-	for {
-		next, err := timeline.Load(ctx, a.config.Load())
-		if err != nil {
-			a.metrics.Count("config_read_failures")
-		} else {
-			a.config.Store(next)
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // Call serves a request of an entry instance.
 func (a *Agent) Call(ctx context.Context, p *peridotwire.Peer, method string, params json.RawMessage) (any, error) {
 	switch method {
@@ -148,7 +127,17 @@
 		}
 		return a.resume(ctx, p, r), nil
 	case peridotwire.MethodPing:
-		return a.pong(), nil
+		var ping peridotwire.Ping
+		if err := decode(params, &ping); err != nil {
+			return nil, err
+		}
+		return a.ping(p, ping), nil
+	case peridotwire.MethodCommits:
+		var f peridotwire.Fetch
+		if err := decode(params, &f); err != nil {
+			return nil, err
+		}
+		return a.node.Since(f.After), nil
 	default:
 		return nil, peridotverdict.New(peridotverdict.BadRequest, peridotverdict.NotRun, "unknown method "+method)
 	}
@@ -156,23 +145,36 @@
 
 // Notice takes a notification of an entry instance.
 func (a *Agent) Notice(_ *peridotwire.Peer, method string, params json.RawMessage) {
-	if method != peridotwire.MethodCancel {
-		return
-	}
-	var c peridotwire.Cancel
-	if decode(params, &c) == nil {
-		a.cancel(c.RequestID)
+	switch method {
+	case peridotwire.MethodCancel:
+		var c peridotwire.Cancel
+		if decode(params, &c) == nil {
+			a.cancel(c.RequestID)
+		}
+	case peridotwire.MethodConfirm:
+		var c peridotwire.Confirm
+		if decode(params, &c) == nil {
+			a.node.Confirmed(c.From, c.Version, c.Stamp)
+		}
 	}
 }
 
 func (a *Agent) pong() peridotwire.Pong {
-	return peridotwire.Pong{
-		From:    a.settings.Instance,
-		Domain:  a.settings.Domain,
-		Version: peridotwire.Version{Seq: a.config.Load().Seq},
-		Load:    a.load(),
-		Leaving: a.leaving.Load(),
+	pong := peridotwire.Pong{
+		From:        a.settings.Instance,
+		Domain:      a.settings.Domain,
+		Incarnation: a.node.Incarnation,
+		Version:     a.node.Version(),
+		Stamp:       a.node.Stamp(),
+		Load:        a.load(),
+		Leaving:     a.leaving.Load(),
+	}
+	if pong.Leaving {
+		// Another process may soon answer at this address; this one acknowledges
+		// nothing any more.
+		pong.Incarnation = ""
 	}
+	return pong
 }
 
 func decode(params json.RawMessage, message any) error {
--- a/peridotagent/job.go
+++ b/peridotagent/job.go
@@ -56,8 +56,8 @@
 	if a.leaving.Load() {
 		return nil, peridotverdict.New(peridotverdict.Leaving, peridotverdict.NotRun, "the backend server is leaving")
 	}
-	if key, ok := a.config.Load().Key(r.KeyID); ok && key.Withdrawn {
-		return nil, peridotverdict.New(peridotverdict.BadKey, peridotverdict.NotRun, "the key was withdrawn")
+	if refused := a.admit(r); refused != nil {
+		return nil, refused
 	}
 	if r.TimeoutMillis <= 0 {
 		return nil, peridotverdict.New(peridotverdict.DeadlinePassed, peridotverdict.NotRun, "the deadline has passed")
--- a/peridotentry/caller.go
+++ b/peridotentry/caller.go
@@ -40,6 +40,10 @@
 	defer e.running.Done()
 	ctx, done := e.callers.watch(r.Context(), r.RemoteAddr)
 	defer done()
+	if refused := e.stale(r); refused != nil {
+		e.refuse(w, refused, "")
+		return
+	}
 	switch path := r.URL.Path; {
 	case path == "/v1/completions" || path == "/v1/chat/completions":
 		e.serveModel(ctx, w, r)
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -16,12 +16,11 @@
 	"peridotstack/peridotoperator"
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotsettings"
-	"peridotstack/peridotwire"
+	"peridotstack/peridotsync"
 )
 
 const (
-	logPrefix    = "entry: "
-	syncInterval = time.Second
+	logPrefix = "entry: "
 )
 
 // Entry is an entry instance. Make one with New.
@@ -29,7 +28,7 @@
 	settings peridotsettings.Entry
 	platform *peridotplatform.Client
 	metrics  *peridotmetric.Metrics
-	config   atomic.Pointer[peridotconfig.Config]
+	node     *peridotsync.Node
 	pool     *pool
 	callers  callers
 	stopping atomic.Bool
@@ -48,21 +47,19 @@
 // New returns an entry instance that has not started.
 func New(s peridotsettings.Entry, platform *peridotplatform.Client, options ...Option) *Entry {
 	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}}
-	e.config.Store(&peridotconfig.Config{})
-	e.pool = newPool(s.Instance, platform.Instances, e.version)
 	for _, option := range options {
 		option(e)
 	}
+	e.pool = newPool(s.Instance, s.Domain, platform.Instances)
+	e.node = peridotsync.New(s.Instance, platform, e.pool, peridotsync.WithMetrics(e.metrics))
+	e.node.SetReader(true)
+	e.pool.node = e.node
 	return e
 }
 
 // Config returns the configuration in force.
 func (e *Entry) Config() *peridotconfig.Config {
-	return e.config.Load()
-}
-
-func (e *Entry) version() peridotwire.Version {
-	return peridotwire.Version{Seq: e.Config().Seq}
+	return e.node.Config()
 }
 
 // Serve runs the entry until ctx is done, then lets callers' requests end
@@ -70,8 +67,10 @@
 func (e *Entry) Serve(ctx context.Context) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go e.followConfig(serving)
+	go e.node.Serve(serving)
 	go e.pool.Serve(serving)
+	go e.keepPanels(serving)
+	e.awaitFirstProof(ctx)
 	operator := e.operatorServer()
 	if err := operator.Start(); err != nil {
 		return errors.Wrap(err, "listen for operators")
@@ -103,7 +102,9 @@
 	operator := &peridotoperator.Operator{
 		Log:     &peridotconfig.Log{Store: e.platform},
 		Config:  e.Config,
-		Refresh: e.refreshConfig,
+		Refresh: e.node.Refresh,
+		Await:   e.awaitAccepted,
+		Version: e.versions,
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/operator/", operator.Handler())
@@ -143,29 +144,3 @@
 		log.Warn(logPrefix + "shutdown grace passed with requests still running")
 	}
 }
-
-// followConfig keeps the configuration up to date.
-func (e *Entry) followConfig(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := e.refreshConfig(ctx); err != nil {
-			e.metrics.Count("config_read_failures")
-		}
-		wait(ctx, syncInterval)
-	}
-}
-
-// refreshConfig applies the commits that the table service has by now.
-func (e *Entry) refreshConfig(ctx context.Context) error {
-	timeline := &peridotconfig.Log{Store: e.platform}
-	for {
-		old := e.Config()
-		next, err := timeline.Load(ctx, old)
-		if err != nil {
-			return err
-		}
-		// Two refreshes may race; the configuration only ever moves forward.
-		if next.Seq <= old.Seq || e.config.CompareAndSwap(old, next) {
-			return nil
-		}
-	}
-}
--- a/peridotentry/keys_test.go
+++ b/peridotentry/keys_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +17,7 @@
 	"peridotstack/peridotconfig"
 	"peridotstack/peridotentry"
 	"peridotstack/peridotkey"
+	"peridotstack/peridotoperator"
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridotstandin"
@@ -26,8 +29,11 @@
 	platform *peridotstandin.Platform
 	services [4]*peridotstandin.Service
 	engine   *peridotstandin.Engine
-	caller   string
-	operator string
+	// caller and operator are the addresses of two entry instances; the second
+	// one reaches the platform only while cut is not set.
+	caller   [2]string
+	operator [2]string
+	cut      atomic.Bool
 	key      string
 	keyID    string
 	opKey    string
@@ -66,13 +72,27 @@
 	f.engine = peridotstandin.NewEngine(peridotstandin.EngineOptions{Model: "m", Version: "v1"})
 	agent(4, "domain-0", "m", peridotsettings.Agent{EngineAddress: serveStandIn(t, f.engine.Handler())})
 	f.platform.SetInstances(instances...)
-	f.caller, f.operator = freeAddress(t), freeAddress(t)
-	entry := peridotsettings.Entry{CallerAddress: f.caller, MaxBodyBytes: 1 << 20}
-	entry.Process = peridotsettings.Process{Instance: "entry-1", Domain: "domain-0", OperatorAddress: f.operator, PlatformAddress: platform}
-	run(peridotentry.New(entry, peridotplatform.NewClient(platform)).Serve)
+	platforms := []string{platform, serveStandIn(t, f.cuttable())}
+	for i, address := range platforms {
+		f.caller[i], f.operator[i] = freeAddress(t), freeAddress(t)
+		entry := peridotsettings.Entry{CallerAddress: f.caller[i], MaxBodyBytes: 1 << 20}
+		entry.Process = peridotsettings.Process{Instance: fmt.Sprint("entry-", i), Domain: fmt.Sprint("domain-", i), OperatorAddress: f.operator[i], PlatformAddress: address}
+		run(peridotentry.New(entry, peridotplatform.NewClient(address)).Serve)
+	}
 	return f
 }
 
+// cuttable serves the platform to the second entry instance.
+func (f *keyFleet) cuttable() http.Handler {
+	platform := f.platform.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		platform.ServeHTTP(w, r)
+	})
+}
+
 func (f *keyFleet) bootstrap(t *testing.T, platform string) {
 	t.Helper()
 	key, id, hash := peridotkey.New()
@@ -117,6 +137,7 @@
 
 // call is one request; empty fields are left out.
 type call struct {
+	entry             int
 	path, query, body string
 	header            http.Header
 }
@@ -124,7 +145,7 @@
 // do sends a call with the key and returns the status and the answer.
 func (f *keyFleet) do(t *testing.T, c call) (int, string) {
 	t.Helper()
-	request, err := http.NewRequest(http.MethodPost, "http://"+f.caller+c.path+c.query, strings.NewReader(c.body))
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.caller[c.entry]+c.path+c.query, strings.NewReader(c.body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -216,3 +237,133 @@
 		t.Errorf("received by the backend servers: got the key in %s, want it nowhere", f.received())
 	}
 }
+
+// operate sends a request of the operator and decodes the answer.
+func (f *keyFleet) operate(t *testing.T, entry int, method, path string, answer any) {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+f.operator[entry]+"/operator/"+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+f.opKey)
+	status, body := send(t, request)
+	if status != http.StatusOK {
+		t.Fatalf("%s: got status %d (%s), want %d", path, status, body, http.StatusOK)
+	}
+	if err := json.Unmarshal([]byte(body), answer); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// event waits until something has happened.
+func event(t *testing.T, what string, happened func() bool) {
+	t.Helper()
+	for range 3000 {
+		if happened() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%s: did not happen", what)
+}
+
+// panel waits until all four failure domains have a witness.
+func (f *keyFleet) panel(t *testing.T) {
+	t.Helper()
+	event(t, "a witness in each failure domain", func() bool {
+		var c peridotconfig.Config
+		f.operate(t, 0, http.MethodGet, "config", &c)
+		return len(c.Panel().Witnesses) == len(f.services) && len(c.Panels) == 1
+	})
+}
+
+// started returns how many calls the plain services got.
+func (f *keyFleet) started() int {
+	n := 0
+	for _, s := range f.services {
+		n += len(s.Calls())
+	}
+	return n
+}
+
+// TestWithdrawnKeyStops withdraws a key in mid-traffic, with keep-alive
+// connections to both entry instances open and one of them cut off from the
+// platform, and then takes the table service away altogether.
+func TestWithdrawnKeyStops(t *testing.T) {
+	f := startKeyFleet(t)
+	read := [2]call{{entry: 0, path: "/services/api/read"}, {entry: 1, path: "/services/api/read"}}
+	f.until(t, http.StatusOK, read[0])
+	f.until(t, http.StatusOK, read[1])
+	f.panel(t)
+	f.cut.Store(true)
+	f.until(t, http.StatusOK, read[1])
+	var accepted peridotoperator.Accepted
+	f.operate(t, 0, http.MethodPost, "keys/"+f.keyID+"/withdraw", &accepted)
+	if !accepted.Accepted {
+		t.Errorf("withdrawal: got %+v, want it accepted", accepted)
+	}
+	f.platform.Table.SetDown(true)
+	f.until(t, http.StatusUnauthorized, read[0])
+	f.until(t, http.StatusUnauthorized, read[1])
+	before := f.started()
+	for range 20 {
+		for _, c := range read {
+			if got, answer := f.do(t, c); got != http.StatusUnauthorized {
+				t.Fatalf("after the withdrawal: got status %d (%s), want %d", got, answer, http.StatusUnauthorized)
+			}
+		}
+	}
+	if got := f.started(); got != before {
+		t.Errorf("calls started after the key was refused: got %d, want none", got-before)
+	}
+}
+
+// TestServesWithTheStoreDown waits for many failed checks, more than a proof from
+// before the outage can outlive.
+func TestServesWithTheStoreDown(t *testing.T) {
+	f := startKeyFleet(t)
+	read := call{path: "/services/api/read"}
+	f.until(t, http.StatusOK, read)
+	f.panel(t)
+	f.platform.Table.SetDown(true)
+	before, _ := f.platform.Table.Counts()
+	event(t, "failed checks", func() bool {
+		now, _ := f.platform.Table.Counts()
+		return now-before >= 12
+	})
+	f.until(t, http.StatusOK, read)
+	if got, answer := f.do(t, call{entry: 1, path: read.path}); got != http.StatusOK {
+		t.Errorf("in the outage: got status %d (%s), want %d", got, answer, http.StatusOK)
+	}
+}
+
+// TestLeavingServerGetsNoNewWork marks a backend server in the list that one
+// entry instance can no longer read.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	f := startKeyFleet(t)
+	read := call{entry: 1, path: "/services/api/read"}
+	usable := func() bool {
+		var list []peridotoperator.InstanceVersion
+		f.operate(t, 1, http.MethodGet, "versions", &list)
+		for _, v := range list {
+			if v.Instance == "agent-0" {
+				return v.Usable
+			}
+		}
+		return false
+	}
+	f.until(t, http.StatusOK, read)
+	event(t, "agent-0 in use", usable)
+	f.cut.Store(true)
+	list := f.platform.Instances()
+	list[0].Leaving = true
+	f.platform.SetInstances(list...)
+	event(t, "agent-0 out of use", func() bool { return !usable() })
+	before := len(f.services[0].Calls())
+	for range 40 {
+		f.until(t, http.StatusOK, read)
+	}
+	if got, want := len(f.services[0].Calls()), before; got != want {
+		t.Errorf("calls at the leaving server: got %d, want %d", got, want)
+	}
+}
--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -9,7 +9,9 @@
 
 	"github.com/apex/log"
 
+	"peridotstack/peridotmember"
 	"peridotstack/peridotplatform"
+	"peridotstack/peridotsync"
 	"peridotstack/peridotverdict"
 	"peridotstack/peridotwire"
 )
@@ -17,6 +19,9 @@
 const (
 	discoverInterval = time.Second
 	pingInterval     = time.Second
+	// firstPingInterval is the time between pings of an agent that has no
+	// configuration yet.
+	firstPingInterval = 50 * time.Millisecond
 	// pingTimeout unmasks a connection that has gone silent.
 	pingTimeout = 3 * time.Second
 	dialTimeout = 2 * time.Second
@@ -35,20 +40,23 @@
 
 // pool keeps one connection to each agent.
 type pool struct {
-	self    string
-	list    func(context.Context) ([]peridotplatform.Instance, error)
-	version func() peridotwire.Version
+	self   string
+	domain string
+	list   func(context.Context) ([]peridotplatform.Instance, error)
+	// node is set before the pool is used.
+	node *peridotsync.Node
 
 	mu        sync.Mutex
+	view      peridotmember.View
 	links     map[string]*link
 	exchanges map[string]*exchange
 }
 
-func newPool(self string, list func(context.Context) ([]peridotplatform.Instance, error), version func() peridotwire.Version) *pool {
+func newPool(self, domain string, list func(context.Context) ([]peridotplatform.Instance, error)) *pool {
 	return &pool{
 		self:      self,
+		domain:    domain,
 		list:      list,
-		version:   version,
 		links:     make(map[string]*link),
 		exchanges: make(map[string]*exchange),
 	}
@@ -59,8 +67,9 @@
 	ticker := time.NewTicker(discoverInterval)
 	defer ticker.Stop()
 	for {
+		asked := time.Now()
 		if instances, err := p.list(ctx); err == nil {
-			p.update(ctx, instances)
+			p.update(ctx, instances, asked)
 		}
 		select {
 		case <-ticker.C:
@@ -71,15 +80,14 @@
 }
 
 // update opens links to new agents and closes those to agents that are gone.
-func (p *pool) update(ctx context.Context, instances []peridotplatform.Instance) {
+func (p *pool) update(ctx context.Context, instances []peridotplatform.Instance, asked time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	listed := make(map[string]bool)
+	p.listed(instances, asked)
 	for _, instance := range instances {
 		if instance.Role != peridotplatform.RoleAgent {
 			continue
 		}
-		listed[instance.ID] = true
 		if l, ok := p.links[instance.ID]; ok {
 			l.instance = instance
 			continue
@@ -90,7 +98,7 @@
 		go p.maintain(linkCtx, l, instance.Address)
 	}
 	for id, l := range p.links {
-		if !listed[id] && l.outstanding == 0 {
+		if p.dropped(id) && l.outstanding == 0 {
 			l.stop()
 			delete(p.links, id)
 		}
@@ -121,16 +129,29 @@
 		if err := p.ping(ctx, l, peer); err != nil {
 			return err
 		}
-		wait(ctx, pingInterval)
+		wait(ctx, p.pingPause(l))
 	}
 	return ctx.Err()
 }
 
+// pingPause returns the time from one ping of an agent to the next.
+func (p *pool) pingPause(l *link) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.pong.Version.Seq == 0 {
+		return firstPingInterval
+	}
+	return pingInterval
+}
+
 func (p *pool) ping(ctx context.Context, l *link, peer *peridotwire.Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	var pong peridotwire.Pong
-	if err := peer.Call(ctx, peridotwire.MethodPing, peridotwire.Ping{From: p.self, Version: p.version()}, &pong); err != nil {
+	p.mu.Lock()
+	instance := l.instance
+	p.mu.Unlock()
+	pong, err := p.exchangeVersions(ctx, peer, instance)
+	if err != nil {
 		return err
 	}
 	p.mu.Lock()
@@ -153,7 +174,7 @@
 	defer p.mu.Unlock()
 	var best *link
 	for _, l := range p.links {
-		if !l.serves(target) {
+		if !p.usable(l) || !l.serves(target) {
 			continue
 		}
 		if best == nil || l.outstanding < best.outstanding {
@@ -192,8 +213,12 @@
 	return nil
 }
 
-// Call refuses requests: agents do not ask entries for anything.
-func (p *pool) Call(context.Context, *peridotwire.Peer, string, json.RawMessage) (any, error) {
+// Call serves an agent that is behind; agents ask for nothing else.
+func (p *pool) Call(_ context.Context, _ *peridotwire.Peer, method string, params json.RawMessage) (any, error) {
+	var f peridotwire.Fetch
+	if method == peridotwire.MethodCommits && json.Unmarshal(params, &f) == nil {
+		return p.node.Since(f.After), nil
+	}
 	return nil, peridotverdict.New(peridotverdict.BadRequest, peridotverdict.NotRun, "an entry instance takes no requests here")
 }
 
--- a/peridotoperator/operator.go
+++ b/peridotoperator/operator.go
@@ -26,6 +26,26 @@
 	Config func() *peridotconfig.Config
 	// Refresh applies the commits that the table service has by now.
 	Refresh func(context.Context) error
+	// Await waits a while until a commit is accepted, and reports whether it is.
+	Await func(ctx context.Context, seq int64) bool
+	// Version returns the versions in force at the instances.
+	Version func() []InstanceVersion
+}
+
+// InstanceVersion is the version of the configuration in force at an instance.
+type InstanceVersion struct {
+	Instance string
+	Domain   string
+	Seq      int64
+	// ConfirmedMillis is the age of the last proof that no newer version was
+	// accepted; negative when there is none.
+	ConfirmedMillis int64
+	// Usable instances may start keyed work.
+	Usable bool
+}
+
+func (o *Operator) versions(_ *http.Request, _ string) (any, error) {
+	return o.Version(), nil
 }
 
 // Handler serves the interface under /operator/.
@@ -38,6 +58,7 @@
 	mux.HandleFunc("POST /operator/keys", o.as(o.giveKey))
 	mux.HandleFunc("POST /operator/keys/{id}/withdraw", o.as(o.withdrawKey))
 	mux.HandleFunc("GET /operator/config", o.as(o.config))
+	mux.HandleFunc("GET /operator/versions", o.as(o.versions))
 	return mux
 }
 
@@ -116,6 +137,10 @@
 type Accepted struct {
 	// Seq is the number of the commit.
 	Seq int64
+	// Accepted is set when a majority of the witnesses has acknowledged the commit:
+	// no keyed work starts by an older configuration 3 s from then on. While it is
+	// not set, the commit is stored and takes effect wherever it is known.
+	Accepted bool
 }
 
 func (o *Operator) confirm(r *http.Request, _ string) (any, error) {
@@ -190,7 +215,10 @@
 		}
 		next, err := try(o.Config())
 		if err == nil {
-			return Accepted{Seq: next.Seq}, o.Refresh(ctx)
+			if err := o.Refresh(ctx); err != nil {
+				return Accepted{Seq: next.Seq}, nil
+			}
+			return Accepted{Seq: next.Seq, Accepted: o.Await(ctx, next.Seq)}, nil
 		}
 		last = err
 		if !peridottable.IsConflict(err) {
--- a/peridotstandin/platform.go
+++ b/peridotstandin/platform.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 
 	"peridotstack/peridotplatform"
@@ -31,6 +32,13 @@
 	p.instances = instances
 }
 
+// Instances returns a copy of the list of instances.
+func (p *Platform) Instances() []peridotplatform.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.instances)
+}
+
 // Handler serves the platform's interfaces.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/peridotwire/message.go
+++ b/peridotwire/message.go
@@ -17,6 +17,9 @@
 	MethodChunks = "Chunks"
 	// MethodPing is the heartbeat; it carries configuration versions both ways.
 	MethodPing = "Ping"
+	// MethodConfirm (a notification) follows each ping; it hands a proof of the
+	// configuration to the pinged process.
+	MethodConfirm = "Confirm"
 	// MethodCommits fetches the commits behind a number.
 	MethodCommits = "Commits"
 	// MethodOrder hands an order to the process beside an engine.
@@ -107,7 +110,8 @@
 	// Seq is the number of the last commit the sender has applied.
 	Seq int64
 	// ConfirmedMillis is how long ago, at the time of sending, the table service
-	// confirmed that Seq was the newest; negative when it never did.
+	// or a majority of the witnesses confirmed that Seq was the newest; negative
+	// when that never happened.
 	ConfirmedMillis int64
 }
 
@@ -116,15 +120,30 @@
 	// From is the sender's instance.
 	From    string
 	Version Version
+	// Leaving is set when the sender knows the receiver to be marked as leaving.
+	Leaving bool
+}
+
+// Confirm hands a proof to the process that answered a ping with the Stamp.
+type Confirm struct {
+	From    string
+	Version Version
+	// Stamp tells the receiver a time before the age in Version was computed.
+	Stamp int64
 }
 
 // Pong answers Ping.
 type Pong struct {
 	// From is the answering instance, Domain its failure domain.
-	From    string
-	Domain  string
-	Version Version
-	Load    Load
+	From   string
+	Domain string
+	// Incarnation is unique to this life of the answering process. It is empty
+	// when the process is no longer a witness.
+	Incarnation string
+	Version     Version
+	// Stamp comes back in Confirm.
+	Stamp int64
+	Load  Load
 	// Leaving is set once the process takes no new work.
 	Leaving bool
 }
