--- a/peridotentry/caller.go
+++ b/peridotentry/caller.go
@@ -40,6 +40,10 @@
 	defer e.running.Done()
 	ctx, done := e.callers.watch(r.Context(), r.RemoteAddr)
 	defer done()
+	if refused := e.stale(r); refused != nil {
+		e.refuse(w, refused, "")
+		return
+	}
 	switch path := r.URL.Path; {
 	case path == "/v1/completions" || path == "/v1/chat/completions":
 		e.serveModel(ctx, w, r)
@@ -365,7 +369,7 @@
 	if err != nil {
 		return "", badRequest("", "the body cannot be read")
 	}
-	return string(body), nil
+	return string(body), keepKey(r, string(body))
 }
 
 // timeoutOf returns the time the caller gives its request.
