--- a/peridotagent/agent.go
+++ b/peridotagent/agent.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// maxJobs bounds the answers kept, running and ended together.
+	// maxJobs bounds the requests under way.
 	maxJobs = 4096
+	// maxEnded bounds the ended answers kept.
+	maxEnded = 4096
 	// keepEnded is how long an ended answer waits for a reader to resume.
 	keepEnded = 30 * time.Second
 	// logPrefix starts every log line of this part.
@@ -43,7 +45,9 @@
 	mu   sync.Mutex
 	jobs map[string]*job
 	// active is the number of jobs that have not ended; running waits for them.
-	active  int
+	active int
+	// ended lists the ended jobs, the oldest first.
+	ended   []endedJob
 	running sync.WaitGroup
 }
 
@@ -95,7 +99,7 @@
 	case err := <-served:
 		return errors.Wrap(err, "serve peers")
 	}
-	a.drain()
+	a.drain(server)
 	stop()
 	return <-served
 }
@@ -106,22 +110,30 @@
 	log.Warn(logPrefix + "refused a peer: " + err.Error())
 }
 
-// drain takes no new work and waits for what runs, up to the shutdown grace.
-func (a *Agent) drain() {
+// drain takes no new work and waits, up to the shutdown grace, until what runs
+// has ended and its answers have been written.
+func (a *Agent) drain(server *peridotwire.Server) {
+	a.mu.Lock()
 	a.leaving.Store(true)
+	a.mu.Unlock()
 	log.Info(logPrefix + "draining")
 	grace := time.Duration(a.settings.ShutdownGraceMillis) * time.Millisecond
-	done := make(chan struct{})
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	ended := make(chan struct{})
 	go func() {
 		a.running.Wait()
-		close(done)
+		close(ended)
 	}()
 	select {
-	case <-done:
-		log.Info(logPrefix + "drained")
-	case <-time.After(grace):
+	case <-ended:
+	case <-ctx.Done():
+	}
+	if err := server.AwaitAnswers(ctx); err != nil {
 		log.Warn(logPrefix + "shutdown grace passed with requests still running")
+		return
 	}
+	log.Info(logPrefix + "drained")
 }
 
 // Call serves a request of an entry instance.
--- a/peridotagent/job.go
+++ b/peridotagent/job.go
@@ -13,7 +13,8 @@
 const (
 	maxAnswerBytes = 8 << 20
 	// orphanGrace is how long a request goes on after its last reader has gone.
-	orphanGrace = 10 * time.Second
+	orphanGrace   = 10 * time.Second
+	cancelTimeout = time.Second
 )
 
 // job is one request and its answer.
@@ -53,9 +54,6 @@
 
 // start admits a request and hands it to the backend server.
 func (a *Agent) start(r peridotwire.Run) (*job, *peridotverdict.Error) {
-	if a.leaving.Load() {
-		return nil, peridotverdict.New(peridotverdict.Leaving, peridotverdict.NotRun, "the backend server is leaving")
-	}
 	if refused := a.admit(r); refused != nil {
 		return nil, refused
 	}
@@ -64,10 +62,13 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.leaving.Load() {
+		return nil, peridotverdict.New(peridotverdict.Leaving, peridotverdict.NotRun, "the backend server is leaving")
+	}
 	if _, ok := a.jobs[r.RequestID]; ok {
 		return nil, peridotverdict.New(peridotverdict.BadRequest, peridotverdict.Ran, "the request id was used before")
 	}
-	if len(a.jobs) >= maxJobs {
+	if a.active >= maxJobs {
 		return nil, peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "too many requests", peridotverdict.RetryAfter(time.Second))
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(r.TimeoutMillis)*time.Millisecond)
@@ -94,16 +95,44 @@
 		Priority:       r.Priority,
 		IdempotencyKey: r.IdempotencyKey,
 	}, &j.timeline)
-	a.mu.Lock()
-	a.active--
-	a.mu.Unlock()
-	time.AfterFunc(keepEnded, func() { a.forget(r.RequestID) })
+	if ctx.Err() != nil {
+		a.cancelAtEngine(r.RequestID)
+	}
+	a.keep(r.RequestID)
 }
 
-func (a *Agent) forget(requestID string) {
+// cancelAtEngine tells an engine that nobody waits for the request any more. The
+// engine sees the closed connection too, but not through every proxy.
+func (a *Agent) cancelAtEngine(requestID string) {
+	engine, ok := a.backend.(*peridotbackend.Engine)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if err := engine.Cancel(ctx, requestID); err != nil {
+		a.metrics.Count("cancel_failures")
+	}
+}
+
+// endedJob is a job whose answer waits for readers that come back.
+type endedJob struct {
+	requestID string
+	at        time.Time
+}
+
+// keep leaves an ended answer for readers that come back, for a while and as
+// long as there are not too many.
+func (a *Agent) keep(requestID string) {
+	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.jobs, requestID)
+	a.active--
+	a.ended = append(a.ended, endedJob{requestID, now})
+	for len(a.ended) > maxEnded || now.Sub(a.ended[0].at) > keepEnded {
+		delete(a.jobs, a.ended[0].requestID)
+		a.ended = a.ended[1:]
+	}
 }
 
 // follow sends the chunks behind a checkpoint and returns the end. The request
--- a/peridotentry/caller.go
+++ b/peridotentry/caller.go
@@ -36,8 +36,6 @@
 		e.refuse(w, peridotverdict.New(peridotverdict.ShuttingDown, peridotverdict.NotRun, "this instance is shutting down", peridotverdict.RetryAfter(time.Second)), "")
 		return
 	}
-	e.running.Add(1)
-	defer e.running.Done()
 	ctx, done := e.callers.watch(r.Context(), r.RemoteAddr)
 	defer done()
 	if refused := e.stale(r); refused != nil {
@@ -196,6 +194,7 @@
 		return
 	}
 	a := newAnswer(run.Stream, run.Idempotent, 0)
+	a.resumable = run.Stream && run.IdempotencyKey != ""
 	e.serveAnswer(ctx, w, a, func() (*peridotstream.End, *peridotverdict.Error) {
 		return e.tryUntilDone(ctx, c, a, choice)
 	})
@@ -250,7 +249,7 @@
 // cancelRun tells the agent that nobody waits for the answer any more. A
 // request that runs at most once goes on, for its caller may ask again.
 func (e *Entry) cancelRun(a *answer) {
-	if !a.idempotent {
+	if !a.idempotent || a.resumable {
 		return
 	}
 	requestID := a.id()
--- /dev/null
+++ b/peridotentry/callerconn.go
@@ -0,0 +1,264 @@
+package peridotentry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"peridotstack/peridotverdict"
+)
+
+const (
+	// maxUnsent is how many bytes of answers may wait for a slow caller before
+	// the writer is held up.
+	maxUnsent = 256 << 10
+	// sendTimeout bounds how long a caller may take no bytes at all.
+	sendTimeout = 30 * time.Second
+	// lingerTimeout is how long a caller may take to close its side.
+	lingerTimeout = 5 * time.Second
+	// closedPoll is how often a connection with a request is looked at; nbio
+	// reports that it has closed only after the request's handler has returned.
+	closedPoll = 50 * time.Millisecond
+)
+
+// callerConn is a caller's connection as nbhttp writes to it. nbio queues what
+// the network does not take at once, and drops the queue when the connection is
+// closed; a callerConn holds up writers of a long queue, and closes only once
+// the queue is empty.
+type callerConn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// changed is closed and replaced whenever a field below changes.
+	changed chan struct{}
+	// unsent counts the bytes written and not yet gone to the network.
+	unsent int
+	// answers counts the requests that arrived whole and are not fully answered.
+	answers int
+	closed  bool
+	// rejected connections take no more requests.
+	rejected bool
+	// sending runs while a request is arriving.
+	sending *time.Timer
+}
+
+func newCallerConn(conn net.Conn) *callerConn {
+	return &callerConn{Conn: conn, changed: make(chan struct{})}
+}
+
+// wake lets every waiter look again; the mutex is held.
+func (c *callerConn) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Write queues bytes of an answer. It waits while too many are unsent, and
+// fails when the caller takes none for too long.
+func (c *callerConn) Write(b []byte) (int, error) {
+	if err := c.awaitUnsent(maxUnsent); err != nil {
+		_ = c.Conn.Close()
+		return 0, err
+	}
+	c.mu.Lock()
+	c.unsent += len(b)
+	c.mu.Unlock()
+	// nbio reports what it has sent to wrote, also from within this call.
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.lost()
+	}
+	return n, err
+}
+
+// Close ends the connection once all answers have been sent. It only closes the
+// sending side and leaves the rest to the caller, and to a timer: nbio takes an
+// event of a connection that another goroutine has just closed for one of the
+// new connection with the same file descriptor, and cuts that one.
+func (c *callerConn) Close() error {
+	err := c.awaitUnsent(0)
+	c.endAnswer()
+	if err != nil {
+		return c.Conn.Close()
+	}
+	time.AfterFunc(lingerTimeout, func() { _ = c.Conn.Close() })
+	return closeSending(c.Conn)
+}
+
+// closeSending tells the caller that nothing more follows.
+func closeSending(conn net.Conn) error {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return conn.Close()
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = control.Control(func(fd uintptr) { failed = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// SetReadDeadline is what nbhttp calls when an answer is complete and the next
+// request may come.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.endAnswer()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// awaitUnsent waits until at most limit bytes are unsent.
+func (c *callerConn) awaitUnsent(limit int) error {
+	for {
+		c.mu.Lock()
+		unsent, closed, changed := c.unsent, c.closed, c.changed
+		c.mu.Unlock()
+		switch {
+		case closed:
+			return net.ErrClosed
+		case unsent <= limit:
+			return nil
+		}
+		timer := time.NewTimer(sendTimeout)
+		select {
+		case <-changed:
+			timer.Stop()
+		case <-timer.C:
+			return peridotverdict.New(peridotverdict.Canceled, peridotverdict.Ran, "the caller takes no bytes")
+		}
+	}
+}
+
+// awaitIdle waits until every request is answered and every byte sent.
+func (c *callerConn) awaitIdle(ctx context.Context) error {
+	for {
+		c.mu.Lock()
+		idle := c.closed || (c.answers == 0 && c.unsent == 0)
+		changed := c.changed
+		c.mu.Unlock()
+		if idle {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// wrote notes that n bytes have gone to the network.
+func (c *callerConn) wrote(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsent -= n
+	c.wake()
+}
+
+// lost notes that the connection has closed.
+func (c *callerConn) lost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.wake()
+	if c.sending != nil {
+		c.sending.Stop()
+	}
+}
+
+// beginSending starts the clock of a request that arrives, unless it runs.
+func (c *callerConn) beginSending(timeout time.Duration, late func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sending == nil && timeout > 0 {
+		c.sending = time.AfterFunc(timeout, late)
+	}
+}
+
+// beginAnswer notes that a request has arrived whole.
+func (c *callerConn) beginAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers++
+	if c.sending != nil {
+		c.sending.Stop()
+		c.sending = nil
+	}
+}
+
+// endAnswer notes that an answer has been written.
+func (c *callerConn) endAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answers > 0 {
+		c.answers--
+	}
+	c.wake()
+}
+
+// watch calls gone once when the connection closes before ctx is done.
+func (c *callerConn) watch(ctx context.Context, gone func()) {
+	ticker := time.NewTicker(closedPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if c.isClosed() {
+			c.lost()
+			gone()
+			return
+		}
+	}
+}
+
+func (c *callerConn) isClosed() bool {
+	conn, ok := c.Conn.(*nbio.Conn)
+	if !ok {
+		return false
+	}
+	closed, _ := conn.IsClosed()
+	return closed
+}
+
+// reject answers a request that never became one, and ends the connection.
+func (c *callerConn) reject(err *peridotverdict.Error) {
+	c.mu.Lock()
+	rejected := c.rejected
+	c.rejected = true
+	c.mu.Unlock()
+	if rejected {
+		return
+	}
+	writeRaw(c, err)
+	_ = c.Close()
+}
+
+// isRejected reports whether the connection takes no more requests.
+func (c *callerConn) isRejected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rejected
+}
+
+// writeRaw writes a whole HTTP response for a request that has no writer.
+func writeRaw(w io.Writer, err *peridotverdict.Error) {
+	body, encodeErr := json.Marshal(refusal(err, ""))
+	if encodeErr != nil {
+		return
+	}
+	status := statusOf(err.Code)
+	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", status, http.StatusText(status), len(body), body)
+}
--- a/peridotentry/callers.go
+++ b/peridotentry/callers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -19,8 +17,8 @@
 
 // callers knows the callers' connections. It does what nbhttp leaves out: it
 // cancels a request when its caller goes away, bounds the time a caller takes
-// to send a request, answers one that cannot be parsed, and keeps the idle
-// timeout away from long streams.
+// to send a request, answers one that cannot be parsed, keeps the idle timeout
+// away from long streams, and knows when every answer has been sent.
 type callers struct {
 	// bodyTimeout bounds the time from the first to the last byte of a request.
 	bodyTimeout time.Duration
@@ -30,108 +28,83 @@
 	conns map[string]*callerConn
 }
 
-// callerConn is the state of one connection, guarded by callers.
-type callerConn struct {
-	// open is false for a connection that closed before its request was served.
-	open bool
-	// sending runs while a request is arriving.
-	sending *time.Timer
-	// cancel ends the request under way, or is nil.
-	cancel context.CancelFunc
-}
-
-// conn returns the state of a connection; the caller holds the mutex.
-func (c *callers) conn(remote string) *callerConn {
-	if c.conns == nil {
-		c.conns = make(map[string]*callerConn)
-	}
-	cc, ok := c.conns[remote]
-	if !ok {
-		cc = &callerConn{}
-		c.conns[remote] = cc
-	}
-	return cc
+// get returns the connection from a remote address, or nil.
+func (c *callers) get(remote string) *callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conns[remote]
 }
 
 // watch returns a context that is canceled when the connection from the remote
 // address closes. The returned function must be called when the request ended.
 func (c *callers) watch(ctx context.Context, remote string) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cc := c.conn(remote)
-	cc.cancel = cancel
-	return ctx, func() {
-		cancel()
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		cc.cancel = nil
-		if !cc.open {
-			delete(c.conns, remote)
-		}
+	if cc := c.get(remote); cc != nil {
+		go cc.watch(ctx, cancel)
 	}
+	return ctx, cancel
 }
 
 // opened is called by nbhttp for each new connection.
 func (c *callers) opened(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conn(conn.RemoteAddr().String()).open = true
+	if c.conns == nil {
+		c.conns = make(map[string]*callerConn)
+	}
+	c.conns[conn.RemoteAddr().String()] = newCallerConn(conn)
 }
 
 // closed is called by nbhttp when a connection has closed.
 func (c *callers) closed(conn net.Conn, _ error) {
 	remote := conn.RemoteAddr().String()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cc, ok := c.conns[remote]
-	if !ok {
+	cc := c.get(remote)
+	if cc == nil {
 		return
 	}
+	cc.lost()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.conns, remote)
-	if cc.sending != nil {
-		cc.sending.Stop()
-	}
-	if cc.cancel != nil {
-		cc.cancel()
+}
+
+// written is called by nbio when bytes have gone to the network.
+func (c *callers) written(conn *nbio.Conn, _ []byte, n int) {
+	if cc := c.get(conn.RemoteAddr().String()); cc != nil {
+		cc.wrote(n)
 	}
 }
 
 // arrived takes bytes of a request in place of nbhttp's own handler.
 func (c *callers) arrived(conn *nbio.Conn, data []byte) {
-	parser, ok := conn.Session().(nbhttp.ParserCloser)
-	if !ok {
+	parser, ok := conn.Session().(*nbhttp.Parser)
+	cc := c.get(conn.RemoteAddr().String())
+	if !ok || cc == nil {
 		_ = conn.Close()
 		return
 	}
-	c.beginSending(conn)
+	// Another write would race with the handler of the request before.
+	if parser.Conn != net.Conn(cc) {
+		parser.Conn = cc
+	}
+	if cc.isRejected() {
+		return
+	}
+	cc.beginSending(c.bodyTimeout, func() {
+		c.reject(cc, peridotverdict.New(peridotverdict.RequestTimedOut, peridotverdict.NotRun, "the request took too long to arrive"))
+	})
 	// A long answer must not run into the idle timeout; nbhttp sets it again
 	// once the answer has been written.
 	_ = conn.SetReadDeadline(time.Time{})
 	if err := parser.Parse(data); err != nil {
-		c.reject(conn, parseError(err))
+		c.reject(cc, parseError(err))
 	}
 }
 
 // received is called by nbhttp once a request has arrived whole.
 func (c *callers) received(_ http.ResponseWriter, r *http.Request) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cc := c.conn(r.RemoteAddr)
-	if cc.sending != nil {
-		cc.sending.Stop()
-		cc.sending = nil
-	}
-}
-
-func (c *callers) beginSending(conn *nbio.Conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cc := c.conn(conn.RemoteAddr().String())
-	if cc.sending == nil && c.bodyTimeout > 0 {
-		cc.sending = time.AfterFunc(c.bodyTimeout, func() {
-			c.reject(conn, peridotverdict.New(peridotverdict.RequestTimedOut, peridotverdict.NotRun, "the request took too long to arrive"))
-		})
+	if cc := c.get(r.RemoteAddr); cc != nil {
+		cc.beginAnswer()
 	}
 }
 
@@ -142,13 +115,25 @@
 	return peridotverdict.New(peridotverdict.BadRequest, peridotverdict.NotRun, "malformed HTTP: "+err.Error())
 }
 
-// reject answers a request that never became one, and closes the connection.
-func (c *callers) reject(conn *nbio.Conn, err *peridotverdict.Error) {
+// reject counts and answers a request that never became one.
+func (c *callers) reject(cc *callerConn, err *peridotverdict.Error) {
 	c.metrics.Refused(err.Code)
-	body, encodeErr := json.Marshal(refusal(err, ""))
-	if encodeErr == nil {
-		status := statusOf(err.Code)
-		fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", status, http.StatusText(status), len(body), body)
+	cc.reject(err)
+}
+
+// drain waits until no connection has a request or an unsent answer, or until
+// ctx is done, which is an error.
+func (c *callers) drain(ctx context.Context) error {
+	c.mu.Lock()
+	conns := make([]*callerConn, 0, len(c.conns))
+	for _, cc := range c.conns {
+		conns = append(conns, cc)
+	}
+	c.mu.Unlock()
+	for _, cc := range conns {
+		if err := cc.awaitIdle(ctx); err != nil {
+			return err
+		}
 	}
-	_ = conn.CloseWithError(err)
+	return nil
 }
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,8 +37,8 @@
 	traffic  *traffic
 	callers  callers
 	stopping atomic.Bool
-	// running waits for callers' requests during a graceful shutdown.
-	running sync.WaitGroup
+	// unready tells the balancer to send callers elsewhere.
+	unready atomic.Bool
 }
 
 // Option sets an optional part of an Entry.
@@ -120,6 +119,7 @@
 	server.OnOpen(e.callers.opened)
 	server.OnClose(e.callers.closed)
 	server.OnData(e.callers.arrived)
+	server.OnWrittenSize(e.callers.written)
 	return server
 }
 
@@ -145,27 +145,26 @@
 
 // serveReady tells the balancer whether to send callers here.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() || e.Config().Seq == 0 {
+	if e.unready.Load() || e.Config().Seq == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-// drain takes no new requests and waits for those under way.
+// drain first only tells the balancer to send callers elsewhere, then takes no
+// new requests and waits until those under way are answered and sent.
 func (e *Entry) drain() {
-	e.stopping.Store(true)
+	e.unready.Store(true)
 	log.Info(logPrefix + "draining")
-	done := make(chan struct{})
-	go func() {
-		e.running.Wait()
-		close(done)
-	}()
+	time.Sleep(time.Duration(e.settings.LameDuckMillis) * time.Millisecond)
+	e.stopping.Store(true)
 	grace := time.Duration(e.settings.ShutdownGraceMillis) * time.Millisecond
-	select {
-	case <-done:
-		log.Info(logPrefix + "drained")
-	case <-time.After(grace):
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if err := e.callers.drain(ctx); err != nil {
 		log.Warn(logPrefix + "shutdown grace passed with requests still running")
+		return
 	}
+	log.Info(logPrefix + "drained")
 }
--- a/peridotentry/exchange.go
+++ b/peridotentry/exchange.go
@@ -21,9 +21,10 @@
 	// id, so that any entry instance can find the agent that has the answer.
 	idSeparator = "~"
 	maxAnswer   = 8 << 20
-	// maxResumes bounds the attempts to pick up a broken stream.
-	maxResumes  = 5
-	resumePause = 200 * time.Millisecond
+	// resumeWindow bounds how long a broken stream is tried again; the agent lets
+	// a request without a reader go on for somewhat longer.
+	resumeWindow = 8 * time.Second
+	resumePause  = 200 * time.Millisecond
 )
 
 // newRequestID returns an id for a request that goes to the given agent.
@@ -126,8 +127,8 @@
 	e.pool.open(x)
 	defer e.pool.close(x)
 	result, err := e.first(ctx, peer, x, started)
-	for range maxResumes {
-		if err == nil || err.Code != peridotverdict.PeerLost || ctx.Err() != nil {
+	for lost := time.Now(); err != nil && err.Code == peridotverdict.PeerLost && ctx.Err() == nil; {
+		if time.Since(lost) > resumeWindow {
 			break
 		}
 		e.metrics.Retried(err.Code)
--- /dev/null
+++ b/peridotentry/fleet_test.go
@@ -0,0 +1,186 @@
+package peridotentry_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"peridotstack/peridotagent"
+	"peridotstack/peridotconfig"
+	"peridotstack/peridotentry"
+	"peridotstack/peridotkey"
+	"peridotstack/peridotplatform"
+	"peridotstack/peridotsettings"
+	"peridotstack/peridotstandin"
+)
+
+const (
+	fleetModel   = "m"
+	fleetService = "api"
+	fleetGrace   = 60_000
+)
+
+// process is one process of the system that a test can stop.
+type process struct {
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func start(t *testing.T, serve func(context.Context) error) *process {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	p := &process{stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		if err := serve(ctx); err != nil {
+			t.Errorf("Serve: got %v, want nil", err)
+		}
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-p.done
+	})
+	return p
+}
+
+// fleet is a platform, two engines with their agents in two failure domains,
+// and two entry instances.
+type fleet struct {
+	platform *peridotstandin.Platform
+	engines  [2]*peridotstandin.Engine
+	agents   [2]*process
+	entries  [2]*process
+	callers  [2]string
+	key      string
+}
+
+// startFleet starts a fleet. through, if set, returns the address at which the
+// entries reach the agent that listens on the given one.
+func startFleet(t *testing.T, through func(address string) string) *fleet {
+	t.Helper()
+	f := &fleet{platform: peridotstandin.NewPlatform()}
+	platform := serveStandIn(t, f.platform.Handler())
+	f.bootstrap(t, platform)
+	var instances []peridotplatform.Instance
+	for i := range f.engines {
+		f.engines[i] = peridotstandin.NewEngine(peridotstandin.EngineOptions{Model: fleetModel, Version: "v1"})
+		s := peridotsettings.Agent{PeerAddress: freeAddress(t), EngineAddress: serveStandIn(t, f.engines[i].Handler())}
+		s.Process = peridotsettings.Process{Instance: fmt.Sprint("agent-", i), Domain: fmt.Sprint("domain-", i), ShutdownGraceMillis: fleetGrace}
+		f.agents[i] = start(t, peridotagent.New(s, peridotplatform.NewClient(platform)).Serve)
+		address := s.PeerAddress
+		if through != nil {
+			address = through(address)
+		}
+		instances = append(instances, peridotplatform.Instance{ID: s.Instance, Role: peridotplatform.RoleAgent, Domain: s.Domain, Address: address, Model: fleetModel})
+	}
+	f.platform.SetInstances(instances...)
+	for i := range f.entries {
+		s := peridotsettings.Entry{CallerAddress: freeAddress(t), MaxBodyBytes: 1 << 20, BodyTimeoutMillis: fleetGrace}
+		s.Process = peridotsettings.Process{Instance: fmt.Sprint("entry-", i), Domain: fmt.Sprint("domain-", i), OperatorAddress: freeAddress(t), ShutdownGraceMillis: fleetGrace}
+		f.callers[i] = s.CallerAddress
+		f.entries[i] = start(t, peridotentry.New(s, peridotplatform.NewClient(platform)).Serve)
+	}
+	for i := range f.entries {
+		f.awaitServing(t, i)
+	}
+	return f
+}
+
+func (f *fleet) bootstrap(t *testing.T, platform string) {
+	t.Helper()
+	key, id, hash := peridotkey.New()
+	f.key = key
+	timeline := &peridotconfig.Log{Store: peridotplatform.NewClient(platform)}
+	_, err := timeline.Append(context.Background(), &peridotconfig.Config{}, "bootstrap", "o", peridotconfig.Changes{
+		peridotconfig.PutDomain{Domain: peridotconfig.Domain{Name: "domain-0"}},
+		peridotconfig.PutDomain{Domain: peridotconfig.Domain{Name: "domain-1"}},
+		peridotconfig.PutModel{Model: peridotconfig.Model{Name: fleetModel, PrefillTokensPerSecond: 100_000, DecodeTokensPerSecond: 100_000}},
+		peridotconfig.PutAccount{Account: peridotconfig.Account{Name: "a", Models: []string{fleetModel}, Weight: 1}},
+		peridotconfig.GiveKey{Key: peridotconfig.Key{ID: id, Account: "a", Hash: hash}},
+		peridotconfig.SetDeployments{Deployments: []peridotconfig.Deployment{{Domain: "domain-0", Model: fleetModel, Version: "v1", Replicas: 2}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitServing sends requests through an entry until both engines have had one.
+func (f *fleet) awaitServing(t *testing.T, entry int) {
+	t.Helper()
+	before := [2]int{len(f.engines[0].Calls()), len(f.engines[1].Calls())}
+	for len(f.engines[0].Calls()) == before[0] || len(f.engines[1].Calls()) == before[1] {
+		response, err := f.ask(entry, 1, nil)
+		if err != nil {
+			continue // The entry does not listen yet.
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// ask sends a stream request for some tokens and returns once it has begun.
+func (f *fleet) ask(entry, tokens int, header http.Header) (*http.Response, error) {
+	body := fmt.Sprintf(`{"model":%q,"prompt":"p","max_tokens":%d,"stream":true}`, fleetModel, tokens)
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.callers[entry]+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	return f.do(request)
+}
+
+func (f *fleet) do(request *http.Request) (*http.Response, error) {
+	request.Header.Set("Authorization", "Bearer "+f.key)
+	// Each request has a connection of its own, so that closing the body of one
+	// is seen by the entry as its caller going away.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return client.Do(request)
+}
+
+// tokenEvent is the part of a streamed event that holds a token.
+type tokenEvent struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+}
+
+// readTokens reads up to limit tokens of a stream. whole is set when the mark
+// of a whole answer was seen.
+func readTokens(body io.Reader, limit int) (text string, whole bool) {
+	lines := bufio.NewScanner(body)
+	tokens := 0
+	for tokens < limit && lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var e tokenEvent
+		if json.Unmarshal([]byte(data), &e) == nil && len(e.Choices) > 0 {
+			text += e.Choices[0].Text
+			tokens++
+		}
+	}
+	return text, false
+}
+
+// wholeText is what the engine answers to a request for some tokens.
+func wholeText(requestID string, tokens int) string {
+	var text strings.Builder
+	for i := range tokens {
+		text.WriteString(peridotstandin.Token(requestID, i))
+	}
+	return text.String()
+}
--- /dev/null
+++ b/peridotentry/lifecycle_test.go
@@ -0,0 +1,177 @@
+package peridotentry_test
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"testing"
+	"time"
+)
+
+const (
+	streamTokens = 20
+	holdAfter    = 5
+)
+
+// stream is one caller's answer.
+type stream struct {
+	requestID string
+	text      string
+	whole     bool
+}
+
+// streams starts n streams through the two entries and waits until all are held
+// in the middle by the engines.
+func (f *fleet) streams(t *testing.T, n int) <-chan stream {
+	t.Helper()
+	held := []<-chan string{f.engines[0].Hold(holdAfter), f.engines[1].Hold(holdAfter)}
+	answers := make(chan stream, n)
+	for i := range n {
+		go func() {
+			response, err := f.ask(i%2, streamTokens, nil)
+			if err != nil {
+				answers <- stream{text: err.Error()}
+				return
+			}
+			defer response.Body.Close()
+			s := stream{requestID: response.Header.Get("X-Request-Id")}
+			s.text, s.whole = readTokens(response.Body, math.MaxInt)
+			answers <- s
+		}()
+	}
+	for range n {
+		select {
+		case <-held[0]:
+		case <-held[1]:
+		}
+	}
+	return answers
+}
+
+// checkWhole checks that n answers are whole and each its own.
+func checkWhole(t *testing.T, answers <-chan stream, n int) {
+	t.Helper()
+	for range n {
+		got := <-answers
+		if want := wholeText(got.requestID, streamTokens); got.text != want || !got.whole {
+			t.Errorf("answer of %q: got %q (whole %v), want %q", got.requestID, got.text, got.whole, want)
+		}
+	}
+}
+
+// TestPlannedStopCutsNothing stops each role in turn while streams are under
+// way.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	const n = 24
+	tests := []struct {
+		name string
+		stop func(f *fleet) *process
+	}{
+		{"an agent", func(f *fleet) *process { return f.agents[0] }},
+		{"an entry instance", func(f *fleet) *process { return f.entries[0] }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := startFleet(t, nil)
+			answers := f.streams(t, n)
+			stopped := test.stop(f)
+			stopped.stop()
+			stopped.stop() // A second signal must do no harm.
+			f.engines[0].Release()
+			f.engines[1].Release()
+			checkWhole(t, answers, n)
+			<-stopped.done // The stop is bounded.
+		})
+	}
+}
+
+// TestLeavingAgentGetsNoNewWork stops an agent whose streams go on: every new
+// request must run at the other engine.
+func TestLeavingAgentGetsNoNewWork(t *testing.T) {
+	const n = 8
+	f := startFleet(t, nil)
+	answers := f.streams(t, n)
+	f.engines[1].Release()
+	before := len(f.engines[0].Calls())
+	f.agents[0].stop()
+	for i := range 50 {
+		response, err := f.ask(i%2, 1, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, whole := readTokens(response.Body, math.MaxInt)
+		response.Body.Close()
+		if !whole {
+			t.Errorf("request %d: got status %d and an answer that is not whole", i, response.StatusCode)
+		}
+	}
+	// The agent takes no work from the moment it knows that it leaves, and the
+	// stop above returned before the first request was sent; one request may
+	// have slipped in before the agent noticed.
+	if got, most := len(f.engines[0].Calls())-before, 1; got > most {
+		t.Errorf("requests at the leaving engine: got %d, want at most %d", got, most)
+	}
+	f.engines[0].Release()
+	checkWhole(t, answers, n)
+	<-f.agents[0].done
+}
+
+// TestResumeThroughAnotherEntry breaks off a stream at its caller and resumes it
+// through the other entry instance.
+func TestResumeThroughAnotherEntry(t *testing.T) {
+	f := startFleet(t, nil)
+	held := []<-chan string{f.engines[0].Hold(holdAfter), f.engines[1].Hold(holdAfter)}
+	response, err := f.ask(0, streamTokens, http.Header{"Idempotency-Key": {"resume-1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	requestID := response.Header.Get("X-Request-Id")
+	const read = 3
+	first, _ := readTokens(response.Body, read)
+	select {
+	case <-held[0]:
+	case <-held[1]:
+	}
+	response.Body.Close() // The caller's connection is gone.
+
+	request, err := http.NewRequest(http.MethodGet, "http://"+f.callers[1]+"/v1/requests/"+requestID, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Last-Event-ID", fmt.Sprint(read))
+	resumed, err := f.do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resumed.Body.Close()
+	f.engines[0].Release()
+	f.engines[1].Release()
+	rest, whole := readTokens(resumed.Body, math.MaxInt)
+	if got, want := first+rest, wholeText(requestID, streamTokens); got != want || !whole {
+		t.Errorf("got %q (whole %v), want %q", got, whole, want)
+	}
+}
+
+// TestCancelReachesEngine lets a caller go away that did not ask to resume.
+func TestCancelReachesEngine(t *testing.T) {
+	f := startFleet(t, nil)
+	held := []<-chan string{f.engines[0].Hold(holdAfter), f.engines[1].Hold(holdAfter)}
+	response, err := f.ask(0, streamTokens, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := ""
+	engine := 0
+	select {
+	case want = <-held[0]:
+	case want = <-held[1]:
+		engine = 1
+	}
+	response.Body.Close()
+	for len(f.engines[engine].Canceled()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := f.engines[engine].Canceled()[0]; got != want {
+		t.Errorf("canceled: got %q, want %q", got, want)
+	}
+}
--- a/peridotentry/retry.go
+++ b/peridotentry/retry.go
@@ -24,6 +24,8 @@
 	after int
 	// idempotent requests are canceled when their caller goes away.
 	idempotent bool
+	// resumable answers go on without their caller, who may come back for them.
+	resumable bool
 
 	mu        sync.Mutex
 	requestID string
--- a/peridotsettings/settings.go
+++ b/peridotsettings/settings.go
@@ -37,6 +37,9 @@
 	MaxBodyBytes int
 	// BodyTimeoutMillis bounds how long a caller may take to send a request.
 	BodyTimeoutMillis int64
+	// LameDuckMillis is how long a stopping instance still takes requests while
+	// it tells the balancer that it is not ready.
+	LameDuckMillis int64
 }
 
 // Agent is the settings of the process beside a backend server.
--- a/peridotstandin/engine.go
+++ b/peridotstandin/engine.go
@@ -43,6 +43,7 @@
 	running   map[string]context.CancelFunc
 	prefillAt time.Time
 	cutAfter  int
+	hold      hold
 }
 
 // NewEngine returns an engine.
@@ -183,7 +184,7 @@
 		if cutAfter > 0 && i == cutAfter {
 			panic(http.ErrAbortHandler)
 		}
-		if !sleep(ctx, e.options.TokenInterval) {
+		if !e.waitHeld(ctx, id, i) || !sleep(ctx, e.options.TokenInterval) {
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"text_completion\",\"model\":%q,\"choices\":[{\"index\":0,\"text\":%q,\"finish_reason\":null}]}\n\n", id, c.Model, Token(id, i))
--- a/peridotwire/conn.go
+++ b/peridotwire/conn.go
@@ -24,12 +24,18 @@
 // Peer is a connection to another process of the system. Its methods may be
 // called concurrently.
 type Peer struct {
-	conn *jsonrpc2.Conn
+	conn     *jsonrpc2.Conn
+	inflight *inflight
 }
 
 // NewPeer runs the protocol on an open connection until it closes.
 func NewPeer(ctx context.Context, conn net.Conn, h Handler) *Peer {
-	p := &Peer{}
+	return newPeer(ctx, conn, h, &inflight{})
+}
+
+// newPeer is NewPeer with the counter of outstanding answers given.
+func newPeer(ctx context.Context, conn net.Conn, h Handler, f *inflight) *Peer {
+	p := &Peer{inflight: f}
 	ready := make(chan struct{})
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
 	p.conn = jsonrpc2.NewConn(ctx, stream, &dispatcher{peer: p, ready: ready, handler: h})
@@ -87,10 +93,12 @@
 		d.handler.Notice(d.peer, r.Method, params)
 		return
 	}
+	d.peer.inflight.add()
 	go d.answer(ctx, conn, r, params)
 }
 
 func (d *dispatcher) answer(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request, params json.RawMessage) {
+	defer d.peer.inflight.done()
 	answer, err := d.handler.Call(ctx, d.peer, r.Method, params)
 	if err == nil {
 		// A failed reply means that the connection closed; the other side sees it.
--- a/peridotwire/server.go
+++ b/peridotwire/server.go
@@ -20,6 +20,8 @@
 	// Refused, if set, is told of each peer without a valid certificate.
 	Refused func(err error)
 
+	inflight inflight
+
 	mu    sync.Mutex
 	peers map[*Peer]bool
 }
@@ -42,6 +44,12 @@
 	}
 }
 
+// AwaitAnswers returns nil once every request that arrived has been answered, or
+// the error of ctx. A process that stops calls it before it ends Serve.
+func (s *Server) AwaitAnswers(ctx context.Context) error {
+	return s.inflight.wait(ctx)
+}
+
 // admit lets a connection in once its other side has proved who it is.
 func (s *Server) admit(ctx context.Context, conn net.Conn) {
 	secure, err := s.Identity.handshake(ctx, conn, handshakeTimeout)
@@ -51,7 +59,7 @@
 		}
 		return
 	}
-	s.keep(NewPeer(context.WithoutCancel(ctx), secure, s.Handler))
+	s.keep(newPeer(context.WithoutCancel(ctx), secure, s.Handler, &s.inflight))
 	if ctx.Err() != nil {
 		s.closeAll()
 	}
