Resume a broken answer as soon as its agent is back

Change: a closed connection is replaced at once (dialing pauses from 50 ms to 1 s); an answer that only its agent has is resumed for 5 s, one that can run elsewhere for 1 s. An agent that does not know a request which was sent to it gives peer_lost with MayHaveRun in place of unknown_request: the request may still arrive there. Resumes are counted as resumes, no longer as retries.

--- a/peridotentry/agent_test.go
+++ b/peridotentry/agent_test.go
@@ -97,6 +97,14 @@
 	return nil, nil
 }
 
+// place is where an entry finds an agent.
+type place struct {
+	instance string
+	address  string
+	model    string
+	service  string
+}
+
 // entryWith returns an entry that is connected to the given agents, and the key
 // of its client account.
 func entryWith(t *testing.T, agents ...*scripted) (*Entry, string) {
@@ -107,7 +115,7 @@
 		stop()
 		serving.Wait()
 	})
-	var list []peridotplatform.Instance
+	var places []place
 	for _, s := range agents {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -115,7 +123,23 @@
 		}
 		server := &peridotwire.Server{Listener: listener, Handler: s}
 		serving.Go(func() { _ = server.Serve(ctx) })
-		list = append(list, peridotplatform.Instance{ID: s.instance, Role: peridotplatform.RoleAgent, Address: listener.Addr().String(), Model: s.model, Service: s.service})
+		places = append(places, place{s.instance, listener.Addr().String(), s.model, s.service})
+	}
+	return entryTo(t, places...)
+}
+
+// entryTo is entryWith for agents that are served already.
+func entryTo(t *testing.T, places ...place) (*Entry, string) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	var serving sync.WaitGroup
+	t.Cleanup(func() {
+		stop()
+		serving.Wait()
+	})
+	var list []peridotplatform.Instance
+	for _, p := range places {
+		list = append(list, peridotplatform.Instance{ID: p.instance, Role: peridotplatform.RoleAgent, Address: p.address, Model: p.model, Service: p.service})
 	}
 	key, id, hash := peridotkey.New()
 	e := New(peridotsettings.Entry{Process: peridotsettings.Process{Instance: "entry-1"}}, nil)
@@ -125,12 +149,12 @@
 		Services:    []peridotconfig.Service{{Name: testService, Routes: []peridotconfig.Route{{Method: http.MethodPost, Path: "/push"}}}},
 		Accounts:    []peridotconfig.Account{{Name: testAccount, Models: []string{testModel}, Services: []string{testService}, Weight: 1}},
 		Keys:        []peridotconfig.Key{{ID: id, Account: testAccount, Hash: hash}},
-		Deployments: []peridotconfig.Deployment{{Model: testModel, Replicas: len(agents)}},
+		Deployments: []peridotconfig.Deployment{{Model: testModel, Replicas: len(places)}},
 	})
 	e.pool.list = func(context.Context) ([]peridotplatform.Instance, error) { return list, nil }
 	serving.Go(func() { _ = e.pool.Serve(ctx) })
-	for _, s := range agents {
-		for e.pool.peerOf(s.instance) == nil {
+	for _, p := range places {
+		for e.pool.peerOf(p.instance) == nil {
 			wait(ctx, pollInterval)
 		}
 	}
--- a/peridotentry/exchange.go
+++ b/peridotentry/exchange.go
@@ -21,9 +21,11 @@
 	// id, so that any entry instance can find the agent that has the answer.
 	idSeparator = "~"
 	maxAnswer   = 8 << 20
-	// maxResumes bounds the attempts to pick up a broken stream.
-	maxResumes  = 5
-	resumePause = 200 * time.Millisecond
+	resumePause = 100 * time.Millisecond
+	// resumeTime bounds the attempts to pick up an answer that only its agent
+	// has, and shortResumeTime those for a request that can run elsewhere.
+	resumeTime      = 5 * time.Second
+	shortResumeTime = time.Second
 )
 
 // newRequestID returns an id for a request that goes to the given agent.
@@ -126,11 +128,9 @@
 	e.pool.open(x)
 	defer e.pool.close(x)
 	result, err := e.first(ctx, peer, x, started)
-	for range maxResumes {
-		if err == nil || err.Code != peridotverdict.PeerLost || ctx.Err() != nil {
-			break
-		}
-		e.metrics.Retried(err.Code)
+	broke := time.Now()
+	for err != nil && err.Code == peridotverdict.PeerLost && ctx.Err() == nil && time.Since(broke) < x.patience() {
+		e.metrics.Count("resumes")
 		wait(ctx, resumePause)
 		result, err = e.resume(ctx, x)
 	}
@@ -138,7 +138,7 @@
 		return nil, err
 	}
 	if result.Err != nil {
-		return nil, result.Err
+		return nil, lost(result.Err, started)
 	}
 	if result.End.Err != nil {
 		return nil, result.End.Err
@@ -149,6 +149,24 @@
 	return result.End, nil
 }
 
+// lost returns err, but that of an agent that does not know a request which this
+// process has sent to it. The request may still arrive there, or have run before
+// the agent was replaced.
+func lost(err *peridotverdict.Error, started bool) *peridotverdict.Error {
+	if started || err.Code != peridotverdict.UnknownRequest {
+		return err
+	}
+	return peridotverdict.New(peridotverdict.PeerLost, peridotverdict.MayHaveRun, "the agent lost the request", peridotverdict.Cause(err))
+}
+
+// patience returns how long to try to resume the answer.
+func (x *exchange) patience() time.Duration {
+	if x.request.Idempotent && x.received() == 0 {
+		return shortResumeTime
+	}
+	return resumeTime
+}
+
 func (e *Entry) first(ctx context.Context, peer *peridotwire.Peer, x *exchange, started bool) (peridotwire.Result, *peridotverdict.Error) {
 	if started {
 		return e.resume(ctx, x)
--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -23,6 +23,9 @@
 	// pingTimeout unmasks a connection that has gone silent.
 	pingTimeout = 3 * time.Second
 	dialTimeout = 2 * time.Second
+	// redialPause is the first pause after a failed dial; it doubles up to
+	// pingInterval.
+	redialPause = 50 * time.Millisecond
 )
 
 // link is the connection to one agent. Its fields are guarded by the pool.
@@ -111,33 +114,57 @@
 	}
 }
 
-// maintain dials an agent again and again, and pings it while connected.
+// maintain dials an agent again and again, and pings it while connected. A
+// connection that broke is replaced at once, for answers wait to be resumed; an
+// agent that is out of reach is dialed with growing pauses.
 func (p *pool) maintain(ctx context.Context, l *link, address string) {
+	pause := redialPause
 	for ctx.Err() == nil {
-		if err := p.connect(ctx, l, address); err != nil {
+		peer, err := p.connect(ctx, l, address)
+		if err != nil {
 			log.Debug(logPrefix + "agent " + address + " is out of reach: " + err.Error())
+			wait(ctx, pause)
+			pause = min(2*pause, pingInterval)
+			continue
 		}
-		wait(ctx, pingInterval)
+		pause = redialPause
+		p.keepAlive(ctx, l, peer)
 	}
 }
 
-// connect runs one connection until it fails.
-func (p *pool) connect(ctx context.Context, l *link, address string) error {
+// connect dials an agent and returns once it has answered a heartbeat.
+func (p *pool) connect(ctx context.Context, l *link, address string) (*peridotwire.Peer, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	peer := peridotwire.NewPeer(context.WithoutCancel(ctx), conn, p)
+	if err := p.ping(ctx, l, peer); err != nil {
+		_ = peer.Close()
+		return nil, err
+	}
+	return peer, nil
+}
+
+// keepAlive pings an agent until its connection is lost.
+func (p *pool) keepAlive(ctx context.Context, l *link, peer *peridotwire.Peer) {
 	defer peer.Close()
 	defer p.setPeer(l, nil)
-	for ctx.Err() == nil {
-		if err := p.ping(ctx, l, peer); err != nil {
-			return err
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-peer.Closed():
+			return
+		case <-ctx.Done():
+			return
+		}
+		if p.ping(ctx, l, peer) != nil {
+			return
 		}
-		wait(ctx, pingInterval)
 	}
-	return ctx.Err()
 }
 
 func (p *pool) ping(ctx context.Context, l *link, peer *peridotwire.Peer) error {
