--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -23,6 +23,8 @@
 const (
 	logPrefix    = "entry: "
 	syncInterval = time.Second
+	// maxHeadBytes bounds the request line and headers together.
+	maxHeadBytes = 64 << 10
 )
 
 // Entry is an entry instance. Make one with New.
@@ -60,6 +62,11 @@
 	return e
 }
 
+// WithIdentity makes the entry prove who it is to agents, and check who they are.
+func WithIdentity(i *peridotwire.Identity) Option {
+	return func(e *Entry) { e.pool.identity = i }
+}
+
 // seedOf returns a seed that differs between instances.
 func seedOf(instance string) uint64 {
 	return xxhash.Sum64String(instance)
@@ -98,13 +105,19 @@
 }
 
 func (e *Entry) callerServer() *nbhttp.Server {
+	e.callers.metrics = e.metrics
+	e.callers.bodyTimeout = time.Duration(e.settings.BodyTimeoutMillis) * time.Millisecond
 	server := nbhttp.NewServer(nbhttp.Config{
 		Network:         "tcp",
 		Addrs:           []string{e.settings.CallerAddress},
 		MaxHTTPBodySize: e.settings.MaxBodyBytes,
+		ReadLimit:       e.settings.MaxBodyBytes + maxHeadBytes,
 		Handler:         http.HandlerFunc(e.serveCaller),
+		OnRequest:       e.callers.received,
 	})
+	server.OnOpen(e.callers.opened)
 	server.OnClose(e.callers.closed)
+	server.OnData(e.callers.arrived)
 	return server
 }
 
--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -41,9 +40,11 @@
 
 // pool keeps one connection to each agent.
 type pool struct {
-	self    string
-	list    func(context.Context) ([]peridotplatform.Instance, error)
-	version func() peridotwire.Version
+	self string
+	// identity proves who this process is to the agents; nil on loopback.
+	identity *peridotwire.Identity
+	list     func(context.Context) ([]peridotplatform.Instance, error)
+	version  func() peridotwire.Version
 	// observe is told the load of an agent that answered a heartbeat.
 	observe func(instance string, l peridotwire.Load)
 
@@ -134,8 +135,7 @@
 
 // connect dials an agent and returns once it has answered a heartbeat.
 func (p *pool) connect(ctx context.Context, l *link, address string) (*peridotwire.Peer, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.identity.Dial(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
