--- a/peridotentry/agent_test.go
+++ b/peridotentry/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"peridotstack/peridotkey"
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotsettings"
+	"peridotstack/peridotstandin"
 	"peridotstack/peridotstream"
 	"peridotstack/peridotverdict"
 	"peridotstack/peridotwire"
@@ -41,7 +43,7 @@
 func (s *scripted) Call(_ context.Context, p *peridotwire.Peer, method string, params json.RawMessage) (any, error) {
 	switch method {
 	case peridotwire.MethodPing:
-		return peridotwire.Pong{From: s.instance}, nil
+		return peridotwire.Pong{From: s.instance, Domain: "domain-0", Incarnation: "first", Version: peridotwire.Version{Seq: 1}}, nil
 	case peridotwire.MethodRun:
 		var r peridotwire.Run
 		if err := json.Unmarshal(params, &r); err != nil {
@@ -142,25 +144,40 @@
 		list = append(list, peridotplatform.Instance{ID: p.instance, Role: peridotplatform.RoleAgent, Address: p.address, Model: p.model, Service: p.service})
 	}
 	key, id, hash := peridotkey.New()
-	e := New(peridotsettings.Entry{Process: peridotsettings.Process{Instance: "entry-1"}}, nil)
-	e.config.Store(&peridotconfig.Config{
-		Seq:         1,
-		Models:      []peridotconfig.Model{{Name: testModel, PrefillTokensPerSecond: 10_000, DecodeTokensPerSecond: 1000}},
-		Services:    []peridotconfig.Service{{Name: testService, Routes: []peridotconfig.Route{{Method: http.MethodPost, Path: "/push"}}}},
-		Accounts:    []peridotconfig.Account{{Name: testAccount, Models: []string{testModel}, Services: []string{testService}, Weight: 1}},
-		Keys:        []peridotconfig.Key{{ID: id, Account: testAccount, Hash: hash}},
-		Deployments: []peridotconfig.Deployment{{Model: testModel, Replicas: len(places)}},
+	platform := httptest.NewServer(peridotstandin.NewPlatform(list...).Handler())
+	t.Cleanup(platform.Close)
+	client := peridotplatform.NewClient(platform.Listener.Addr().String())
+	e := New(peridotsettings.Entry{Process: peridotsettings.Process{Instance: "entry-1"}}, client)
+	commit(t, e, peridotconfig.Changes{
+		peridotconfig.PutModel{Model: peridotconfig.Model{Name: testModel, PrefillTokensPerSecond: 10_000, DecodeTokensPerSecond: 1000}},
+		peridotconfig.PutService{Service: peridotconfig.Service{Name: testService, Routes: []peridotconfig.Route{{Method: http.MethodPost, Path: "/push"}}}},
+		peridotconfig.PutAccount{Account: peridotconfig.Account{Name: testAccount, Models: []string{testModel}, Services: []string{testService}, Weight: 1}},
+		peridotconfig.GiveKey{Key: peridotconfig.Key{ID: id, Account: testAccount, Hash: hash}},
+		peridotconfig.SetDeployments{Deployments: []peridotconfig.Deployment{{Model: testModel, Replicas: len(places)}}},
 	})
-	e.pool.list = func(context.Context) ([]peridotplatform.Instance, error) { return list, nil }
+	serving.Go(func() { _ = e.node.Serve(ctx) })
 	serving.Go(func() { _ = e.pool.Serve(ctx) })
 	for _, p := range places {
-		for e.pool.peerOf(p.instance) == nil {
+		for e.pool.peerOf(p.instance) == nil || !e.node.Fresh() {
 			wait(ctx, pollInterval)
 		}
 	}
 	return e, key
 }
 
+// commit adds changes to the shared configuration and puts them in force at e.
+func commit(t *testing.T, e *Entry, changes peridotconfig.Changes) {
+	t.Helper()
+	timeline := &peridotconfig.Log{Store: e.platform}
+	_, err := timeline.Append(context.Background(), e.Config(), rand.Text(), "test", changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.node.Refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // ask sends a caller's request to the entry and returns the whole response.
 func ask(e *Entry, key, path, body string) *httptest.ResponseRecorder {
 	return askWithin(e, key, path, body, "")
--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -10,8 +10,10 @@
 
 	"github.com/apex/log"
 
+	"peridotstack/peridotmember"
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotroute"
+	"peridotstack/peridotsync"
 	"peridotstack/peridotverdict"
 	"peridotstack/peridotwire"
 )
@@ -19,6 +21,9 @@
 const (
 	discoverInterval = time.Second
 	pingInterval     = time.Second
+	// firstPingInterval is the time between pings of an agent that has no
+	// configuration yet.
+	firstPingInterval = 50 * time.Millisecond
 	// pingTimeout unmasks a connection that has gone silent.
 	pingTimeout = 3 * time.Second
 	dialTimeout = 2 * time.Second
@@ -40,15 +45,18 @@
 
 // pool keeps one connection to each agent.
 type pool struct {
-	self string
+	self   string
+	domain string
 	// identity proves who this process is to the agents; nil on loopback.
 	identity *peridotwire.Identity
 	list     func(context.Context) ([]peridotplatform.Instance, error)
-	version  func() peridotwire.Version
+	// node is set before the pool is used.
+	node *peridotsync.Node
 	// observe is told the load of an agent that answered a heartbeat.
 	observe func(instance string, l peridotwire.Load)
 
 	mu        sync.Mutex
+	view      peridotmember.View
 	links     map[string]*link
 	exchanges map[string]*exchange
 	// changes counts the changes of what servers and entries return.
@@ -56,11 +64,11 @@
 	entries int
 }
 
-func newPool(self string, list func(context.Context) ([]peridotplatform.Instance, error), version func() peridotwire.Version) *pool {
+func newPool(self, domain string, list func(context.Context) ([]peridotplatform.Instance, error)) *pool {
 	return &pool{
 		self:      self,
+		domain:    domain,
 		list:      list,
-		version:   version,
 		observe:   func(string, peridotwire.Load) {},
 		links:     make(map[string]*link),
 		exchanges: make(map[string]*exchange),
@@ -72,8 +80,9 @@
 	ticker := time.NewTicker(discoverInterval)
 	defer ticker.Stop()
 	for {
+		asked := time.Now()
 		if instances, err := p.list(ctx); err == nil {
-			p.update(ctx, instances)
+			p.update(ctx, instances, asked)
 		}
 		select {
 		case <-ticker.C:
@@ -84,12 +93,12 @@
 }
 
 // update opens links to new agents and closes those to agents that are gone.
-func (p *pool) update(ctx context.Context, instances []peridotplatform.Instance) {
+func (p *pool) update(ctx context.Context, instances []peridotplatform.Instance, asked time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.changes++
 	p.entries = 0
-	listed := make(map[string]bool)
+	p.listed(instances, asked)
 	for _, instance := range instances {
 		if instance.Role == peridotplatform.RoleEntry && !instance.Leaving {
 			p.entries++
@@ -97,7 +106,6 @@
 		if instance.Role != peridotplatform.RoleAgent {
 			continue
 		}
-		listed[instance.ID] = true
 		if l, ok := p.links[instance.ID]; ok {
 			l.instance = instance
 			continue
@@ -108,7 +116,7 @@
 		go p.maintain(linkCtx, l, instance.Address)
 	}
 	for id, l := range p.links {
-		if !listed[id] && l.outstanding == 0 {
+		if p.dropped(id) && l.outstanding == 0 {
 			l.stop()
 			delete(p.links, id)
 		}
@@ -151,11 +159,9 @@
 func (p *pool) keepAlive(ctx context.Context, l *link, peer *peridotwire.Peer) {
 	defer peer.Close()
 	defer p.setPeer(l, nil)
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-time.After(p.pingPause(l)):
 		case <-peer.Closed():
 			return
 		case <-ctx.Done():
@@ -167,11 +173,24 @@
 	}
 }
 
+// pingPause returns the time from one ping of an agent to the next.
+func (p *pool) pingPause(l *link) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.pong.Version.Seq == 0 {
+		return firstPingInterval
+	}
+	return pingInterval
+}
+
 func (p *pool) ping(ctx context.Context, l *link, peer *peridotwire.Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	var pong peridotwire.Pong
-	if err := peer.Call(ctx, peridotwire.MethodPing, peridotwire.Ping{From: p.self, Version: p.version()}, &pong); err != nil {
+	p.mu.Lock()
+	instance := l.instance
+	p.mu.Unlock()
+	pong, err := p.exchangeVersions(ctx, peer, instance)
+	if err != nil {
 		return err
 	}
 	p.observe(p.answered(l, peer, pong), pong.Load)
@@ -182,7 +201,8 @@
 func (p *pool) answered(l *link, peer *peridotwire.Peer, pong peridotwire.Pong) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l.peer != peer || l.pong.Leaving != pong.Leaving {
+	same := (l.pong.Version.Seq > 0) == (pong.Version.Seq > 0)
+	if l.peer != peer || l.pong.Leaving != pong.Leaving || !same {
 		p.changes++
 	}
 	l.pong = pong
@@ -203,7 +223,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l, ok := p.links[instance]
-	if !ok || l.peer == nil {
+	if !ok || l.peer == nil || !p.usable(l) {
 		return nil, nil, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the backend server "+instance+" is out of reach", peridotverdict.RetryAfter(time.Second))
 	}
 	l.outstanding++
@@ -229,8 +249,8 @@
 			Domain:   l.instance.Domain,
 			Model:    l.instance.Model,
 			Service:  l.instance.Service,
-			Leaving:  l.instance.Leaving || l.pong.Leaving,
-			Down:     l.peer == nil,
+			Leaving:  p.view.MarkedLeaving(l.instance.ID),
+			Down:     l.peer == nil || !p.usable(l),
 		})
 	}
 	// The order decides which servers a random draw hits.
@@ -262,8 +282,12 @@
 	return nil
 }
 
-// Call refuses requests: agents do not ask entries for anything.
-func (p *pool) Call(context.Context, *peridotwire.Peer, string, json.RawMessage) (any, error) {
+// Call serves an agent that is behind; agents ask for nothing else.
+func (p *pool) Call(_ context.Context, _ *peridotwire.Peer, method string, params json.RawMessage) (any, error) {
+	var f peridotwire.Fetch
+	if method == peridotwire.MethodCommits && json.Unmarshal(params, &f) == nil {
+		return p.node.Since(f.After), nil
+	}
 	return nil, peridotverdict.New(peridotverdict.BadRequest, peridotverdict.NotRun, "an entry instance takes no requests here")
 }
 
