--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -27,9 +27,10 @@
 	// pingTimeout unmasks a connection that has gone silent.
 	pingTimeout = 3 * time.Second
 	dialTimeout = 2 * time.Second
-	// redialPause is the first pause after a failed dial; it doubles up to
-	// pingInterval.
+	// redialPause is the first pause before an agent is dialed again; it doubles
+	// up to pingInterval until a connection has lasted for steadyTime.
 	redialPause = 50 * time.Millisecond
+	steadyTime  = 5 * time.Second
 )
 
 // link is the connection to one agent. Its fields are guarded by the pool.
@@ -124,20 +125,22 @@
 }
 
 // maintain dials an agent again and again, and pings it while connected. A
-// connection that broke is replaced at once, for answers wait to be resumed; an
-// agent that is out of reach is dialed with growing pauses.
+// connection that broke is replaced soon, for answers wait to be resumed; the
+// pauses grow while connections fail or do not last.
 func (p *pool) maintain(ctx context.Context, l *link, address string) {
 	pause := redialPause
 	for ctx.Err() == nil {
-		peer, err := p.connect(ctx, l, address)
-		if err != nil {
+		dialed := time.Now()
+		if peer, err := p.connect(ctx, l, address); err == nil {
+			p.keepAlive(ctx, l, peer)
+		} else {
 			log.Debug(logPrefix + "agent " + address + " is out of reach: " + err.Error())
-			wait(ctx, pause)
-			pause = min(2*pause, pingInterval)
-			continue
 		}
-		pause = redialPause
-		p.keepAlive(ctx, l, peer)
+		if time.Since(dialed) >= steadyTime {
+			pause = redialPause
+		}
+		wait(ctx, pause)
+		pause = min(2*pause, pingInterval)
 	}
 }
 
