Cut connections in pairs, and run the agent of these tests whole

Since the merge of the shared configuration an agent without one is not used; the tests that cut connections served an agent without its configuration, so their requests were refused with no_backend and the checks passed without a cut. The agent now runs by its Serve, the tests wait until every backend server is up, and an answer of no_backend fails them.

With the guards removed they fail: without checkpoint and Checker tokens and "42" come twice; without resuming, streams that began break off.

--- a/peridotentry/agent_test.go
+++ b/peridotentry/agent_test.go
@@ -157,14 +157,23 @@
 	})
 	serving.Go(func() { _ = e.node.Serve(ctx) })
 	serving.Go(func() { _ = e.pool.Serve(ctx) })
-	for _, p := range places {
-		for e.pool.peerOf(p.instance) == nil || !e.node.Fresh() {
-			wait(ctx, pollInterval)
-		}
+	for !e.node.Fresh() || !allUp(e, len(places)) {
+		wait(ctx, pollInterval)
 	}
 	return e, key
 }
 
+// allUp reports whether requests may go to n backend servers.
+func allUp(e *Entry, n int) bool {
+	up := 0
+	for _, s := range e.pool.servers() {
+		if !s.Down && !s.Leaving {
+			up++
+		}
+	}
+	return up == n
+}
+
 // commit adds changes to the shared configuration and puts them in force at e.
 func commit(t *testing.T, e *Entry, changes peridotconfig.Changes) {
 	t.Helper()
--- a/peridotentry/cut_test.go
+++ b/peridotentry/cut_test.go
@@ -1,11 +1,14 @@
 package peridotentry
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,7 +19,6 @@
 	"peridotstack/peridotstandin"
 	"peridotstack/peridottable"
 	"peridotstack/peridotverdict"
-	"peridotstack/peridotwire"
 )
 
 // direction is that of the bytes that a cutter counts.
@@ -27,15 +29,20 @@
 	fromAgent direction = "from the agent"
 )
 
-// cutter stands between an entry and an agent and cuts their connection once.
+// cut breaks a connection once that many bytes have passed one way.
+type cut struct {
+	left int
+	way  direction
+}
+
+// cutter stands between an entry and an agent and cuts their connections, one
+// cut after the other.
 type cutter struct {
 	target   string
 	listener net.Listener
 
-	mu    sync.Mutex
-	armed bool
-	way   direction
-	left  int
+	mu   sync.Mutex
+	cuts []cut
 }
 
 func startCutter(t *testing.T, target string) *cutter {
@@ -64,26 +71,28 @@
 	return c
 }
 
-// cutAfter lets n more bytes pass one way.
-func (c *cutter) cutAfter(n int, way direction) {
+// cutAfter plans cuts.
+func (c *cutter) cutAfter(cuts ...cut) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.armed, c.left, c.way = true, n, way
+	c.cuts = append(c.cuts, cuts...)
 }
 
-// allow returns how many of n bytes may pass, and whether the cut follows.
+// allow returns how many of n bytes may pass, and whether a cut follows.
 func (c *cutter) allow(n int, way direction) (int, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.armed || c.way != way {
+	if len(c.cuts) == 0 || c.cuts[0].way != way {
 		return n, false
 	}
-	if n < c.left {
-		c.left -= n
+	next := &c.cuts[0]
+	if n < next.left {
+		next.left -= n
 		return n, false
 	}
-	c.armed = false
-	return c.left, true
+	n = next.left
+	c.cuts = c.cuts[1:]
+	return n, true
 }
 
 func (c *cutter) pass(from, to net.Conn, way direction) {
@@ -106,69 +115,133 @@
 func behindCutter(t *testing.T, s peridotsettings.Agent, model, service string) (*Entry, string, *cutter) {
 	t.Helper()
 	s.Instance = "a"
-	agent := peridotagent.New(s, &peridottable.Memory{})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s.PeerAddress = ownAddress(t)
+	ctx, stop := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- peridotagent.New(s, &peridottable.Memory{}).Serve(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-served; err != nil {
+			t.Errorf("agent: got %v, want nil", err)
+		}
+	})
+	c := startCutter(t, s.PeerAddress)
+	e, key := entryTo(t, place{instance: "a", address: c.listener.Addr().String(), model: model, service: service})
+	return e, key, c
+}
+
+// addresses numbers the loopback addresses that ownAddress has given out.
+var addresses atomic.Int64
+
+// ownAddress returns a free port at a loopback address that no other test uses,
+// so that nothing takes the port before it is listened on again.
+func ownAddress(t *testing.T) string {
+	t.Helper()
+	n := addresses.Add(1)
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, n/250, 1+n%250))
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &peridotwire.Server{Listener: listener, Handler: agent}
-	go func() { _ = server.Serve(t.Context()) }()
-	c := startCutter(t, listener.Addr().String())
-	e, key := entryTo(t, place{instance: "a", address: c.listener.Addr().String(), model: model, service: service})
-	return e, key, c
+	defer listener.Close()
+	return listener.Addr().String()
 }
 
-// TestCutPush cuts the connection to the agent at many points of a push, and
-// compares what the caller is told with what the plain service ran.
+// sent fails when a request found no backend server, which no cut explains.
+func sent(t *testing.T, answer string) {
+	t.Helper()
+	if strings.Contains(answer, string(peridotverdict.NoBackend)) {
+		t.Errorf("got %q, want the request sent", answer)
+	}
+}
+
+// cutPush pushes once through the planned cuts, and compares what the caller is
+// told with what the plain service ran.
+func cutPush(t *testing.T, cuts ...cut) {
+	var runs atomic.Int64
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		_, _ = io.Copy(w, r.Body)
+	}))
+	defer service.Close()
+	e, key, c := behindCutter(t, peridotsettings.Agent{ServiceAddress: service.Listener.Addr().String()}, "", testService)
+	c.cutAfter(cuts...)
+	w := ask(e, key, push, "42")
+	sent(t, w.Body.String())
+	got := runs.Load()
+	switch {
+	case got > 1:
+		t.Errorf("runs: got %d, want at most 1", got)
+	case w.Code == http.StatusOK && (got != 1 || w.Body.String() != "42"):
+		t.Errorf("got %q after %d runs, want 42 after 1", w.Body, got)
+	case strings.Contains(w.Body.String(), peridotverdict.NotRun.String()) && got != 0:
+		t.Errorf("got %s after %d runs, want none", w.Body, got)
+	}
+}
+
+// cutStream asks for a stream through the planned cuts. The caller gets each
+// token of one run once, or an error.
+func cutStream(t *testing.T, cuts ...cut) string {
+	engine := peridotstandin.NewEngine(peridotstandin.EngineOptions{Model: testModel})
+	server := httptest.NewServer(engine.Handler())
+	defer server.Close()
+	e, key, c := behindCutter(t, peridotsettings.Agent{EngineAddress: server.Listener.Addr().String()}, testModel, "")
+	c.cutAfter(cuts...)
+	body := ask(e, key, completions, streamBody).Body.String()
+	sent(t, body)
+	if strings.HasSuffix(body, "data: [DONE]\n\n") {
+		checkTokens(t, body, 8)
+	} else if !strings.Contains(body, `"verdict":`) {
+		t.Errorf("got %q, want the end mark or an error", body)
+	}
+	return body
+}
+
+// TestCutPush cuts the connection to the agent at many points of a push.
 func TestCutPush(t *testing.T) {
 	for _, way := range []direction{toAgent, fromAgent} {
 		for n := 1; n <= 701; n += 50 {
 			t.Run(fmt.Sprintf("%d bytes %s", n, way), func(t *testing.T) {
 				t.Parallel()
-				var runs atomic.Int64
-				service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					runs.Add(1)
-					_, _ = io.Copy(w, r.Body)
-				}))
-				defer service.Close()
-				e, key, c := behindCutter(t, peridotsettings.Agent{ServiceAddress: service.Listener.Addr().String()}, "", testService)
-				c.cutAfter(n, way)
-				w := ask(e, key, push, "42")
-				got := runs.Load()
-				switch {
-				case got > 1:
-					t.Errorf("runs: got %d, want at most 1", got)
-				case w.Code == http.StatusOK && (got != 1 || w.Body.String() != "42"):
-					t.Errorf("got %q after %d runs, want 42 after 1", w.Body, got)
-				case strings.Contains(w.Body.String(), peridotverdict.NotRun.String()) && got != 0:
-					t.Errorf("got %s after %d runs, want none", w.Body, got)
-				}
+				cutPush(t, cut{n, way})
 			})
 		}
 	}
 }
 
-// TestCutStream cuts the connection at many points of a stream. The caller gets
-// each token of one run once, or a final error.
+// TestCutStream cuts the connection at many points of a stream. Once it has
+// begun, it comes whole.
 func TestCutStream(t *testing.T) {
 	for n := 1; n <= 2001; n += 100 {
 		t.Run(fmt.Sprintf("%d bytes", n), func(t *testing.T) {
 			t.Parallel()
-			engine := peridotstandin.NewEngine(peridotstandin.EngineOptions{Model: testModel})
-			server := httptest.NewServer(engine.Handler())
-			defer server.Close()
-			e, key, c := behindCutter(t, peridotsettings.Agent{EngineAddress: server.Listener.Addr().String()}, testModel, "")
-			c.cutAfter(n, fromAgent)
-			body := ask(e, key, completions, streamBody).Body.String()
-			if strings.HasSuffix(body, "data: [DONE]\n\n") {
-				checkTokens(t, body, 8)
-			} else if strings.Contains(body, "id: 1\n") || !strings.Contains(body, `"verdict":`) {
+			body := cutStream(t, cut{n, fromAgent})
+			if strings.Contains(body, "id: 1\n") && strings.Contains(body, `"verdict":`) {
 				t.Errorf("got %q, want the end mark, or an error in place of an answer", body)
 			}
 		})
 	}
 }
 
+// TestCutTwice cuts two connections at random points.
+func TestCutTwice(t *testing.T) {
+	for seed := range seeds(t) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 0))
+			var cuts []cut
+			for range 2 {
+				way := []direction{toAgent, fromAgent}[random.IntN(2)]
+				cuts = append(cuts, cut{1 + random.IntN(1200), way})
+			}
+			if seed%2 == 0 {
+				cutPush(t, cuts...)
+			} else {
+				cutStream(t, cuts...)
+			}
+		})
+	}
+}
+
 // checkTokens checks that a stream holds each token of one request once.
 func checkTokens(t *testing.T, body string, tokens int) {
 	t.Helper()
