Follow the accounts only when the configuration has changed

Each look at the list of instances, once a second, set all accounts anew in the admitter of every model.

--- a/peridotentry/traffic.go
+++ b/peridotentry/traffic.go
@@ -87,20 +87,24 @@
 	if t.known == config && t.change == change {
 		return
 	}
-	t.known, t.change = config, change
-	list := t.pool.servers()
-	for i := range list {
-		if m, ok := config.Model(list[i].Model); ok {
-			list[i].PrefillTokensPerSecond = m.PrefillTokensPerSecond
-			list[i].DecodeTokensPerSecond = m.DecodeTokensPerSecond
-		}
+	if t.known != config {
+		t.setAccounts(now, config)
 	}
-	t.router.SetServers(now, list)
-	t.policy.Keep(namesOf(config.Accounts), instancesOf(list))
+	t.known, t.change = config, change
+	t.setServers(now, config)
+}
+
+// setAccounts follows the client accounts and models. The mutex is held.
+func (t *traffic) setAccounts(now time.Duration, config *peridotconfig.Config) {
 	t.limits.SetAccounts(now, accountsOf(config, true))
-	t.limits.SetShare(now, 1/float64(t.pool.entryCount()))
+	list := accountsOf(config, false)
 	for _, m := range config.Models {
-		t.setModel(now, config, m, list)
+		d := t.models[m.Name]
+		if d == nil {
+			d = peridotadmit.New(peridotadmit.MaxQueue(maxQueue))
+			t.models[m.Name] = d
+		}
+		d.SetAccounts(now, list)
 	}
 	for name := range t.models {
 		if _, ok := config.Model(name); !ok {
@@ -109,21 +113,33 @@
 	}
 }
 
-// setModel tells the admitter of a model this entry's part of the capacity, in
-// output tokens a second.
-func (t *traffic) setModel(now time.Duration, config *peridotconfig.Config, m peridotconfig.Model, list []peridotroute.Server) {
-	d := t.models[m.Name]
-	if d == nil {
-		d = peridotadmit.New(peridotadmit.MaxQueue(maxQueue))
-		t.models[m.Name] = d
-	}
-	running := 0
-	for _, s := range list {
-		if s.Model == m.Name && !s.Leaving && !s.Down {
-			running++
+// setServers follows the backend servers and what they can do. The mutex is
+// held.
+func (t *traffic) setServers(now time.Duration, config *peridotconfig.Config) {
+	list := t.pool.servers()
+	running := make(map[string]int)
+	for i := range list {
+		s := &list[i]
+		if m, ok := config.Model(s.Model); ok {
+			s.PrefillTokensPerSecond = m.PrefillTokensPerSecond
+			s.DecodeTokensPerSecond = m.DecodeTokensPerSecond
 		}
+		if !s.Leaving && !s.Down {
+			running[s.Model]++
+		}
+	}
+	t.router.SetServers(now, list)
+	t.policy.Keep(namesOf(config.Accounts), instancesOf(list))
+	t.limits.SetShare(now, 1/float64(t.pool.entryCount()))
+	for _, m := range config.Models {
+		t.setCapacity(now, m, running[m.Name])
 	}
-	d.SetAccounts(now, accountsOf(config, false))
+}
+
+// setCapacity tells the admitter of a model this entry's part of the capacity
+// of the running engines, in output tokens a second.
+func (t *traffic) setCapacity(now time.Duration, m peridotconfig.Model, running int) {
+	d := t.models[m.Name]
 	d.SetCapacity(now, float64(running)*m.DecodeTokensPerSecond*t.share(m.Name))
 	if m.PrefillTokensPerSecond > 0 {
 		d.SetPromptCost(now, m.DecodeTokensPerSecond/m.PrefillTokensPerSecond)
--- /dev/null
+++ b/peridotentry/traffic_bench_test.go
@@ -0,0 +1,41 @@
+package peridotentry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"peridotstack/peridotconfig"
+	"peridotstack/peridotplatform"
+)
+
+// bigTraffic has 17 models, 950 accounts and 20 backend servers per model. No
+// server is connected, which makes following them no cheaper.
+func bigTraffic() *traffic {
+	config := &peridotconfig.Config{Seq: 1}
+	p := newPool("entry-1", "recife-a", func(context.Context) ([]peridotplatform.Instance, error) { return nil, nil })
+	for i := range 17 {
+		model := fmt.Sprint("model-", i)
+		config.Models = append(config.Models, peridotconfig.Model{Name: model, PrefillTokensPerSecond: 20_000, DecodeTokensPerSecond: 1000})
+		for j := range 20 {
+			id := fmt.Sprintf("engine-%d-%d", i, j)
+			p.links[id] = &link{instance: peridotplatform.Instance{ID: id, Model: model}}
+		}
+	}
+	for i := range 950 {
+		config.Accounts = append(config.Accounts, peridotconfig.Account{Name: fmt.Sprint("account-", i), Weight: 1, TokensPerSecond: 1000})
+	}
+	t := newTraffic(1, p, func() *peridotconfig.Config { return config })
+	return t
+}
+
+// BenchmarkRefresh follows a change of the list of instances, as comes once a
+// second.
+func BenchmarkRefresh(b *testing.B) {
+	t := bigTraffic()
+	b.ReportAllocs()
+	for b.Loop() {
+		t.pool.changes++
+		t.refresh(t.now())
+	}
+}
