Test that an answer is resumed only by its own account

Callers of two accounts with one idempotency key now share the connection in TestCrossedAnswers. Without the check of the account in Agent.resume, TestResume fails: another's key gets status 200 and the rest of the answer.

--- a/peridotentry/cut_test.go
+++ b/peridotentry/cut_test.go
@@ -256,3 +256,40 @@
 		}
 	}
 }
+
+// TestResume asks for an ended answer again, behind a checkpoint, with the key
+// of the account it belongs to and with another's.
+func TestResume(t *testing.T) {
+	engine := peridotstandin.NewEngine(peridotstandin.EngineOptions{Model: testModel})
+	server := httptest.NewServer(engine.Handler())
+	defer server.Close()
+	e, key, _ := behindCutter(t, peridotsettings.Agent{EngineAddress: server.Listener.Addr().String()}, testModel, "")
+	other := withSecondAccount(t, e, "capela")
+	whole := ask(e, key, completions, streamBody)
+	id := whole.Header().Get(headerRequestID)
+	events := strings.SplitAfter(whole.Body.String(), "\n\n")
+	tests := []struct {
+		name string
+		key  string
+		want int
+	}{
+		{"own", key, http.StatusOK},
+		{"another's", other, http.StatusNotFound},
+	}
+	for _, test := range tests {
+		r := httptest.NewRequest(http.MethodGet, requestPrefix+id, nil)
+		r.Header.Set("Authorization", bearer+test.key)
+		r.Header.Set(headerLastEvent, "3")
+		w := httptest.NewRecorder()
+		e.serveCaller(w, r)
+		if w.Code != test.want {
+			t.Errorf("%s: got status %d (%s), want %d", test.name, w.Code, w.Body, test.want)
+		}
+		if got, want := w.Body.String(), strings.Join(events[3:], ""); w.Code == http.StatusOK && got != want {
+			t.Errorf("%s: got %q, want %q", test.name, got, want)
+		}
+		if strings.Contains(w.Body.String(), "choices") && test.want != http.StatusOK {
+			t.Errorf("%s: got %q, want nothing of the answer", test.name, w.Body)
+		}
+	}
+}
--- a/peridotentry/traffic_test.go
+++ b/peridotentry/traffic_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	key, id, hash := peridotkey.New()
 	commit(t, e, peridotconfig.Changes{
-		peridotconfig.PutAccount{Account: peridotconfig.Account{Name: name, Models: []string{testModel}, Weight: 1}},
+		peridotconfig.PutAccount{Account: peridotconfig.Account{Name: name, Models: []string{testModel}, Services: []string{testService}, Weight: 1}},
 		peridotconfig.GiveKey{Key: peridotconfig.Key{ID: id, Account: name, Hash: hash}},
 	})
 	return key
--- a/peridotentry/whole_test.go
+++ b/peridotentry/whole_test.go
@@ -74,18 +74,19 @@
 }
 
 // TestCrossedAnswers mixes the chunks of many callers' answers on one
-// connection; all callers use the same idempotency key.
+// connection. Callers of two client accounts use the same idempotency key.
 func TestCrossedAnswers(t *testing.T) {
 	const callers = 8
 	for seed := range min(seeds(t), 20) {
 		m := &mixer{random: rand.New(rand.NewPCG(seed, 0)), want: callers, mixed: make(chan struct{})}
 		agent := &scripted{instance: "a", service: testService, onRun: m.run}
 		e, key := entryWith(t, agent)
+		keys := []string{key, withSecondAccount(t, e, "capela")}
 		var wg sync.WaitGroup
 		for i := range callers {
 			wg.Go(func() {
 				body := fmt.Sprintf("caller %d of seed %d", i, seed)
-				w := ask(e, key, push, body)
+				w := ask(e, keys[i%2], push, body)
 				if want := strings.Join(pieces(body), ""); w.Body.String() != want {
 					t.Errorf("seed %d: caller %d: got %d %q, want %q", seed, i, w.Code, w.Body, want)
 				}
