--- a/peridotentry/retry_test.go
+++ b/peridotentry/retry_test.go
@@ -92,3 +92,37 @@
 	b = &scripted{instance: "b", model: testModel, service: testService, onRun: script}
 	return a, b
 }
+
+// TestTotalFailure lets every agent fail every request, and counts how often the
+// callers' requests are sent.
+func TestTotalFailure(t *testing.T) {
+	const requests = 100
+	fail := func(*peridotwire.Peer, peridotwire.Run) (any, error) {
+		return peridotwire.Result{Err: peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.NotRun, "the engine is gone")}, nil
+	}
+	var agents []*scripted
+	for _, instance := range []string{"a", "b", "c", "d"} {
+		agents = append(agents, &scripted{instance: instance, model: testModel, onRun: fail})
+	}
+	e, key := entryWith(t, agents...)
+	spent := 0
+	for i := range requests {
+		w := ask(e, key, completions, wholeBody)
+		if !strings.Contains(w.Body.String(), `"verdict":"NotRun"`) {
+			t.Errorf("request %d: got %d %s, want the verdict NotRun", i, w.Code, w.Body)
+		}
+		if strings.Contains(w.Body.String(), string(peridotverdict.RetryBudgetSpent)) {
+			spent++
+		}
+	}
+	sent := 0
+	for _, agent := range agents {
+		sent += len(agent.ran())
+	}
+	if want := requests * 11 / 10; sent > want || sent <= requests {
+		t.Errorf("sent: got %d tries of %d requests, want some retries and at most %d tries", sent, requests, want)
+	}
+	if spent == 0 {
+		t.Errorf("got no %s, want some", peridotverdict.RetryBudgetSpent)
+	}
+}
--- a/peridotretry/policy.go
+++ b/peridotretry/policy.go
@@ -11,6 +11,9 @@
 const (
 	defaultMaxAttempts = 3
 	defaultPause       = 20 * time.Millisecond
+	// comeBack is when a caller whose retries are used up may come back, at the
+	// soonest.
+	comeBack = time.Second
 )
 
 // Attempt is a try that failed, or, for Hedge, one that is slow.
@@ -160,8 +163,12 @@
 	if a.EarlierMayHaveRun && verdict == peridotverdict.NotRun {
 		verdict = peridotverdict.MayHaveRun
 	}
+	after := a.Err.RetryAfter
+	if code == peridotverdict.RetryBudgetSpent {
+		after = max(after, comeBack)
+	}
 	return peridotverdict.New(code, verdict, message,
-		peridotverdict.Field(a.Err.Field), peridotverdict.RetryAfter(a.Err.RetryAfter), peridotverdict.Cause(a.Err))
+		peridotverdict.Field(a.Err.Field), peridotverdict.RetryAfter(after), peridotverdict.Cause(a.Err))
 }
 
 // Retried pays for a retry that is about to be sent to an instance.
--- a/peridotretry/policy_test.go
+++ b/peridotretry/policy_test.go
@@ -81,6 +81,9 @@
 			}
 			continue
 		}
+		if after := got.Err.RetryAfter; (after > 0) != (test.code == peridotverdict.RetryBudgetSpent) {
+			t.Errorf("%s: got back after %v, want a time only when the budget is spent", test.name, after)
+		}
 		if got.Err.Code != test.code || got.Err.Verdict != test.verdict {
 			t.Errorf("%s: got %v, want %s with %s", test.name, got.Err, test.code, test.verdict)
 		}
