Remember own prompts when a report tells no tokens

Cause: agents report how many requests run, not how many tokens they still need. Such a report replaced the estimate, so that a prompt of 100,000 tokens sent by this entry was forgotten a second later and the next request was told a wait of 0 s. Own requests now count with their tokens until they end, unless the report tells tokens; only the requests of others are guessed.

TestCountsOnly fails without this ("got wait 0s, want 5s").

--- a/peridotroute/load.go
+++ b/peridotroute/load.go
@@ -1,6 +1,7 @@
 package peridotroute
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -62,10 +63,13 @@
 	reported  load
 	described time.Duration
 	received  time.Duration
-	// mine is what this process has sent since described and has not seen end;
-	// its tokens are drained up to the time at.
-	mine load
-	at   time.Duration
+	// mine is what this process has sent and the report does not contain, as far
+	// as it has not ended: requests since described, and tokens since a time that
+	// lies before all if the report tells no tokens. The tokens are drained up to
+	// the time at.
+	mine  load
+	since time.Duration
+	at    time.Duration
 	// flights are what this process has sent and not seen end, oldest first.
 	flights []*flight
 }
@@ -100,27 +104,52 @@
 		return
 	}
 	now := max(s.at, report.At)
+	described := report.At - lag
+	l := s.told(report)
+	if s.group != nil {
+		s.group.count(s.reported, -1)
+		s.group.count(l, 1)
+	}
+	s.reported, s.received, s.described = l, report.At, described
+	s.since = described
+	if report.PrefillTokens+report.DecodeTokens == 0 {
+		s.since = math.MinInt64
+	}
+	s.recount(now)
+}
+
+// told returns the load that a report tells. Of requests of which it does not
+// tell the tokens, only those of other processes are guessed.
+func (s *server) told(report Report) load {
 	l := load{
 		prefill: float64(report.PrefillTokens),
 		decode:  float64(report.DecodeTokens),
 		running: float64(report.Running + report.Waiting),
 	}
 	if l.decode == 0 {
-		l.decode = l.running * defaultOutput / 2
+		l.decode = max(0, l.running-float64(len(s.flights))) * defaultOutput / 2
 	}
-	if s.group != nil {
-		s.group.count(s.reported, -1)
-		s.group.count(l, 1)
-	}
-	s.reported, s.received, s.described = l, report.At, report.At-lag
-	s.mine, s.at = load{}, s.described
+	return l
+}
+
+// recount makes mine anew from what this process has sent.
+func (s *server) recount(now time.Duration) {
+	s.mine = load{}
 	for _, f := range s.flights {
-		if f.at >= s.described {
-			s.drain(f.at)
-			s.count(f)
+		if f.at < s.since {
+			continue
+		}
+		if s.mine == (load{}) {
+			s.at = f.at
+		}
+		s.drain(f.at)
+		s.count(f)
+		if f.at < s.described {
+			s.mine.running--
 		}
 	}
 	s.drain(now)
+	s.at = now
 }
 
 // drain takes off what s has done of mine by now.
@@ -157,7 +186,7 @@
 	s.drain(now)
 	// A flight that the report contains makes mine negative, which is right.
 	s.mine.running--
-	if f.at < s.described {
+	if f.at < s.since {
 		return
 	}
 	w := f.work(s)
@@ -170,7 +199,7 @@
 func (f *flight) progress(now time.Duration, output float64) {
 	f.prefillAt.drain(now)
 	f.decodeAt.drain(now)
-	if f.at >= f.prefillAt.described {
+	if f.at >= f.prefillAt.since {
 		f.prefillAt.mine.prefill = max(0, f.prefillAt.mine.prefill-f.prefill)
 	}
 	f.prefill = 0
--- a/peridotroute/router_test.go
+++ b/peridotroute/router_test.go
@@ -203,6 +203,34 @@
 	}
 }
 
+// TestCountsOnly checks that a report which tells no tokens does not make this
+// process forget its own.
+func TestCountsOnly(t *testing.T) {
+	tests := []struct {
+		name   string
+		report Report
+		want   time.Duration
+	}{
+		{"counts only", Report{Instance: "a", At: 5 * time.Second, Running: 1}, 5 * time.Second},
+		{"with tokens", Report{Instance: "a", At: 5 * time.Second, Running: 1, PrefillTokens: 20_000}, 2 * time.Second},
+	}
+	for _, test := range tests {
+		r := New(1, ReportLag(0))
+		r.SetServers(0, []Server{engine("a", Mixed)})
+		r.Sent(0, Request{ID: "1", Model: "m", PromptTokens: 100_000}, Choice{Instance: "a"})
+		r.Observe(5*time.Second, test.report)
+		c, err := r.Choose(5*time.Second, Request{Model: "m"})
+		if err != nil || c.Wait != test.want {
+			t.Errorf("%s: got wait %v, %v, want %v", test.name, c.Wait, err, test.want)
+		}
+		r.Done(5*time.Second, "1", 0)
+		r.Observe(5*time.Second, Report{Instance: "a", At: 5 * time.Second})
+		if got := r.servers["a"].estimate(5 * time.Second); got != (load{}) {
+			t.Errorf("%s, at the end: got %+v, want none", test.name, got)
+		}
+	}
+}
+
 func TestRunning(t *testing.T) {
 	r := New(1)
 	r.SetServers(0, []Server{engine("a", Mixed), engine("b", Mixed)})
