--- a/peridot/main_test.go
+++ b/peridot/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"peridotstack/peridotstandin"
 )
 
 // TestMain lets the scripts run the program under its own name.
@@ -31,17 +32,12 @@
 
 // pickPorts sets PA to PT to loopback addresses whose ports are free.
 func pickPorts(env *testscript.Env) error {
-	var listeners []net.Listener
 	for i := range 20 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := peridotstandin.FreeAddress()
 		if err != nil {
 			return err
 		}
-		listeners = append(listeners, listener)
-		env.Setenv("P"+string(rune('A'+i)), listener.Addr().String())
-	}
-	for _, listener := range listeners {
-		listener.Close()
+		env.Setenv("P"+string(rune('A'+i)), address)
 	}
 	return nil
 }
--- a/peridotdemo/demo.go
+++ b/peridotdemo/demo.go
@@ -137,7 +137,7 @@
 }
 
 func (d *Demo) addAgent(domain, instance string, s peridotsettings.Agent, model, service string) error {
-	peer, err := freeAddress()
+	peer, err := peridotstandin.FreeAddress()
 	if err != nil {
 		return err
 	}
@@ -214,16 +214,6 @@
 	return changes, Keys{Caller: caller, Operator: operator}
 }
 
-// freeAddress returns a loopback address whose port is free at the moment.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 const help = `peridot demo: all roles and the stand-ins run in this process.
 
 State an intent, read the plan, confirm it (PLAN is the ID it prints):
--- a/peridotdemo/demo_test.go
+++ b/peridotdemo/demo_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"peridotstack/peridotintent"
+	"peridotstack/peridotstandin"
 )
 
 // start runs a demonstration until the test ends.
@@ -18,7 +19,7 @@
 	t.Helper()
 	var addresses []string
 	for range 4 {
-		address, err := freeAddress()
+		address, err := peridotstandin.FreeAddress()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/peridotentry/keys_test.go
+++ b/peridotentry/keys_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -128,12 +127,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := peridotstandin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // call is one request; empty fields are left out.
--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -27,6 +27,10 @@
 	// pingTimeout unmasks a connection that has gone silent.
 	pingTimeout = 3 * time.Second
 	dialTimeout = 2 * time.Second
+	// redialPause is the first pause before an agent is dialed again; it doubles
+	// up to pingInterval until a connection has lasted for steadyTime.
+	redialPause = 50 * time.Millisecond
+	steadyTime  = 5 * time.Second
 )
 
 // link is the connection to one agent. Its fields are guarded by the pool.
@@ -120,32 +124,56 @@
 	}
 }
 
-// maintain dials an agent again and again, and pings it while connected.
+// maintain dials an agent again and again, and pings it while connected. A
+// connection that broke is replaced soon, for answers wait to be resumed; the
+// pauses grow while connections fail or do not last.
 func (p *pool) maintain(ctx context.Context, l *link, address string) {
+	pause := redialPause
 	for ctx.Err() == nil {
-		if err := p.connect(ctx, l, address); err != nil {
+		dialed := time.Now()
+		if peer, err := p.connect(ctx, l, address); err == nil {
+			p.keepAlive(ctx, l, peer)
+		} else {
 			log.Debug(logPrefix + "agent " + address + " is out of reach: " + err.Error())
 		}
-		wait(ctx, pingInterval)
+		if time.Since(dialed) >= steadyTime {
+			pause = redialPause
+		}
+		wait(ctx, pause)
+		pause = min(2*pause, pingInterval)
 	}
 }
 
-// connect runs one connection until it fails.
-func (p *pool) connect(ctx context.Context, l *link, address string) error {
+// connect dials an agent and returns once it has answered a heartbeat.
+func (p *pool) connect(ctx context.Context, l *link, address string) (*peridotwire.Peer, error) {
 	conn, err := p.identity.Dial(ctx, address, dialTimeout)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	peer := peridotwire.NewPeer(context.WithoutCancel(ctx), conn, p)
+	if err := p.ping(ctx, l, peer); err != nil {
+		_ = peer.Close()
+		return nil, err
+	}
+	return peer, nil
+}
+
+// keepAlive pings an agent until its connection is lost.
+func (p *pool) keepAlive(ctx context.Context, l *link, peer *peridotwire.Peer) {
 	defer peer.Close()
 	defer p.setPeer(l, nil)
-	for ctx.Err() == nil {
-		if err := p.ping(ctx, l, peer); err != nil {
-			return err
+	for {
+		select {
+		case <-time.After(p.pingPause(l)):
+		case <-peer.Closed():
+			return
+		case <-ctx.Done():
+			return
+		}
+		if p.ping(ctx, l, peer) != nil {
+			return
 		}
-		wait(ctx, p.pingPause(l))
 	}
-	return ctx.Err()
 }
 
 // pingPause returns the time from one ping of an agent to the next.
