Give the table a latency in the lease schedules

Cause: with calls that take no time the seeded schedules did not notice a lease counted from its answer: the overlap was over before it was sampled. Now TestOneHolderAtATime is red with that guard removed, and green with it.

--- a/peridotlease/manager_test.go
+++ b/peridotlease/manager_test.go
@@ -24,36 +24,44 @@
 	return n
 }
 
+// latency is what a call takes one way.
+const latency = 150 * time.Millisecond
+
 // pausing is a Store whose caller can be frozen before a call goes out or after
 // its answer came, as a paused process would be.
 type pausing struct {
 	peridottable.Store
-	mu    sync.Mutex
-	until time.Time
+	mu sync.Mutex
+	// before and after are when a freeze in front of or behind a call ends.
+	before, after time.Time
 }
 
-func (p *pausing) freeze(d time.Duration) {
+func (p *pausing) freeze(d time.Duration, after bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.until = time.Now().Add(d)
+	if after {
+		p.after = time.Now().Add(d)
+		return
+	}
+	p.before = time.Now().Add(d)
 }
 
-func (p *pausing) wait() {
+func (p *pausing) wait(until *time.Time) {
 	p.mu.Lock()
-	d := time.Until(p.until)
+	d := time.Until(*until)
 	p.mu.Unlock()
-	time.Sleep(d)
+	time.Sleep(max(d, latency))
 }
 
 func (p *pausing) Scan(ctx context.Context, r peridottable.Range) ([]peridottable.Row, error) {
-	p.wait()
-	defer p.wait()
+	p.wait(&p.before)
+	defer p.wait(&p.after)
 	return p.Store.Scan(ctx, r)
 }
 
 func (p *pausing) Commit(ctx context.Context, t peridottable.Txn) (int64, error) {
-	p.wait()
-	defer p.wait()
+	p.wait(&p.before)
+	defer p.wait(&p.after)
 	return p.Store.Commit(ctx, t)
 }
 
@@ -102,7 +110,7 @@
 			time.AfterFunc(time.Duration(r.IntN(30))*time.Second, w.table.ThawReads)
 		}
 	case 4:
-		w.stores[r.IntN(len(w.stores))].freeze(time.Duration(r.IntN(40)) * time.Second)
+		w.stores[r.IntN(len(w.stores))].freeze(time.Duration(r.IntN(40))*time.Second, r.IntN(2) == 0)
 	}
 }
 
@@ -175,7 +183,7 @@
 		do   func(w *world, stops []context.CancelFunc, holder int)
 	}{
 		{"holder stopped gracefully", func(_ *world, stops []context.CancelFunc, holder int) { stops[holder]() }},
-		{"holder frozen", func(w *world, _ []context.CancelFunc, holder int) { w.stores[holder].freeze(time.Hour) }},
+		{"holder frozen", func(w *world, _ []context.CancelFunc, holder int) { w.stores[holder].freeze(time.Hour, false) }},
 		{"store outage", func(w *world, _ []context.CancelFunc, _ int) {
 			w.table.SetDown(true)
 			time.Sleep(time.Minute)
