Carry out engine orders behind a gate that fences their senders

Cause: the process beside an engine took no orders, and a check of the lease by the sender alone does not hold a sender that is paused after it.

Ruled out: counting the rest of the lease from the order's arrival (a sender frozen after it computed the rest still gets through: so it is counted from the ticket that the gate issued before the sender's check); reading the lease row for each order (a read and a commit each, and no better against a freeze).

--- a/peridotstandin/engine.go
+++ b/peridotstandin/engine.go
@@ -43,6 +43,10 @@
 	running   map[string]context.CancelFunc
 	prefillAt time.Time
 	cutAfter  int
+
+	events      []OrderEvent
+	loseOrders  int
+	crashOrders int
 }
 
 // NewEngine returns an engine.
@@ -219,44 +223,6 @@
 	writeAnswer(w, struct{}{}, nil)
 }
 
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var o peridotwire.Order
-	if !readBody(w, r, &o) {
-		return
-	}
-	if !e.takeToken(o.Token) {
-		w.WriteHeader(http.StatusConflict)
-		return
-	}
-	// An engine goes on with an order also when the sender has gone.
-	time.Sleep(e.options.OrderTime)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.state.Changing = false
-	e.state.LastOrder = o.ID
-	e.orders = append(e.orders, o)
-	switch o.Kind {
-	case peridotwire.LoadModel:
-		e.state.Model, e.state.Version = o.Model, o.Version
-	case peridotwire.LoadAdapter:
-		e.state.Adapters = append(e.state.Adapters, o.Adapter)
-	case peridotwire.SetRole:
-		e.state.Role = o.Role
-	}
-	writeAnswer(w, struct{}{}, nil)
-}
-
-func (e *Engine) takeToken(token int64) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.options.ChecksTokens && token < e.token {
-		return false
-	}
-	e.token = token
-	e.state.Changing = true
-	return true
-}
-
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/peridotwire/message.go
+++ b/peridotwire/message.go
@@ -135,7 +135,12 @@
 }
 
 // Describe asks what the backend server runs.
-type Describe struct{}
+type Describe struct {
+	// Shard and Token are set by the holder of the shard's lease: no order with
+	// an older token is taken from then on.
+	Shard string
+	Token int64
+}
 
 // Description answers Describe.
 type Description struct {
@@ -152,4 +157,7 @@
 	// OrderID names the last order taken; Busy says whether it is under way.
 	OrderID string
 	Busy    bool
+	// Ticket is set for a holder whose token is the newest seen; its orders must
+	// name it.
+	Ticket string
 }
--- a/peridotwire/order.go
+++ b/peridotwire/order.go
@@ -27,8 +27,11 @@
 	Version string
 	Adapter string
 	Role    string
-	// TimeoutMillis is the rest of the sender's lease; the order has no effect
-	// after it.
+	// Ticket is that of the Description by which the sender decided.
+	Ticket string
+	// TimeoutMillis is the rest of the sender's lease, taken after it got the
+	// ticket. It counts from when the ticket was issued, so that an order whose
+	// sender was paused before it sent it is late; a late order has no effect.
 	TimeoutMillis int64
 }
 
