Order backend servers so that no late holder is heard

Cause: the platform's ordering interface checks nothing, so a holder paused between its check and its send could order beside the next holder.

Ruled out: checking the lease before sending (does not hold a pause); fencing by the holder's clock alone (a machine that was suspended may not notice): the order's record is written in one commit with a check of the lease row *after* the platform took the head, so the bound rests on the order of the commits and on the platform's read timeout, and the clock is a second guard.

The change: peridotplatform.Orders (head, 100 Continue, check, body), peridotorder.Ledger (one open order per shard, recorded first, settled by the list), the stand-in's ordering interface and its log.

--- /dev/null
+++ b/peridotorder/example_test.go
@@ -0,0 +1,26 @@
+package peridotorder_test
+
+import (
+	"fmt"
+	"time"
+
+	"peridotstack/peridotbackend"
+	"peridotstack/peridotorder"
+	"peridotstack/peridotwire"
+)
+
+func Example() {
+	start := time.Now()
+	now := start.Add(time.Minute)
+	g := peridotorder.NewGate("start-1", start)
+	g.Learn(7)
+	ticket := g.Announce(7, now)
+	g.Begin()
+	g.Inspected(peridotbackend.State{Model: "hino-llm", Version: "v1", Role: "Mixed"}, now)
+	o := peridotwire.Order{ID: "x", Token: 7, Ticket: ticket, Kind: peridotwire.SetRole, Role: "Decode", TimeoutMillis: 1000}
+	fmt.Printf("%T\n", g.Take(o, now.Add(time.Second)))
+	fmt.Printf("%T\n", g.Take(o, now))
+	// Output:
+	// peridotorder.Refuse
+	// peridotorder.Send
+}
--- a/peridotstandin/platform.go
+++ b/peridotstandin/platform.go
@@ -17,6 +17,7 @@
 
 	mu        sync.Mutex
 	instances []peridotplatform.Instance
+	ordering  ordering
 }
 
 // NewPlatform returns a platform with an empty table and the given instances.
@@ -38,6 +39,7 @@
 	mux.HandleFunc("POST /table/scan", p.scan)
 	mux.HandleFunc("POST /table/commit", p.commit)
 	mux.HandleFunc("POST /instances", p.list)
+	mux.HandleFunc("POST /orders", p.takeOrder)
 	return mux
 }
 
