Decide the next orders of a failure domain from what its holder sees

Cause: nothing turned the confirmed deployments into orders. Ruled out: orders for all engines at once (each is away for seconds), moving an engine to another model (the platform's list, by which requests are routed, names the model it was ordered for).

The change: peridotcontrol.Next, pure: one engine changing per failure domain, engines that run nothing first, no more backend servers than asked for, within the cost ceiling and the pace of the weight store.

--- /dev/null
+++ b/peridotcontrol/control_test.go
@@ -0,0 +1,106 @@
+package peridotcontrol
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"peridotstack/peridotconfig"
+	"peridotstack/peridotplatform"
+	"peridotstack/peridotwire"
+)
+
+func config(deployments ...peridotconfig.Deployment) *peridotconfig.Config {
+	return &peridotconfig.Config{
+		Models:             []peridotconfig.Model{{Name: "m", CostPerHour: 4}, {Name: "n", CostPerHour: 4}},
+		Services:           []peridotconfig.Service{{Name: "s", CostPerHour: 1}},
+		Deployments:        deployments,
+		CostCeilingPerHour: 13,
+	}
+}
+
+func want(version string, role peridotconfig.Role, replicas int) peridotconfig.Deployment {
+	return peridotconfig.Deployment{Domain: "a", Model: "m", Version: version, Role: role, Replicas: replicas}
+}
+
+func engine(id string) peridotplatform.Instance {
+	return peridotplatform.Instance{ID: id, Role: peridotplatform.RoleAgent, Domain: "a", Model: "m"}
+}
+
+func runs(id, version, role string, busy bool) peridotwire.Description {
+	d := peridotwire.Description{Instance: id, Domain: "a", Model: "m", Version: version, Role: role, Busy: busy, Ticket: "t"}
+	if version == "" {
+		d.Model = ""
+	}
+	return d
+}
+
+// text shortens actions for comparison.
+func text(actions []Action) string {
+	var s string
+	for _, a := range actions {
+		switch a := a.(type) {
+		case OrderEngine:
+			s += fmt.Sprintf("%s %s%s%s;", a.Instance, a.Order.Kind, a.Order.Version, a.Order.Role)
+		case OrderBackend:
+			s += fmt.Sprintf("%s %s%s%s;", a.Order.Kind, a.Order.Model, a.Order.Service, a.Order.Instance)
+		case Hold:
+			s += string(a.Code) + ";"
+		}
+	}
+	return s
+}
+
+func TestNext(t *testing.T) {
+	far := engine("far")
+	far.Domain = "b"
+	leaving := engine("e2")
+	leaving.Leaving = true
+	tests := []struct {
+		name         string
+		deployments  []peridotconfig.Deployment
+		instances    []peridotplatform.Instance
+		descriptions []peridotwire.Description
+		want         string
+	}{
+		{"as confirmed", []peridotconfig.Deployment{want("v1", "Mixed", 1)}, []peridotplatform.Instance{engine("e1")}, []peridotwire.Description{runs("e1", "v1", "Mixed", false)}, ""},
+		{"nothing confirmed", nil, []peridotplatform.Instance{engine("e1")}, []peridotwire.Description{runs("e1", "v1", "Mixed", false)}, ""},
+		{"one short", []peridotconfig.Deployment{want("v1", "Mixed", 2)}, []peridotplatform.Instance{engine("e1"), far}, []peridotwire.Description{runs("e1", "v1", "Mixed", false)}, "Add m;"},
+		{"one leaving", []peridotconfig.Deployment{want("v1", "Mixed", 2)}, []peridotplatform.Instance{engine("e1"), leaving}, []peridotwire.Description{runs("e1", "v1", "Mixed", false)}, "Add m;"},
+		{"over the ceiling", []peridotconfig.Deployment{want("v1", "Mixed", 4)}, []peridotplatform.Instance{engine("e1"), engine("e2"), engine("e3")}, nil, "cost_ceiling;"},
+		{"one too many", []peridotconfig.Deployment{want("v1", "Mixed", 1)}, []peridotplatform.Instance{engine("e1"), engine("e2")}, []peridotwire.Description{runs("e1", "v0", "Mixed", false), runs("e2", "v1", "Mixed", false)}, "Remove me1;"},
+		{"new version, one engine at a time", []peridotconfig.Deployment{want("v2", "Mixed", 2)}, []peridotplatform.Instance{engine("e1"), engine("e2")}, []peridotwire.Description{runs("e1", "v1", "Mixed", false), runs("e2", "v1", "Mixed", false)}, "e1 LoadModelv2;"},
+		{"another engine is changing", []peridotconfig.Deployment{want("v2", "Mixed", 2)}, []peridotplatform.Instance{engine("e1"), engine("e2")}, []peridotwire.Description{runs("e1", "v1", "Mixed", false), runs("e2", "v1", "Mixed", true)}, ""},
+		{"crashed engine first", []peridotconfig.Deployment{want("v2", "Mixed", 2)}, []peridotplatform.Instance{engine("e1"), engine("e2")}, []peridotwire.Description{runs("e1", "v1", "Mixed", false), runs("e2", "", "Mixed", false)}, "e2 LoadModelv2;"},
+		{"roles split", []peridotconfig.Deployment{want("v1", "Prefill", 1), want("v1", "Decode", 1)}, []peridotplatform.Instance{engine("e1"), engine("e2")}, []peridotwire.Description{runs("e1", "v1", "Prefill", false), runs("e2", "v1", "Prefill", false)}, "e2 SetRoleDecode;"},
+		{"no ticket, no order", []peridotconfig.Deployment{want("v2", "Mixed", 1)}, []peridotplatform.Instance{engine("e1")}, []peridotwire.Description{{Instance: "e1", Model: "m", Version: "v1"}}, ""},
+	}
+	now := time.Now()
+	for _, test := range tests {
+		pace := &Pace{}
+		v := View{Domain: "a", Config: config(test.deployments...), Instances: test.instances, Descriptions: test.descriptions}
+		if got := text(Next(v, pace, now)); got != test.want {
+			t.Errorf("%s: got %q, want %q", test.name, got, test.want)
+		}
+	}
+}
+
+func TestPace(t *testing.T) {
+	now := time.Now()
+	pace := &Pace{Interval: 10 * time.Second}
+	v := View{Domain: "a", Config: config(want("v1", "Mixed", 1))}
+	tests := []struct {
+		after time.Duration
+		want  string
+	}{
+		{0, "overloaded;"},
+		{10 * time.Second, "Add m;"},
+		{15 * time.Second, "overloaded;"},
+		{20 * time.Second, "Add m;"},
+	}
+	for _, test := range tests {
+		if got := text(Next(v, pace, now.Add(test.after))); got != test.want {
+			t.Errorf("after %v: got %q, want %q", test.after, got, test.want)
+		}
+	}
+}
