Take orders in the process beside an engine, without cutting a request

Cause: the agent had no way to take an order; and one taken while requests run would cut them.

Only the newest ticket counts, so that an order decided by an older description cannot arrive behind a newer one.

--- a/peridotagent/agent.go
+++ b/peridotagent/agent.go
@@ -14,6 +14,7 @@
 	"peridotstack/peridotbackend"
 	"peridotstack/peridotconfig"
 	"peridotstack/peridotmetric"
+	"peridotstack/peridotorder"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridottable"
 	"peridotstack/peridotverdict"
@@ -45,6 +46,10 @@
 	// active is the number of jobs that have not ended; running waits for them.
 	active  int
 	running sync.WaitGroup
+	// quietUntil is set while an order needs the engine to itself; mu guards it.
+	quietUntil time.Time
+	// orders is nil beside a plain service.
+	orders *peridotorder.Executor
 }
 
 // Option sets an optional part of an Agent.
@@ -67,6 +72,7 @@
 	for _, option := range options {
 		option(a)
 	}
+	a.orders = a.newExecutor()
 	return a
 }
 
@@ -149,6 +155,10 @@
 		return a.resume(ctx, p, r), nil
 	case peridotwire.MethodPing:
 		return a.pong(), nil
+	case peridotwire.MethodOrder:
+		return a.order(ctx, params)
+	case peridotwire.MethodDescribe:
+		return a.describe(ctx, params)
 	default:
 		return nil, peridotverdict.New(peridotverdict.BadRequest, peridotverdict.NotRun, "unknown method "+method)
 	}
@@ -171,7 +181,7 @@
 		Domain:  a.settings.Domain,
 		Version: peridotwire.Version{Seq: a.config.Load().Seq},
 		Load:    a.load(),
-		Leaving: a.leaving.Load(),
+		Leaving: a.leaving.Load() || a.isQuiet(),
 	}
 }
 
--- a/peridotagent/job.go
+++ b/peridotagent/job.go
@@ -64,6 +64,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.quiet() {
+		return nil, peridotverdict.New(peridotverdict.Leaving, peridotverdict.NotRun, "the engine is about to change", peridotverdict.RetryAfter(time.Second))
+	}
 	if _, ok := a.jobs[r.RequestID]; ok {
 		return nil, peridotverdict.New(peridotverdict.BadRequest, peridotverdict.Ran, "the request id was used before")
 	}
--- a/peridotorder/example_test.go
+++ b/peridotorder/example_test.go
@@ -17,6 +17,7 @@
 	ticket := g.Announce(7, now)
 	g.Begin()
 	g.Inspected(peridotbackend.State{Model: "hino-llm", Version: "v1", Role: "Mixed"}, now)
+	g.Quieted()
 	o := peridotwire.Order{ID: "x", Token: 7, Ticket: ticket, Kind: peridotwire.SetRole, Role: "Decode", TimeoutMillis: 1000}
 	fmt.Printf("%T\n", g.Take(o, now.Add(time.Second)))
 	fmt.Printf("%T\n", g.Take(o, now))
--- a/peridotorder/executor.go
+++ b/peridotorder/executor.go
@@ -29,13 +29,38 @@
 	Order(ctx context.Context, o peridotwire.Order) error
 }
 
+// Requests is what runs on the engine beside orders. An order must not cut a
+// request, so none may run while it takes effect.
+type Requests interface {
+	// Quiesce reports whether no request runs. If so, no new one is taken until
+	// Resume; if not, none is taken for a while.
+	Quiesce() bool
+	// Resume takes new requests again after d.
+	Resume(d time.Duration)
+}
+
+// Option sets an optional part of an Executor.
+type Option func(*Executor)
+
+// WithRequests makes each order wait until no request runs on the engine.
+func WithRequests(r Requests) Option {
+	return func(x *Executor) { x.requests = r }
+}
+
+// noRequests stands for an engine on which nothing runs.
+type noRequests struct{}
+
+func (noRequests) Quiesce() bool        { return true }
+func (noRequests) Resume(time.Duration) {}
+
 // Executor carries out the orders to one engine. Make one with NewExecutor; its
 // methods may be called concurrently.
 type Executor struct {
-	engine Engine
-	store  peridottable.Store
-	shard  string
-	now    func() time.Time
+	engine   Engine
+	requests Requests
+	store    peridottable.Store
+	shard    string
+	now      func() time.Time
 
 	// turn is held while an order is dealt with.
 	turn sync.Mutex
@@ -45,8 +70,12 @@
 
 // NewExecutor returns the executor for an engine of a shard. The nonce must
 // differ at each start of the process.
-func NewExecutor(engine Engine, store peridottable.Store, shard, nonce string) *Executor {
-	return &Executor{engine: engine, store: store, shard: shard, now: time.Now, gate: NewGate(nonce, time.Now())}
+func NewExecutor(engine Engine, store peridottable.Store, shard, nonce string, options ...Option) *Executor {
+	x := &Executor{engine: engine, requests: noRequests{}, store: store, shard: shard, now: time.Now, gate: NewGate(nonce, time.Now())}
+	for _, option := range options {
+		option(x)
+	}
+	return x
 }
 
 // Order carries out an order. It returns nil when the order took effect.
@@ -92,6 +121,7 @@
 	x.mu.Unlock()
 	switch d := decision.(type) {
 	case Refuse:
+		x.unquiet()
 		return d.Err, true
 	case Answer:
 		return d.Err, true
@@ -103,12 +133,35 @@
 		if _, err := x.inspect(ctx); err != nil {
 			return peridotverdict.New(peridotverdict.EngineFailed, x.verdict(o), "the engine's state is not known", peridotverdict.Cause(err)), true
 		}
+	case Quiesce:
+		return x.quiesce()
 	case Send:
 		return x.send(ctx, o)
 	}
 	return nil, false
 }
 
+// quiesce lets the requests on the engine end. Until they have, the order is
+// refused; its sender comes back with it.
+func (x *Executor) quiesce() (*peridotverdict.Error, bool) {
+	if !x.requests.Quiesce() {
+		return peridotverdict.New(peridotverdict.OrderBusy, peridotverdict.NotRun, "the engine still runs requests", peridotverdict.RetryAfter(time.Second)), true
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.gate.Quieted()
+	return nil, false
+}
+
+// unquiet lets requests to the engine again when an order was refused late.
+func (x *Executor) unquiet() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.gate.quiet {
+		x.requests.Resume(0)
+	}
+}
+
 // verdict tells whether o may have run although nothing was sent in this call.
 func (x *Executor) verdict(o peridotwire.Order) peridotverdict.Verdict {
 	x.mu.Lock()
@@ -157,8 +210,11 @@
 	defer x.mu.Unlock()
 	x.gate.Sent(err, x.now())
 	if r, ok := x.gate.result(o.ID); ok {
+		x.requests.Resume(0)
 		return r.err, true
 	}
+	// The engine may still be changing.
+	x.requests.Resume(settleTime)
 	return peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.MayHaveRun, "the engine did not answer the order", peridotverdict.RetryAfter(settleTime), peridotverdict.Cause(err)), true
 }
 
--- a/peridotorder/executor_test.go
+++ b/peridotorder/executor_test.go
@@ -121,6 +121,14 @@
 	return peridotwire.Order{ID: id, Shard: shard, Token: token, Ticket: ticket, Kind: peridotwire.SetRole, Role: id, TimeoutMillis: 10_000}
 }
 
+// fakeRequests counts requests on an engine.
+type fakeRequests struct {
+	running int
+}
+
+func (f *fakeRequests) Quiesce() bool        { return f.running == 0 }
+func (f *fakeRequests) Resume(time.Duration) {}
+
 func code(err *peridotverdict.Error) peridotverdict.Code {
 	if err == nil {
 		return ""
@@ -230,6 +238,23 @@
 			time.AfterFunc(time.Second, b.table.ThawReads)
 			return b.executor.Order(ctx, order("x", b.ticket(t, 1), 1))
 		}, peridotverdict.StaleToken, ""},
+		{"order decided by an older description", func(t *testing.T, b *bench) *peridotverdict.Error {
+			x := order("x", b.ticket(t, 1), 1)
+			if err := b.executor.Order(ctx, order("y", b.ticket(t, 1), 1)); err != nil {
+				t.Error(err)
+			}
+			return b.executor.Order(ctx, x)
+		}, peridotverdict.LeaseLost, "y"},
+		{"requests run, then end", func(t *testing.T, b *bench) *peridotverdict.Error {
+			requests := &fakeRequests{running: 1}
+			b.executor.requests = requests
+			x := order("x", b.ticket(t, 1), 1)
+			if err := b.executor.Order(ctx, x); code(err) != peridotverdict.OrderBusy {
+				t.Errorf("while a request runs: got %v, want %s", err, peridotverdict.OrderBusy)
+			}
+			requests.running = 0
+			return b.executor.Order(ctx, x)
+		}, "", "x"},
 		{"agent restarted, ticket of before", func(t *testing.T, b *bench) *peridotverdict.Error {
 			x := order("x", b.ticket(t, 1), 1)
 			b.restart()
--- a/peridotorder/gate.go
+++ b/peridotorder/gate.go
@@ -13,14 +13,12 @@
 	// settleTime bounds the time from when an engine received an order until it
 	// says that it is changing. An order not seen by then has no effect any more.
 	settleTime = 5 * time.Second
-	// maxTickets bounds the tickets that count; older ones are forgotten.
-	maxTickets = 16
 	// maxResults bounds the recorded answers; older ones are forgotten.
 	maxResults = 64
 )
 
 // Decision is what to do next about an order. The set is closed: Refuse, Answer,
-// LearnToken, Inspect and Send.
+// LearnToken, Inspect, Quiesce and Send.
 type Decision interface {
 	decision()
 }
@@ -41,6 +39,10 @@
 // Inspect means to ask the engine for its state and call Gate.Inspected.
 type Inspect struct{}
 
+// Quiesce means to let no new request reach the engine and, once none runs, to
+// call Gate.Quieted.
+type Quiesce struct{}
+
 // Send means to send the order at once and to call Gate.Sent.
 type Send struct{}
 
@@ -48,6 +50,7 @@
 func (Answer) decision()     {}
 func (LearnToken) decision() {}
 func (Inspect) decision()    {}
+func (Quiesce) decision()    {}
 func (Send) decision()       {}
 
 // ticket was issued to a holder with a token.
@@ -70,10 +73,12 @@
 	started time.Time
 	// token is the newest seen. It counts as known once it was read from the
 	// lease row by this process: before, a newer one may have been forgotten.
-	token   int64
-	known   bool
-	issued  int
-	tickets []ticket
+	token  int64
+	known  bool
+	issued int
+	// ticket is the last issued, the only one that counts: an order decided by an
+	// older description comes too late.
+	ticket  ticket
 	results []result
 	// pending is the order sent whose outcome is not known yet, or nil.
 	pending *peridotwire.Order
@@ -85,6 +90,8 @@
 	// it is what the engine said before. inspected counts for one order.
 	state     peridotbackend.State
 	inspected bool
+	// quiet is set once no request runs on the engine; it counts for one order.
+	quiet bool
 }
 
 // NewGate returns the gate of a process that started at now. The nonce must
@@ -114,12 +121,8 @@
 	}
 	g.token = token
 	g.issued++
-	t := ticket{id: g.nonce + "-" + strconv.Itoa(g.issued), token: token, issued: now}
-	g.tickets = append(g.tickets, t)
-	if len(g.tickets) > maxTickets {
-		g.tickets = g.tickets[1:]
-	}
-	return t.id
+	g.ticket = ticket{id: g.nonce + "-" + strconv.Itoa(g.issued), token: token, issued: now}
+	return g.ticket.id
 }
 
 // Learn takes the token of the lease row, read so that it cannot be stale.
@@ -131,6 +134,13 @@
 // Begin starts to deal with an order, by what the engine says from now on.
 func (g *Gate) Begin() {
 	g.inspected = false
+	g.quiet = false
+}
+
+// Quieted takes that no request runs on the engine, nor will until the order has
+// ended.
+func (g *Gate) Quieted() {
+	g.quiet = true
 }
 
 // Take decides what to do next about o. It is called again after each step until
@@ -159,6 +169,9 @@
 	if err := g.late(o, now); err != nil {
 		return Refuse{Err: err}
 	}
+	if !g.quiet {
+		return Quiesce{}
+	}
 	g.token = o.Token
 	g.pending = &o
 	g.waiting = true
@@ -167,17 +180,14 @@
 
 // late reports why an order may no longer take effect, or nil.
 func (g *Gate) late(o peridotwire.Order, now time.Time) *peridotverdict.Error {
-	for _, t := range g.tickets {
-		if t.id != o.Ticket || t.token != o.Token {
-			continue
-		}
-		end := t.issued.Add(time.Duration(o.TimeoutMillis) * time.Millisecond)
-		if now.Before(end) {
-			return nil
-		}
+	if g.ticket.id != o.Ticket || g.ticket.token != o.Token {
+		return peridotverdict.New(peridotverdict.LeaseLost, peridotverdict.NotRun, "not the newest ticket")
+	}
+	end := g.ticket.issued.Add(time.Duration(o.TimeoutMillis) * time.Millisecond)
+	if !now.Before(end) {
 		return peridotverdict.New(peridotverdict.LeaseLost, peridotverdict.NotRun, "the sender's lease has ended")
 	}
-	return peridotverdict.New(peridotverdict.LeaseLost, peridotverdict.NotRun, "no such ticket")
+	return nil
 }
 
 // Sent takes the outcome of the order that was sent.
