Hold leases and order by them on the entry instances

Cause: leases, gate and reconciler were not run by any process.

The ledger counts an answered order before the list shows it: otherwise each turn within the list's lag ordered the same again; a new holder waits out the lag for the same reason.

Ruled out: keeping the record open until the list shows the order (one order per lag and failure domain).

TestControlLoadsConfirmedVersion runs two controls, an agent and a stand-in engine over loopback: 2 orders, once. Not measured: bytes and processor time of the control at size.

--- /dev/null
+++ b/peridotentry/control_test.go
@@ -0,0 +1,70 @@
+package peridotentry
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"peridotstack/peridotagent"
+	"peridotstack/peridotconfig"
+	"peridotstack/peridotplatform"
+	"peridotstack/peridotsettings"
+	"peridotstack/peridotstandin"
+)
+
+// TestControlLoadsConfirmedVersion runs two instances' controls against one
+// engine over loopback: the engine gets the confirmed version, once.
+func TestControlLoadsConfirmedVersion(t *testing.T) {
+	engine := peridotstandin.NewEngine(peridotstandin.EngineOptions{Model: "m", Version: "v1", Role: "Mixed"})
+	engineServer := httptest.NewServer(engine.Handler())
+	defer engineServer.Close()
+	platform := peridotstandin.NewPlatform()
+	platformServer := httptest.NewServer(platform.Handler())
+	defer platformServer.Close()
+	client := peridotplatform.NewClient(platformServer.Listener.Addr().String())
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := listener.Addr().String()
+	listener.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	agent := peridotagent.New(peridotsettings.Agent{
+		Process:       peridotsettings.Process{Instance: "e1", Domain: "a", PeerAddress: peer, ShutdownGraceMillis: 1000},
+		EngineAddress: engineServer.Listener.Addr().String(),
+	}, client)
+	go agent.Serve(ctx)
+	platform.SetInstances(peridotplatform.Instance{ID: "e1", Role: peridotplatform.RoleAgent, Domain: "a", Address: peer, Model: "m"})
+
+	timeline := &peridotconfig.Log{Store: client}
+	_, err = timeline.Append(ctx, &peridotconfig.Config{}, "first", "test", peridotconfig.Changes{
+		peridotconfig.PutDomain{Domain: peridotconfig.Domain{Name: "a"}},
+		peridotconfig.PutModel{Model: peridotconfig.Model{Name: "m"}},
+		peridotconfig.SetDeployments{Deployments: []peridotconfig.Deployment{{Domain: "a", Model: "m", Version: "v2", Role: peridotconfig.Decode, Replicas: 1}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"entry-1", "entry-2"} {
+		s := peridotsettings.Entry{Process: peridotsettings.Process{Instance: name, PlatformAddress: platformServer.Listener.Addr().String()}}
+		e := New(s, client)
+		if err := e.refreshConfig(ctx); err != nil {
+			t.Fatal(err)
+		}
+		defer newControl(e).start()()
+	}
+	for range 600 {
+		if len(engine.Orders()) >= 2 {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	orders := engine.Orders()
+	if len(orders) != 2 || orders[0].Version != "v2" || orders[1].Role != "Decode" {
+		t.Errorf("orders at the engine: got %+v, want v2 loaded, then the role Decode", orders)
+	}
+}
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -83,7 +83,9 @@
 	}
 	defer caller.Stop()
 	log.Info(logPrefix + "serving callers on " + e.settings.CallerAddress)
+	stopControl := newControl(e).start()
 	<-ctx.Done()
+	stopControl()
 	e.drain()
 	return nil
 }
--- /dev/null
+++ b/peridotentry/peers.go
@@ -0,0 +1,99 @@
+package peridotentry
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"peridotstack/peridotverdict"
+	"peridotstack/peridotwire"
+)
+
+// peers finds the connection to an agent: the pool's, or one of its own to an
+// agent that this entry instance sends no requests to.
+type peers struct {
+	pool *pool
+
+	mu     sync.Mutex
+	dialed map[string]*peridotwire.Peer
+}
+
+// describe asks an agent what its backend server runs.
+func (p *peers) describe(ctx context.Context, instance, address string, d peridotwire.Describe) (peridotwire.Description, error) {
+	ctx, cancel := context.WithTimeout(ctx, describeTimeout)
+	defer cancel()
+	var answer peridotwire.Description
+	err := p.call(ctx, instance, address, peridotwire.MethodDescribe, d, &answer)
+	return answer, err
+}
+
+// order hands an order to an agent.
+func (p *peers) order(ctx context.Context, instance, address string, o peridotwire.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var answer peridotwire.OrderResult
+	if err := p.call(ctx, instance, address, peridotwire.MethodOrder, o, &answer); err != nil {
+		return err
+	}
+	if answer.Err != nil {
+		return answer.Err
+	}
+	return nil
+}
+
+func (p *peers) call(ctx context.Context, instance, address, method string, params, answer any) error {
+	peer, err := p.peer(ctx, instance, address)
+	if err != nil {
+		return err
+	}
+	err = peer.Call(ctx, method, params, answer)
+	if peridotverdict.Is(err, peridotverdict.PeerLost) {
+		p.drop(instance, peer)
+	}
+	return err
+}
+
+func (p *peers) peer(ctx context.Context, instance, address string) (*peridotwire.Peer, error) {
+	if peer := p.pool.peerOf(instance); peer != nil {
+		return peer, nil
+	}
+	p.mu.Lock()
+	peer := p.dialed[instance]
+	p.mu.Unlock()
+	if peer != nil {
+		return peer, nil
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, peridotverdict.New(peridotverdict.PeerLost, peridotverdict.NotRun, "the agent is out of reach", peridotverdict.Cause(err))
+	}
+	peer = peridotwire.NewPeer(context.WithoutCancel(ctx), conn, p.pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.dialed == nil {
+		p.dialed = make(map[string]*peridotwire.Peer)
+	}
+	p.dialed[instance] = peer
+	return peer, nil
+}
+
+// drop closes a connection of its own that failed or went silent.
+func (p *peers) drop(instance string, peer *peridotwire.Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.dialed[instance] == peer {
+		delete(p.dialed, instance)
+		_ = peer.Close()
+	}
+}
+
+// close closes all connections of its own.
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.dialed {
+		_ = peer.Close()
+	}
+	p.dialed = nil
+}
--- a/peridotorder/ledger.go
+++ b/peridotorder/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -57,6 +58,15 @@
 	// sent is when the last try to send ended; attempt counts commits.
 	sent    time.Time
 	attempt int
+	// effects are the orders that the platform answered and the list may not show
+	// yet.
+	effects []effect
+}
+
+// effect is an answered order; the list shows it by until.
+type effect struct {
+	order peridotplatform.BackendOrder
+	until time.Time
 }
 
 // Send records an order and sends it. An error with the verdict MayHaveRun
@@ -80,13 +90,14 @@
 }
 
 // mayOrder returns the grant to order under. A holder waits out the orders that
-// the one before may still have had under way.
+// the one before may still have had under way, and until the list shows them: it
+// would order the same again.
 func (l *Ledger) mayOrder() (peridotlease.Grant, error) {
 	grant, ok := l.Authority()
 	if !ok {
 		return grant, peridotverdict.New(peridotverdict.LeaseLost, peridotverdict.NotRun, "no authority over "+l.Shard)
 	}
-	if wait := time.Until(grant.Since.Add(l.Terms.Longer(peridotplatform.OrderReadTimeout))); wait > 0 {
+	if wait := time.Until(grant.Since.Add(l.Terms.Longer(peridotplatform.OrderReadTimeout + peridotplatform.ListLag))); wait > 0 {
 		return grant, peridotverdict.New(peridotverdict.OrderBusy, peridotverdict.NotRun, "orders of the last holder may be under way", peridotverdict.RetryAfter(wait))
 	}
 	return grant, nil
@@ -111,6 +122,9 @@
 		return nil
 	})
 	l.sent = time.Now()
+	if err == nil {
+		l.effects = append(l.effects, effect{order: i.Order, until: l.sent.Add(l.Terms.Longer(peridotplatform.ListLag))})
+	}
 	if recorded != 0 && (err == nil || (i.Attempts == 1 && peridotverdict.Of(err) == peridotverdict.NotRun)) {
 		// A failure leaves the row for Settle.
 		_ = l.close(ctx, recorded)
@@ -218,6 +232,36 @@
 	return last.Add(l.Terms.Longer(peridotplatform.OrderReadTimeout + peridotplatform.ListLag))
 }
 
+// Expect returns the list as it will be once it shows the orders that were
+// answered.
+func (l *Ledger) Expect(instances []peridotplatform.Instance) []peridotplatform.Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.effects = slices.DeleteFunc(l.effects, func(e effect) bool {
+		return !now.Before(e.until) || Effective(e.order, instances)
+	})
+	expected := slices.Clone(instances)
+	for _, e := range l.effects {
+		expected = expect(expected, e.order)
+	}
+	return expected
+}
+
+func expect(instances []peridotplatform.Instance, o peridotplatform.BackendOrder) []peridotplatform.Instance {
+	if o.Kind == peridotplatform.AddBackend {
+		return append(instances, peridotplatform.Instance{
+			Role: peridotplatform.RoleAgent, Domain: o.Domain, Model: o.Model, Service: o.Service, OrderID: o.ID,
+		})
+	}
+	for i := range instances {
+		if instances[i].ID == o.Instance {
+			instances[i].Leaving = true
+		}
+	}
+	return instances
+}
+
 // Effective reports whether the list shows the effect of an order.
 func Effective(o peridotplatform.BackendOrder, instances []peridotplatform.Instance) bool {
 	for _, i := range instances {
--- a/peridotorder/ledger_test.go
+++ b/peridotorder/ledger_test.go
@@ -337,6 +337,36 @@
 	}
 }
 
+// TestExpect checks that an answered order counts before the list shows it, and
+// no longer than the list's lag.
+func TestExpect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newOrdersBench(1)
+		b.platform.SetInstances(peridotplatform.Instance{ID: "old", Domain: shard})
+		o := b.holder(t, nil)
+		remove := peridotplatform.BackendOrder{ID: "r", Kind: peridotplatform.RemoveBackend, Instance: "old"}
+		for _, order := range []peridotplatform.BackendOrder{addOrder("x"), remove} {
+			if err := o.Ledger.Send(context.Background(), order); err != nil {
+				t.Fatal(err)
+			}
+		}
+		before := b.platform.Instances()
+		got := o.Expect(before)
+		if len(got) != 2 || !got[0].Leaving || got[1].OrderID != "x" {
+			t.Errorf("Expect before the list shows them: got %+v, want old leaving and x", got)
+		}
+		time.Sleep(9 * time.Second)
+		if got := o.Expect(b.platform.Instances()); len(got) != 1 || got[0].OrderID != "x" {
+			t.Errorf("Expect once the list shows them: got %+v, want x only", got)
+		}
+		time.Sleep(time.Minute)
+		if got := o.Expect(before); len(got) != 1 || got[0].Leaving {
+			t.Errorf("Expect after the lag: got %+v, want the list as it is", got)
+		}
+		b.close()
+	})
+}
+
 // TestPlatformGetsOneSequence runs seeded schedules of failures, singly and in
 // pairs, with three instances that want to order, and checks the platform's log:
 // each order at most once, and tokens that never go back.
@@ -366,6 +396,7 @@
 		b.running.Go(func() { o.orderAgainAndAgain(b.ctx, fmt.Sprint("entry-", i)) })
 	}
 	table := b.platform.Table
+	time.Sleep(40 * time.Second)
 	for range 8 {
 		time.Sleep(time.Duration(5+r.IntN(40)) * time.Second)
 		for range 1 + r.IntN(2) {
