Read the lease row for each engine order

Cause: a holder whose monotonic clock stood still (a suspended machine) computes too long a rest of its lease; until the next holder had announced itself to an agent, that agent took the order.

Red without it: TestOrders 'holder whose clock stood still, the next not announced yet' got orders "x y", want "x". Green with it.

--- a/peridotorder/example_test.go
+++ b/peridotorder/example_test.go
@@ -13,9 +13,9 @@
 	start := time.Now()
 	now := start.Add(time.Minute)
 	g := peridotorder.NewGate("start-1", start)
-	g.Learn(7)
 	ticket := g.Announce(7, now)
 	g.Begin()
+	g.Learn(7)
 	g.Inspected(peridotbackend.State{Model: "hino-llm", Version: "v1", Role: "Mixed"}, now)
 	g.Quieted()
 	o := peridotwire.Order{ID: "x", Token: 7, Ticket: ticket, Kind: peridotwire.SetRole, Role: "Decode", TimeoutMillis: 1000}
--- a/peridotorder/executor_test.go
+++ b/peridotorder/executor_test.go
@@ -238,6 +238,16 @@
 			time.AfterFunc(time.Second, b.table.ThawReads)
 			return b.executor.Order(ctx, order("x", b.ticket(t, 1), 1))
 		}, peridotverdict.StaleToken, ""},
+		{"holder whose clock stood still, the next not announced yet", func(t *testing.T, b *bench) *peridotverdict.Error {
+			if err := b.executor.Order(ctx, order("x", b.ticket(t, 1), 1)); err != nil {
+				t.Error(err)
+			}
+			y := order("y", b.ticket(t, 1), 1)
+			y.TimeoutMillis = 3_600_000
+			time.Sleep(time.Minute)
+			setLease(t, b.table, 2)
+			return b.executor.Order(ctx, y)
+		}, peridotverdict.StaleToken, "x"},
 		{"order decided by an older description", func(t *testing.T, b *bench) *peridotverdict.Error {
 			x := order("x", b.ticket(t, 1), 1)
 			if err := b.executor.Order(ctx, order("y", b.ticket(t, 1), 1)); err != nil {
--- a/peridotorder/gate.go
+++ b/peridotorder/gate.go
@@ -131,8 +131,10 @@
 	g.known = true
 }
 
-// Begin starts to deal with an order, by what the engine says from now on.
+// Begin starts to deal with an order, by what the lease row and the engine say
+// from now on.
 func (g *Gate) Begin() {
+	g.known = false
 	g.inspected = false
 	g.quiet = false
 }
