Share one list of instances among a process's shards; decide in linear time

Cause: each shard read the platform's whole list every second, and the decision compared each engine with all others.

The change: one read every 2 s for all shards, with its time, so that the ledger still counts answered orders until a list read late enough shows them, and no order is decided by a list from before the lease; counts per deployment.

--- a/peridotcontrol/control.go
+++ b/peridotcontrol/control.go
@@ -69,22 +69,22 @@
 		}
 	}
 	var candidate Action
-	for _, d := range v.Descriptions {
-		i, ok := v.instance(d.Instance)
-		if !ok || i.Model == "" || d.Ticket == "" {
+	slots := v.slots()
+	for _, e := range v.engines() {
+		if slots.keep(e) || e.description.Ticket == "" {
 			continue
 		}
-		target, ok := v.target(i, d)
+		target, ok := slots.short(e.model)
 		if !ok {
 			continue
 		}
-		order, ok := change(target, d)
+		order, ok := change(target, e.description)
 		if !ok {
 			continue
 		}
-		a := OrderEngine{Instance: d.Instance, Order: order}
+		a := OrderEngine{Instance: e.description.Instance, Order: order}
 		// An engine that runs nothing goes first: it costs no goodput.
-		if d.Model == "" {
+		if e.description.Model == "" {
 			candidate = a
 			break
 		}
@@ -120,50 +120,83 @@
 	}
 }
 
-// target returns the deployment that an engine should serve. An engine that fits
-// a deployment stays with it; the others fill up what is short, and an engine
-// that is not needed stays as it is until it is removed.
-func (v View) target(i peridotplatform.Instance, d peridotwire.Description) (peridotconfig.Deployment, bool) {
-	for _, want := range v.deployments(i.Model) {
-		if fits(want, d) && v.placeOf(want, d.Instance) < want.Replicas {
-			return want, true
+// runningEngine is an engine that is not leaving.
+type runningEngine struct {
+	// model is what the backend server was ordered for.
+	model       string
+	description peridotwire.Description
+}
+
+// engines returns the engines that answered and are not leaving.
+func (v View) engines() []runningEngine {
+	models := make(map[string]string)
+	for _, i := range v.Instances {
+		if i.Domain == v.Domain && i.Model != "" && !i.Leaving {
+			models[i.ID] = i.Model
 		}
 	}
-	for _, want := range v.deployments(i.Model) {
-		if v.fitting(want) < want.Replicas {
-			return want, true
+	var found []runningEngine
+	for _, d := range v.Descriptions {
+		if model, ok := models[d.Instance]; ok {
+			found = append(found, runningEngine{model: model, description: d})
 		}
 	}
-	return peridotconfig.Deployment{}, false
+	return found
 }
 
-func fits(want peridotconfig.Deployment, d peridotwire.Description) bool {
-	role := want.Role == "" || string(want.Role) == d.Role
-	return d.Model == want.Model && d.Version == want.Version && role
+// slot is a deployment with the number of engines that fit it, and of those it
+// keeps.
+type slot struct {
+	want    peridotconfig.Deployment
+	fitting int
+	kept    int
 }
 
-// placeOf counts the engines listed before an instance that fit a deployment.
-func (v View) placeOf(want peridotconfig.Deployment, instance string) int {
-	place := 0
-	for _, d := range v.Descriptions {
-		if d.Instance == instance {
-			return place
+type slots []*slot
+
+// slots returns the domain's deployments of models.
+func (v View) slots() slots {
+	var all slots
+	for _, d := range v.Config.Deployments {
+		if d.Domain == v.Domain && d.Model != "" {
+			all = append(all, &slot{want: d})
 		}
-		if fits(want, d) {
-			place++
+	}
+	for _, e := range v.engines() {
+		for _, s := range all {
+			if fits(s.want, e.description) {
+				s.fitting++
+			}
 		}
 	}
-	return place
+	return all
 }
 
-func (v View) fitting(want peridotconfig.Deployment) int {
-	count := 0
-	for _, d := range v.Descriptions {
-		if fits(want, d) {
-			count++
+// keep reports whether an engine fits a deployment that still has room: it stays
+// as it is.
+func (all slots) keep(e runningEngine) bool {
+	for _, s := range all {
+		if s.want.Model == e.model && fits(s.want, e.description) && s.kept < s.want.Replicas {
+			s.kept++
+			return true
+		}
+	}
+	return false
+}
+
+// short returns a deployment of a model that fewer engines fit than it asks for.
+func (all slots) short(model string) (peridotconfig.Deployment, bool) {
+	for _, s := range all {
+		if s.want.Model == model && s.fitting < s.want.Replicas {
+			return s.want, true
 		}
 	}
-	return count
+	return peridotconfig.Deployment{}, false
+}
+
+func fits(want peridotconfig.Deployment, d peridotwire.Description) bool {
+	role := want.Role == "" || string(want.Role) == d.Role
+	return d.Model == want.Model && d.Version == want.Version && role
 }
 
 // deployments returns the domain's deployments of a model.
--- a/peridotcontrol/converge_test.go
+++ b/peridotcontrol/converge_test.go
@@ -79,9 +79,9 @@
 		if got := text(Next(*v, pace, time.Now())); got != "" {
 			t.Errorf("seed %d: got %q after 50 steps, want no orders", seed, got)
 		}
-		for _, d := range v.Config.Deployments {
-			if got := v.fitting(d); got != d.Replicas {
-				t.Errorf("seed %d: got %d engines for %+v, want %d", seed, got, d, d.Replicas)
+		for _, s := range v.slots() {
+			if s.fitting != s.want.Replicas {
+				t.Errorf("seed %d: got %d engines for %+v, want %d", seed, s.fitting, s.want, s.want.Replicas)
 			}
 		}
 	}
--- a/peridotentry/control.go
+++ b/peridotentry/control.go
@@ -19,6 +19,8 @@
 )
 
 const (
+	// listInterval is the time between two reads of the list of instances.
+	listInterval = 2 * time.Second
 	// controlInterval is the time between two turns of a shard's control.
 	controlInterval = time.Second
 	// loadInterval is the least time between two loads from the weight store in
@@ -40,8 +42,13 @@
 	manager *peridotlease.Manager
 	nonce   string
 	peers   peers
-	// shards has one control per failure domain; only Serve touches it.
+	// shards has one control per failure domain; only serve touches it.
 	shards []*shardControl
+
+	mu sync.Mutex
+	// instances is the platform's list, listed when reading it began.
+	instances []peridotplatform.Instance
+	listed    time.Time
 }
 
 func newControl(e *Entry) *control {
@@ -76,7 +83,7 @@
 	managing.Go(func() { _ = c.manager.Serve(leasing) })
 	for ctx.Err() == nil {
 		c.update(ctx, &ordering)
-		wait(ctx, controlInterval)
+		wait(ctx, listInterval)
 	}
 	ordering.Wait()
 	release()
@@ -86,10 +93,15 @@
 
 // update follows the failure domains and the list of instances.
 func (c *control) update(ctx context.Context, ordering *sync.WaitGroup) {
+	listed := time.Now()
 	instances, err := c.entry.platform.Instances(ctx)
 	if err != nil {
+		c.entry.metrics.Count("control_list_failures")
 		return
 	}
+	c.mu.Lock()
+	c.instances, c.listed = instances, listed
+	c.mu.Unlock()
 	self := c.entry.settings.Instance
 	entries := []string{self}
 	for _, i := range instances {
@@ -159,16 +171,14 @@
 		s.asked, s.answers = nil, nil
 		s.pace = peridotcontrol.Pace{Interval: loadInterval}
 	}
-	instances, err := s.entry.platform.Instances(ctx)
-	if err != nil {
-		s.entry.metrics.Count("control_list_failures")
-		return
-	}
+	s.mu.Lock()
+	instances, listed := s.instances, s.listed
+	s.mu.Unlock()
 	if !s.ask(ctx, instances) {
 		return
 	}
 	view := peridotcontrol.View{
-		Domain: s.shard, Config: s.entry.Config(), Instances: s.ledger.Expect(instances),
+		Domain: s.shard, Config: s.entry.Config(), Instances: s.ledger.Expect(instances, listed),
 		Descriptions: slices.Clone(s.answers),
 	}
 	open := s.ledger.Settle(ctx, func(o peridotplatform.BackendOrder) bool { return peridotcontrol.Wanted(view, o) })
@@ -177,7 +187,7 @@
 		switch a := a.(type) {
 		case peridotcontrol.OrderBackend:
 			if open == nil {
-				s.orderBackend(ctx, a.Order)
+				s.orderBackend(ctx, a.Order, listed)
 			}
 		case peridotcontrol.OrderEngine:
 			s.orderEngine(ctx, a, instances)
@@ -187,10 +197,10 @@
 	}
 }
 
-func (s *shardControl) orderBackend(ctx context.Context, o peridotplatform.BackendOrder) {
+func (s *shardControl) orderBackend(ctx context.Context, o peridotplatform.BackendOrder, listed time.Time) {
 	o.ID = s.nextID()
 	log.Info(logPrefix + "ordering " + string(o.Kind) + " in " + s.shard)
-	s.refused(s.ledger.Send(ctx, o))
+	s.refused(s.ledger.Send(ctx, o, listed))
 }
 
 // orderEngine asks the engine's agent once more, for a ticket of now, and orders
--- a/peridotorder/ledger.go
+++ b/peridotorder/ledger.go
@@ -71,14 +71,18 @@
 
 // Send records an order and sends it. An error with the verdict MayHaveRun
 // leaves the order open: Settle finds out what became of it. While an order is
-// open no other is sent.
-func (l *Ledger) Send(ctx context.Context, o peridotplatform.BackendOrder) error {
+// open no other is sent. Listed is when the reading of the list began by which
+// the order was decided; it must not miss what the last holder ordered.
+func (l *Ledger) Send(ctx context.Context, o peridotplatform.BackendOrder, listed time.Time) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	grant, err := l.mayOrder()
 	if err != nil {
 		return err
 	}
+	if listed.Before(l.grace(grant)) {
+		return peridotverdict.New(peridotverdict.OrderBusy, peridotverdict.NotRun, "the list is older than the lease")
+	}
 	row, err := peridottable.GetCurrent(ctx, l.Store, IntentKey(l.Shard))
 	if err != nil {
 		return notRun(err)
@@ -97,12 +101,17 @@
 	if !ok {
 		return grant, peridotverdict.New(peridotverdict.LeaseLost, peridotverdict.NotRun, "no authority over "+l.Shard)
 	}
-	if wait := time.Until(grant.Since.Add(l.Terms.Longer(peridotplatform.OrderReadTimeout + peridotplatform.ListLag))); wait > 0 {
+	if wait := time.Until(l.grace(grant)); wait > 0 {
 		return grant, peridotverdict.New(peridotverdict.OrderBusy, peridotverdict.NotRun, "orders of the last holder may be under way", peridotverdict.RetryAfter(wait))
 	}
 	return grant, nil
 }
 
+// grace returns when the list shows all that the last holder ordered.
+func (l *Ledger) grace(grant peridotlease.Grant) time.Time {
+	return grant.Since.Add(l.Terms.Longer(peridotplatform.OrderReadTimeout + peridotplatform.ListLag))
+}
+
 // send records the intent while the platform waits for the order's body, then
 // lets the body go. The platform got the head before the table confirmed the
 // lease, so a body that arrives in time arrives before a next holder orders.
@@ -225,21 +234,20 @@
 
 // shownBy returns when the list shows whatever was sent before.
 func (l *Ledger) shownBy(grant peridotlease.Grant) time.Time {
-	last := grant.Since
-	if l.sent.After(last) {
-		last = l.sent
+	shown := l.sent.Add(l.Terms.Longer(peridotplatform.OrderReadTimeout + peridotplatform.ListLag))
+	if grace := l.grace(grant); grace.After(shown) {
+		return grace
 	}
-	return last.Add(l.Terms.Longer(peridotplatform.OrderReadTimeout + peridotplatform.ListLag))
+	return shown
 }
 
 // Expect returns the list as it will be once it shows the orders that were
-// answered.
-func (l *Ledger) Expect(instances []peridotplatform.Instance) []peridotplatform.Instance {
+// answered. Listed is when the reading of the list began.
+func (l *Ledger) Expect(instances []peridotplatform.Instance, listed time.Time) []peridotplatform.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
 	l.effects = slices.DeleteFunc(l.effects, func(e effect) bool {
-		return !now.Before(e.until) || Effective(e.order, instances)
+		return !listed.Before(e.until) || Effective(e.order, instances)
 	})
 	expected := slices.Clone(instances)
 	for _, e := range l.effects {
--- a/peridotorder/ledger_test.go
+++ b/peridotorder/ledger_test.go
@@ -199,17 +199,17 @@
 		dropped int
 	}{
 		{"one order", func(t *testing.T, b *ordersBench) {
-			if err := b.holder(t, nil).Ledger.Send(ctx, addOrder("x")); err != nil {
+			if err := b.holder(t, nil).Ledger.Send(ctx, addOrder("x"), time.Now()); err != nil {
 				t.Error(err)
 			}
 		}, []string{"x"}, 0},
 		{"answer lost after effect", func(t *testing.T, b *ordersBench) {
 			o := b.holder(t, nil)
 			b.platform.LoseOrderAnswers(1)
-			if err := o.Ledger.Send(ctx, addOrder("x")); peridotverdict.Of(err) != peridotverdict.MayHaveRun {
+			if err := o.Ledger.Send(ctx, addOrder("x"), time.Now()); peridotverdict.Of(err) != peridotverdict.MayHaveRun {
 				t.Errorf("Send: got %v, want the verdict MayHaveRun", err)
 			}
-			if err := o.Ledger.Send(ctx, addOrder("y")); !peridotverdict.Is(err, peridotverdict.OrderBusy) {
+			if err := o.Ledger.Send(ctx, addOrder("y"), time.Now()); !peridotverdict.Is(err, peridotverdict.OrderBusy) {
 				t.Errorf("Send while another is open: got %v, want %s", err, peridotverdict.OrderBusy)
 			}
 			settled(t, o)
@@ -217,14 +217,14 @@
 		{"answer lost after effect, next holder", func(t *testing.T, b *ordersBench) {
 			o := b.holder(t, nil)
 			b.platform.LoseOrderAnswers(1)
-			_ = o.Ledger.Send(ctx, addOrder("x"))
+			_ = o.Ledger.Send(ctx, addOrder("x"), time.Now())
 			o.manager.SetShards(nil) // The lease lapses.
 			settled(t, b.holder(t, o))
 		}, []string{"x"}, 0},
 		{"holder frozen for a while with the body unsent", func(t *testing.T, b *ordersBench) {
 			o := b.holder(t, nil)
 			o.freeze(afterCheck, 6*time.Second)
-			if err := o.Ledger.Send(ctx, addOrder("x")); err == nil {
+			if err := o.Ledger.Send(ctx, addOrder("x"), time.Now()); err == nil {
 				t.Error("Send: got nil, want an error")
 			}
 			settled(t, o) // The order is repeated.
@@ -233,7 +233,7 @@
 			o := b.holder(t, nil)
 			o.freeze(afterCheck, 2*time.Minute)
 			var frozen sync.WaitGroup
-			frozen.Go(func() { _ = o.Ledger.Send(ctx, addOrder("x")) })
+			frozen.Go(func() { _ = o.Ledger.Send(ctx, addOrder("x"), time.Now()) })
 			time.Sleep(time.Second)
 			o.manager.SetShards(nil)
 			next := b.holder(t, o)
@@ -247,13 +247,13 @@
 			o.freeze(beforeDial, 2*time.Minute)
 			var frozen sync.WaitGroup
 			frozen.Go(func() {
-				if err := o.Ledger.Send(ctx, addOrder("x")); !peridotverdict.Is(err, peridotverdict.LeaseLost) {
+				if err := o.Ledger.Send(ctx, addOrder("x"), time.Now()); !peridotverdict.Is(err, peridotverdict.LeaseLost) {
 					t.Errorf("Send: got %v, want %s", err, peridotverdict.LeaseLost)
 				}
 			})
 			time.Sleep(time.Second)
 			o.manager.SetShards(nil)
-			if err := b.holder(t, o).Ledger.Send(ctx, addOrder("y")); err != nil {
+			if err := b.holder(t, o).Ledger.Send(ctx, addOrder("y"), time.Now()); err != nil {
 				t.Error(err)
 			}
 			frozen.Wait()
@@ -266,7 +266,7 @@
 					entry.manager.SetShards(nil)
 				}
 			})
-			if err := o.Ledger.Send(ctx, addOrder("x")); !peridotverdict.Is(err, peridotverdict.LeaseLost) {
+			if err := o.Ledger.Send(ctx, addOrder("x"), time.Now()); !peridotverdict.Is(err, peridotverdict.LeaseLost) {
 				t.Errorf("Send: got %v, want %s", err, peridotverdict.LeaseLost)
 			}
 		}, nil, 1},
@@ -275,10 +275,10 @@
 			grant, _ := o.Authority()
 			o.manager.SetShards(nil)
 			o.Authority = func() (peridotlease.Grant, bool) { return grant, true }
-			if err := b.holder(t, o).Ledger.Send(ctx, addOrder("y")); err != nil {
+			if err := b.holder(t, o).Ledger.Send(ctx, addOrder("y"), time.Now()); err != nil {
 				t.Error(err)
 			}
-			if err := o.Ledger.Send(ctx, addOrder("x")); !peridotverdict.Is(err, peridotverdict.LeaseLost) {
+			if err := o.Ledger.Send(ctx, addOrder("x"), time.Now()); !peridotverdict.Is(err, peridotverdict.LeaseLost) {
 				t.Errorf("Send: got %v, want %s", err, peridotverdict.LeaseLost)
 			}
 		}, []string{"y"}, 1},
@@ -292,7 +292,7 @@
 			}
 			o.Authority = func() (peridotlease.Grant, bool) { return grant, true }
 			b.holder(t, o)
-			if err := o.Ledger.Send(ctx, addOrder("x")); !peridotverdict.Is(err, peridotverdict.Conflict) {
+			if err := o.Ledger.Send(ctx, addOrder("x"), time.Now()); !peridotverdict.Is(err, peridotverdict.Conflict) {
 				t.Errorf("Send: got %v, want %s", err, peridotverdict.Conflict)
 			}
 		}, nil, 1},
@@ -301,19 +301,25 @@
 			remove := peridotplatform.BackendOrder{ID: "x", Kind: peridotplatform.RemoveBackend, Instance: "gone by itself"}
 			o.freeze(afterCheck, 4*time.Second)
 			var frozen sync.WaitGroup
-			frozen.Go(func() { _ = o.Ledger.Send(ctx, remove) })
+			frozen.Go(func() { _ = o.Ledger.Send(ctx, remove, time.Now()) })
 			time.Sleep(100 * time.Millisecond)
 			o.stop()
 			next := b.other(o)
-			for next.Settle(ctx, always) != nil || next.Ledger.Send(ctx, addOrder("y")) != nil {
+			for next.Settle(ctx, always) != nil || next.Ledger.Send(ctx, addOrder("y"), time.Now()) != nil {
 				time.Sleep(100 * time.Millisecond)
 			}
 			frozen.Wait()
 		}, []string{"x", "y"}, 0},
+		{"order decided by a list from before the lease", func(t *testing.T, b *ordersBench) {
+			listed := time.Now()
+			if err := b.holder(t, nil).Ledger.Send(ctx, addOrder("x"), listed); !peridotverdict.Is(err, peridotverdict.OrderBusy) {
+				t.Errorf("Send: got %v, want %s", err, peridotverdict.OrderBusy)
+			}
+		}, nil, 0},
 		{"store down", func(t *testing.T, b *ordersBench) {
 			o := b.holder(t, nil)
 			b.platform.Table.SetDown(true)
-			if err := o.Ledger.Send(ctx, addOrder("x")); peridotverdict.Of(err) != peridotverdict.NotRun {
+			if err := o.Ledger.Send(ctx, addOrder("x"), time.Now()); peridotverdict.Of(err) != peridotverdict.NotRun {
 				t.Errorf("Send: got %v, want the verdict NotRun", err)
 			}
 		}, nil, 0},
@@ -346,21 +352,25 @@
 		o := b.holder(t, nil)
 		remove := peridotplatform.BackendOrder{ID: "r", Kind: peridotplatform.RemoveBackend, Instance: "old"}
 		for _, order := range []peridotplatform.BackendOrder{addOrder("x"), remove} {
-			if err := o.Ledger.Send(context.Background(), order); err != nil {
+			if err := o.Ledger.Send(context.Background(), order, time.Now()); err != nil {
 				t.Fatal(err)
 			}
 		}
+		stale := time.Now()
 		before := b.platform.Instances()
-		got := o.Expect(before)
+		got := o.Expect(before, time.Now())
 		if len(got) != 2 || !got[0].Leaving || got[1].OrderID != "x" {
 			t.Errorf("Expect before the list shows them: got %+v, want old leaving and x", got)
 		}
 		time.Sleep(9 * time.Second)
-		if got := o.Expect(b.platform.Instances()); len(got) != 1 || got[0].OrderID != "x" {
+		if got := o.Expect(before, stale); len(got) != 2 {
+			t.Errorf("Expect of an old list: got %+v, want old leaving and x", got)
+		}
+		if got := o.Expect(b.platform.Instances(), time.Now()); len(got) != 1 || got[0].OrderID != "x" {
 			t.Errorf("Expect once the list shows them: got %+v, want x only", got)
 		}
 		time.Sleep(time.Minute)
-		if got := o.Expect(before); len(got) != 1 || got[0].Leaving {
+		if got := o.Expect(before, time.Now()); len(got) != 1 || got[0].Leaving {
 			t.Errorf("Expect after the lag: got %+v, want the list as it is", got)
 		}
 		b.close()
@@ -383,7 +393,7 @@
 func (o *ordering) orderAgainAndAgain(ctx context.Context, name string) {
 	for n := 0; ctx.Err() == nil; n++ {
 		if o.Settle(ctx, always) == nil {
-			_ = o.Ledger.Send(ctx, addOrder(fmt.Sprintf("%s/%d", name, n)))
+			_ = o.Ledger.Send(ctx, addOrder(fmt.Sprintf("%s/%d", name, n)), time.Now())
 		}
 		time.Sleep(900 * time.Millisecond)
 	}
