Stop the control beside the drain; schedules with stale reads of leases

Cause: a graceful shutdown waited for an order's answer before it drained; and the seeded lease schedules froze single reads, which the manager does not make.

The change: the control stops while callers' requests drain, Orders.Send ends with its context; TestOneHolderAtATime serves old scans.

--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -22,6 +22,8 @@
 const (
 	logPrefix    = "entry: "
 	syncInterval = time.Second
+	// controlStopTimeout bounds the wait for the release of leases.
+	controlStopTimeout = 5 * time.Second
 )
 
 // Entry is an entry instance. Make one with New.
@@ -85,8 +87,17 @@
 	log.Info(logPrefix + "serving callers on " + e.settings.CallerAddress)
 	stopControl := newControl(e).start()
 	<-ctx.Done()
-	stopControl()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stopControl()
+	}()
 	e.drain()
+	select {
+	case <-stopped:
+	case <-time.After(controlStopTimeout):
+		log.Warn(logPrefix + "leases were not released in time")
+	}
 	return nil
 }
 
--- a/peridotlease/manager_test.go
+++ b/peridotlease/manager_test.go
@@ -34,6 +34,22 @@
 	mu sync.Mutex
 	// before and after are when a freeze in front of or behind a call ends.
 	before, after time.Time
+	// stale is when reads end to return rows, which were read before.
+	stale time.Time
+	rows  []peridottable.Row
+}
+
+// old returns the rows read last while reads are stale.
+func (p *pausing) old() ([]peridottable.Row, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rows, time.Now().Before(p.stale) && p.rows != nil
+}
+
+func (p *pausing) makeStale(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale = time.Now().Add(d)
 }
 
 func (p *pausing) freeze(d time.Duration, after bool) {
@@ -56,7 +72,14 @@
 func (p *pausing) Scan(ctx context.Context, r peridottable.Range) ([]peridottable.Row, error) {
 	p.wait(&p.before)
 	defer p.wait(&p.after)
-	return p.Store.Scan(ctx, r)
+	if rows, stale := p.old(); stale {
+		return rows, nil
+	}
+	rows, err := p.Store.Scan(ctx, r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rows = rows
+	return rows, err
 }
 
 func (p *pausing) Commit(ctx context.Context, t peridottable.Txn) (int64, error) {
@@ -96,7 +119,7 @@
 }
 
 // fault brings about one failure, chosen by r, and ends it by itself.
-func (w *world) fault(ctx context.Context, r *rand.Rand) {
+func (w *world) fault(r *rand.Rand) {
 	switch r.IntN(5) {
 	case 0:
 		w.table.SetDown(true)
@@ -106,9 +129,7 @@
 	case 2:
 		w.table.DropCommits(1 + r.IntN(4))
 	case 3:
-		if w.table.FreezeReads(ctx, Key("a")) == nil {
-			time.AfterFunc(time.Duration(r.IntN(30))*time.Second, w.table.ThawReads)
-		}
+		w.stores[r.IntN(len(w.stores))].makeStale(time.Duration(r.IntN(40)) * time.Second)
 	case 4:
 		w.stores[r.IntN(len(w.stores))].freeze(time.Duration(r.IntN(40))*time.Second, r.IntN(2) == 0)
 	}
@@ -162,9 +183,9 @@
 			token = g.Token
 		}
 		if tick%150 == 100 {
-			w.fault(ctx, r)
+			w.fault(r)
 			if r.IntN(2) == 0 {
-				w.fault(ctx, r)
+				w.fault(r)
 			}
 		}
 	}
--- a/peridotplatform/order.go
+++ b/peridotplatform/order.go
@@ -71,7 +71,7 @@
 // Send sends an order in two parts: the head, and, once the platform waits for
 // the body and authorize has returned nil, the body. A sender paused anywhere in
 // between is late with the body, which the platform then drops. An error has the
-// verdict NotRun if no byte of the body was sent.
+// verdict NotRun if no byte of the body was sent. Send gives up once ctx is done.
 func (s *Orders) Send(ctx context.Context, o BackendOrder, authorize func(context.Context) error) error {
 	body, err := json.Marshal(o)
 	if err != nil {
@@ -85,6 +85,8 @@
 	if err := conn.SetDeadline(time.Now().Add(OrderReadTimeout + orderAnswerTimeout)); err != nil {
 		return notSent("the connection failed", err)
 	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
+	defer stop()
 	answers := bufio.NewReader(conn)
 	if err := sendHead(conn, answers, len(body)); err != nil {
 		return err
