Do not call an order not run while its record may be left

Cause: when the answer to the record's commit was lost, Send said NotRun, yet the next settling found the record and repeated the order.

Red without it: TestPlatformOrders 'answer to the record lost': got NotRun, want MayHaveRun. Green with it. The control counts its holds and refusals apart from those of callers.

--- a/peridotentry/control.go
+++ b/peridotentry/control.go
@@ -192,7 +192,7 @@
 		case peridotcontrol.OrderEngine:
 			s.orderEngine(ctx, a, instances)
 		case peridotcontrol.Hold:
-			s.entry.metrics.Refused(a.Code)
+			s.entry.metrics.Count("control_holds_" + string(a.Code))
 		}
 	}
 }
@@ -238,7 +238,7 @@
 
 func (s *shardControl) refused(err error) {
 	if err != nil {
-		s.entry.metrics.Refused(peridotverdict.As(err).Code)
+		s.entry.metrics.Count("control_refusals_" + string(peridotverdict.As(err).Code))
 	}
 }
 
--- a/peridotorder/ledger.go
+++ b/peridotorder/ledger.go
@@ -119,9 +119,11 @@
 	i.Order.Token = grant.Token
 	i.Attempts++
 	var recorded int64
+	open := i.Attempts > 1
 	err := l.Sender.Send(ctx, i.Order, func(ctx context.Context) error {
 		version, err := l.record(ctx, grant, row.Version, i)
 		if err != nil {
+			open = open || peridotverdict.Of(err) == peridotverdict.MayHaveRun
 			return err
 		}
 		recorded = version
@@ -133,12 +135,24 @@
 	l.sent = time.Now()
 	if err == nil {
 		l.effects = append(l.effects, effect{order: i.Order, until: l.sent.Add(l.Terms.Longer(peridotplatform.ListLag))})
-	}
-	if recorded != 0 && (err == nil || (i.Attempts == 1 && peridotverdict.Of(err) == peridotverdict.NotRun)) {
 		// A failure leaves the row for Settle.
 		_ = l.close(ctx, recorded)
+		return nil
 	}
-	return err
+	if !open && recorded != 0 && peridotverdict.Of(err) == peridotverdict.NotRun {
+		open = l.close(ctx, recorded) != nil
+	}
+	return stillOpen(err, open)
+}
+
+// stillOpen returns err with the verdict MayHaveRun when the record of the order
+// may be left: Settle may repeat the order then.
+func stillOpen(err error, open bool) error {
+	if !open || peridotverdict.Of(err) == peridotverdict.MayHaveRun {
+		return err
+	}
+	e := peridotverdict.As(err)
+	return peridotverdict.New(e.Code, peridotverdict.MayHaveRun, e.Message, peridotverdict.Cause(err))
 }
 
 // record writes the intent in one commit with a check of the lease row.
--- a/peridotorder/ledger_test.go
+++ b/peridotorder/ledger_test.go
@@ -316,6 +316,21 @@
 				t.Errorf("Send: got %v, want %s", err, peridotverdict.OrderBusy)
 			}
 		}, nil, 0},
+		{"answer to the record lost", func(t *testing.T, b *ordersBench) {
+			o := b.holder(t, nil)
+			o.dial = func(ctx context.Context) (net.Conn, error) {
+				b.platform.Table.LoseAnswers(1)
+				o.dial = b.pipes.dial
+				return o.dial(ctx)
+			}
+			if err := o.Ledger.Send(ctx, addOrder("x"), time.Now()); peridotverdict.Of(err) != peridotverdict.MayHaveRun {
+				t.Errorf("Send: got %v, want the verdict MayHaveRun", err)
+			}
+			if got := len(b.platform.BackendOrders()); got != 0 {
+				t.Errorf("before it is repeated: got %d orders, want 0", got)
+			}
+			settled(t, o)
+		}, []string{"x"}, 1},
 		{"store down", func(t *testing.T, b *ordersBench) {
 			o := b.holder(t, nil)
 			b.platform.Table.SetDown(true)
