--- a/peridotagent/agent.go
+++ b/peridotagent/agent.go
@@ -13,6 +13,7 @@
 
 	"peridotstack/peridotbackend"
 	"peridotstack/peridotmetric"
+	"peridotstack/peridotorder"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridotsync"
 	"peridotstack/peridottable"
@@ -49,6 +50,10 @@
 	// ended lists the ended jobs, the oldest first.
 	ended   []endedJob
 	running sync.WaitGroup
+	// quietUntil is set while an order needs the engine to itself; mu guards it.
+	quietUntil time.Time
+	// orders is nil beside a plain service.
+	orders *peridotorder.Executor
 }
 
 // Option sets an optional part of an Agent.
@@ -77,6 +82,7 @@
 		option(a)
 	}
 	a.node = peridotsync.New(s.Instance, nil, &a.entries, peridotsync.WithMetrics(a.metrics))
+	a.orders = a.newExecutor()
 	return a
 }
 
@@ -163,6 +169,10 @@
 			return nil, err
 		}
 		return a.node.Since(f.After), nil
+	case peridotwire.MethodOrder:
+		return a.order(ctx, params)
+	case peridotwire.MethodDescribe:
+		return a.describe(ctx, params)
 	default:
 		return nil, peridotverdict.New(peridotverdict.BadRequest, peridotverdict.NotRun, "unknown method "+method)
 	}
@@ -193,6 +203,7 @@
 		Stamp:       a.node.Stamp(),
 		Load:        a.load(),
 		Leaving:     a.leaving.Load(),
+		Quiet:       a.isQuiet(),
 	}
 	if pong.Leaving {
 		// Another process may soon answer at this address; this one acknowledges
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -24,6 +24,8 @@
 	logPrefix = "entry: "
 	// maxHeadBytes bounds the request line and headers together.
 	maxHeadBytes = 64 << 10
+	// controlStopTimeout bounds the wait for the release of leases.
+	controlStopTimeout = 5 * time.Second
 )
 
 // Entry is an entry instance. Make one with New.
@@ -100,8 +102,19 @@
 	}
 	defer caller.Stop()
 	log.Info(logPrefix + "serving callers on " + e.settings.CallerAddress)
+	stopControl := newControl(e).start()
 	<-ctx.Done()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stopControl()
+	}()
 	e.drain()
+	select {
+	case <-stopped:
+	case <-time.After(controlStopTimeout):
+		log.Warn(logPrefix + "leases were not released in time")
+	}
 	return nil
 }
 
--- a/peridotentry/fleet_test.go
+++ b/peridotentry/fleet_test.go
@@ -102,7 +102,7 @@
 		peridotconfig.PutModel{Model: peridotconfig.Model{Name: fleetModel, PrefillTokensPerSecond: 100_000, DecodeTokensPerSecond: 100_000}},
 		peridotconfig.PutAccount{Account: peridotconfig.Account{Name: "a", Models: []string{fleetModel}, Weight: 1}},
 		peridotconfig.GiveKey{Key: peridotconfig.Key{ID: id, Account: "a", Hash: hash}},
-		peridotconfig.SetDeployments{Deployments: []peridotconfig.Deployment{{Domain: "domain-0", Model: fleetModel, Version: "v1", Replicas: 2}}},
+		peridotconfig.SetDeployments{Deployments: []peridotconfig.Deployment{{Domain: "domain-0", Model: fleetModel, Version: "v1", Replicas: 1}, {Domain: "domain-1", Model: fleetModel, Version: "v1", Replicas: 1}}},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/peridotentry/keys_test.go
+++ b/peridotentry/keys_test.go
@@ -109,7 +109,11 @@
 		peridotconfig.GiveKey{Key: peridotconfig.Key{ID: id, Account: "a", Hash: hash}},
 		peridotconfig.PutOperator{Operator: peridotconfig.Operator{Name: "o", ID: opID, Hash: opHash}},
 		peridotconfig.SetDeployments{Deployments: []peridotconfig.Deployment{
-			{Domain: "domain-0", Model: "m", Version: "v1", Replicas: 1}, {Domain: "domain-0", Service: "api", Replicas: 1},
+			{Domain: "domain-0", Model: "m", Version: "v1", Replicas: 1},
+			{Domain: "domain-0", Service: "api", Replicas: 1},
+			{Domain: "domain-1", Service: "api", Replicas: 1},
+			{Domain: "domain-2", Service: "api", Replicas: 1},
+			{Domain: "domain-3", Service: "api", Replicas: 1},
 		}},
 	}
 	timeline := &peridotconfig.Log{Store: peridotplatform.NewClient(platform)}
--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -205,7 +205,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	same := (l.pong.Version.Seq > 0) == (pong.Version.Seq > 0)
-	if l.peer != peer || l.pong.Leaving != pong.Leaving || !same {
+	if l.peer != peer || l.pong.Leaving != pong.Leaving || l.pong.Quiet != pong.Quiet || !same {
 		p.changes++
 	}
 	l.pong = pong
@@ -226,7 +226,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l, ok := p.links[instance]
-	if !ok || l.peer == nil || !p.usable(l) {
+	if !ok || !p.accepts(l) {
 		return nil, nil, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the backend server "+instance+" is out of reach", peridotverdict.RetryAfter(time.Second))
 	}
 	l.outstanding++
@@ -253,7 +253,7 @@
 			Model:    l.instance.Model,
 			Service:  l.instance.Service,
 			Leaving:  p.view.MarkedLeaving(l.instance.ID),
-			Down:     l.peer == nil || !p.usable(l),
+			Down:     !p.accepts(l),
 		})
 	}
 	// The order decides which servers a random draw hits.
--- a/peridotstandin/platform.go
+++ b/peridotstandin/platform.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"slices"
 	"sync"
 
 	"peridotstack/peridotplatform"
@@ -18,6 +17,7 @@
 
 	mu        sync.Mutex
 	instances []peridotplatform.Instance
+	ordering  ordering
 }
 
 // NewPlatform returns a platform with an empty table and the given instances.
@@ -32,13 +32,6 @@
 	p.instances = instances
 }
 
-// Instances returns a copy of the list of instances.
-func (p *Platform) Instances() []peridotplatform.Instance {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.Clone(p.instances)
-}
-
 // Handler serves the platform's interfaces.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -46,6 +39,7 @@
 	mux.HandleFunc("POST /table/scan", p.scan)
 	mux.HandleFunc("POST /table/commit", p.commit)
 	mux.HandleFunc("POST /instances", p.list)
+	mux.HandleFunc("POST /orders", p.takeOrder)
 	return mux
 }
 
