Measure the decisions against baselines on a fake clock

There was no way to tell a better policy from a worse one. The command measure drives the real routing, admission, retry and planning code, three entry instances with their own, on one seeded trace against fakes of engines and plain services, and compares with round robin, least outstanding requests, static roles, mixed roles, a controller without hysteresis, and an upper bound.

--- a/peridot/main.go
+++ b/peridot/main.go
@@ -32,6 +32,8 @@
 	agent := app.Command("agent", "Run the process beside a backend server.")
 	agentSettings := agent.Flag("settings", "Settings file.").Required().ExistingFile()
 
+	addMeasure(app)
+
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- /dev/null
+++ b/peridotmeasure/table.go
@@ -0,0 +1,47 @@
+package peridotmeasure
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const tablePadding = 2
+
+// WriteTable writes the results of one scenario for people.
+func WriteTable(w io.Writer, results []Result) error {
+	if len(results) == 0 {
+		return nil
+	}
+	first := results[0]
+	fmt.Fprintf(w, "profile %s, scenario %s, seed %d, %d arrivals\n", first.Profile, first.Scenario, first.Seed, first.Arrivals)
+	table := tabwriter.NewWriter(w, 0, 0, tablePadding, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "policy\tgoodput/s\t/baseline\t/bound\tfirst p95\tgap p95\tchanges\tworst share\tmean share\trefused\tlate\tfailed\tgave up\tcost/1000\tfaults\t")
+	for _, r := range results {
+		fmt.Fprintf(table, "%s\t%.2f\t%.2f\t%.2f\t%v\t%v\t%d\t%.2f\t%.2f\t%d\t%d\t%d\t%d\t%.2f\t%d\t\n",
+			r.Policy, r.Goodput, r.OfBestBaseline, r.OfBound,
+			r.FirstP95.Round(time.Millisecond), r.GapP95.Round(time.Millisecond),
+			r.RoleChanges, r.WorstShare, r.MeanShare,
+			r.Refused, r.Late, r.Failed, r.GaveUp, r.CostPerThousand, len(r.Faults))
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	_, err := fmt.Fprintln(w)
+	return errors.Wrap(err, "write table")
+}
+
+// WriteJSON writes each result as a JSON line.
+func WriteJSON(w io.Writer, results []Result) error {
+	lines := json.NewEncoder(w)
+	for i := range results {
+		if err := lines.Encode(&results[i]); err != nil {
+			return errors.Wrap(err, "write results")
+		}
+	}
+	return nil
+}
--- a/peridotplanner/planner.go
+++ b/peridotplanner/planner.go
@@ -49,7 +49,10 @@
 	band        float64
 	hysteresis  float64
 
-	arrivals  map[place]*rates
+	arrivals map[place]*rates
+	// places holds the keys of arrivals in the order they came, so that sums do
+	// not depend on the order of a map.
+	places    []place
 	issued    []issued
 	turns     map[string]turn
 	calmSince map[string]time.Duration
@@ -83,6 +86,7 @@
 	if !ok {
 		r = newRates(p.fast, p.slow)
 		p.arrivals[at] = r
+		p.places = append(p.places, at)
 	}
 	r.add(now, a.PrefillTokens, a.OutputTokens)
 }
@@ -100,7 +104,8 @@
 	if m.PrefillTokensPerSecond <= 0 || m.DecodeTokensPerSecond <= 0 {
 		return d
 	}
-	for at, r := range p.arrivals {
+	for _, at := range p.places {
+		r := p.arrivals[at]
 		if at.model != m.Name || now-r.slowPrefill.begun < p.slow {
 			continue
 		}
