--- a/peridotmeasure/result.go
+++ b/peridotmeasure/result.go
@@ -1,6 +1,7 @@
 package peridotmeasure
 
 import (
+	"math"
 	"time"
 
 	"peridotstack/peridotverdict"
@@ -44,6 +45,8 @@
 	WorstShare   float64
 	WorstAccount string
 	MeanShare    float64
+	// WorstOther is WorstShare among the accounts that do not flood.
+	WorstOther float64
 	// Cost is that of all servers, and CostPerThousand that of 1,000 answers in
 	// time.
 	Cost            float64
@@ -83,23 +86,25 @@
 	r.CostPerThousand = 1000 * r.Cost / float64(max(1, r.InTime))
 	limit := boundOf(b.profile, b.scenario, trace)
 	r.OfBound = float64(r.InTime) / limit.inTime
-	r.shares(b.profile, t.work, limit.entitled)
+	r.shares(b.profile, b.scenario, t.work, limit.entitled)
 	return r
 }
 
 // shares compares what accounts got with what they are entitled to.
-func (r *Result) shares(p Profile, got, entitled map[string]float64) {
-	first := true
-	for _, c := range p.Accounts {
+func (r *Result) shares(p Profile, s Scenario, got, entitled map[string]float64) {
+	r.WorstShare, r.WorstOther = math.Inf(1), math.Inf(1)
+	for i, c := range p.Accounts {
 		if entitled[c.Name] == 0 {
 			continue
 		}
 		share := got[c.Name] / entitled[c.Name]
 		r.MeanShare += share / float64(len(p.Accounts))
-		if first || share < r.WorstShare {
+		if share < r.WorstShare {
 			r.WorstShare, r.WorstAccount = share, c.Name
 		}
-		first = false
+		if !s.floods(i) {
+			r.WorstOther = min(r.WorstOther, share)
+		}
 	}
 }
 
--- a/peridotmeasure/scenario.go
+++ b/peridotmeasure/scenario.go
@@ -167,3 +167,13 @@
 	}
 	return false
 }
+
+// floods reports whether the account with the number floods at any time.
+func (s Scenario) floods(account int) bool {
+	for _, t := range s.Turns {
+		if t, ok := t.(AccountFloods); ok && t.Account == account {
+			return true
+		}
+	}
+	return false
+}
