Let the fake engine report only what is still to be read

Its load reports counted whole prompts, also what is cached, so that the router waited for work that did not exist. Real engines report what requests still need.

--- a/peridotmeasure/cache.go
+++ b/peridotmeasure/cache.go
@@ -13,18 +13,25 @@
 	return &prefixStore{places: make(map[uint64]*list.Element), order: list.New()}
 }
 
-// use returns how many of the prefixes are held, from the shortest on.
-func (s *prefixStore) use(hashes []uint64) int {
+// count returns how many of the prefixes are held, from the shortest on.
+func (s *prefixStore) count(hashes []uint64) int {
 	for i, hash := range hashes {
-		place, ok := s.places[hash]
-		if !ok {
+		if _, ok := s.places[hash]; !ok {
 			return i
 		}
-		s.order.MoveToFront(place)
 	}
 	return len(hashes)
 }
 
+// use does as count, and makes these prefixes the last to be dropped.
+func (s *prefixStore) use(hashes []uint64) int {
+	n := s.count(hashes)
+	for _, hash := range hashes[:n] {
+		s.order.MoveToFront(s.places[hash])
+	}
+	return n
+}
+
 // put holds the prefixes, and returns those that are new.
 func (s *prefixStore) put(hashes []uint64) []uint64 {
 	var added []uint64
--- a/peridotmeasure/engine.go
+++ b/peridotmeasure/engine.go
@@ -203,10 +203,16 @@
 	e.prompts = e.prompts[1:]
 	e.current = j
 	e.blocks += e.blocksFor(j.record)
-	j.read = max(1, j.record.PromptTokens-prefixTokens*e.cache.use(j.prefixes))
+	j.read = e.unread(j)
+	e.cache.use(j.prefixes)
 	e.left = float64(j.read)
 }
 
+// unread returns how much of a prompt is not cached; the last token never is.
+func (e *engine) unread(j *job) int {
+	return max(1, j.record.PromptTokens-prefixTokens*e.cache.count(j.prefixes))
+}
+
 func (e *engine) hasRoom(j *job) bool {
 	return len(e.streams) < e.kind.MaxStreams && e.blocks+e.blocksFor(j.record) <= e.kind.Blocks
 }
@@ -308,7 +314,7 @@
 	e.advance()
 	r := peridotroute.Report{Instance: e.id, Running: len(e.streams), Waiting: len(e.prompts) + len(e.waiting)}
 	for _, j := range e.prompts {
-		r.PrefillTokens += j.record.PromptTokens
+		r.PrefillTokens += e.unread(j)
 	}
 	if e.current != nil {
 		r.Running++
