Let the requests that can wait the least go first at the engines

Quick questions missed their deadlines behind dossiers that had seconds to spare: a prompt of 6,000 tokens takes a second to read, and all requests of one level of load got the same priority. Ruled out: too little capacity, for the late ones were short and the engines' queues mixed. Within the level that the account's load gives, the priority now grows as the time that the first token may take shrinks.

--- a/peridotadmit/admit.go
+++ b/peridotadmit/admit.go
@@ -10,6 +10,10 @@
 	// priorityLevels part the requests of one Priority by the load of their
 	// account.
 	priorityLevels = 16
+	// urgencyLevels part the requests of one level by how long they can wait, in
+	// urgencyStep.
+	urgencyLevels = 32
+	urgencyStep   = 250 * time.Millisecond
 	// learnShare is the part of a new output length in the learned mean.
 	learnShare = 1.0 / 16
 	// extension is by how much a charge that was too small grows.
@@ -35,7 +39,7 @@
 	if d.queueWait(a.finish, a, ask) > 0 {
 		return d.refuseLoad(now, a, ask, peridotverdict.Overloaded, "the client account has used up its share")
 	}
-	priority := d.priority(a)
+	priority := d.priority(a, ask)
 	f := &flight{account: a, prompt: ask.PromptTokens, charged: a.expected(ask)}
 	d.flights[id] = f
 	d.pay(now, a, float64(ask.PromptTokens), f.charged)
@@ -126,10 +130,21 @@
 }
 
 // priority puts the requests of accounts with a short queue before the others,
-// within one Priority of the accounts.
-func (d *Admitter) priority(a *account) int {
+// within one Priority of the accounts, and of these the ones before that can
+// wait the least.
+func (d *Admitter) priority(a *account, ask Ask) int {
 	level := int(priorityLevels * d.queueTime(a, a.finish) / max(1, d.options.maxQueue))
-	return a.Priority*priorityLevels + max(0, priorityLevels-1-level)
+	level = max(0, priorityLevels-1-level)
+	return (a.Priority*priorityLevels+level)*urgencyLevels + urgency(ask)
+}
+
+// urgency returns how little the ask can wait for its first token.
+func urgency(ask Ask) int {
+	if ask.Deadline <= 0 {
+		return 0
+	}
+	slack := ask.Deadline - (ask.Finish - ask.Wait)
+	return max(0, urgencyLevels-1-int(max(0, slack)/urgencyStep))
 }
 
 // Progress records how many output tokens a request has by now, and charges it
