Believe half of the estimated wait when a deadline looks too short

An option of the admitter now says which part of the wait is believed; its default is all, so that nobody who does without the option sees a change.

--- a/peridotadmit/admit.go
+++ b/peridotadmit/admit.go
@@ -30,7 +30,7 @@
 	if !ok {
 		return refuse(peridotverdict.NotAllowed, "the client account is unknown", 0)
 	}
-	if hopeless, after := late(ask); hopeless {
+	if hopeless, after := late(d.believed(ask)); hopeless {
 		return refuse(peridotverdict.DeadlineTooShort, "the answer cannot be whole before the deadline", after)
 	}
 	if d.limitWait(now, a.limitAt, a) > 0 {
@@ -46,6 +46,14 @@
 	return Decision{Admit: true, Priority: priority}
 }
 
+// believed returns ask with only the part of the wait that is believed.
+func (d *Admitter) believed(ask Ask) Ask {
+	doubted := time.Duration(float64(ask.Wait) * (1 - d.options.waitTrust))
+	ask.Wait -= doubted
+	ask.Finish -= doubted
+	return ask
+}
+
 // late reports whether ask cannot make its deadline, and when it could: the
 // time to the first token shrinks as others end, the time after it does not.
 func late(ask Ask) (bool, time.Duration) {
--- a/peridotadmit/admitter.go
+++ b/peridotadmit/admitter.go
@@ -75,6 +75,7 @@
 	limitBurst time.Duration
 	promptCost float64
 	maxPromise time.Duration
+	waitTrust  float64
 }
 
 // Option sets an optional part of an Admitter.
@@ -102,9 +103,16 @@
 	return func(o *options) { o.maxPromise = d }
 }
 
+// WaitTrust sets which part of an estimated wait is believed when a deadline
+// looks too short. An estimate that leaves out that urgent requests go first is
+// too long for these; without the option all of it is believed.
+func WaitTrust(part float64) Option {
+	return func(o *options) { o.waitTrust = part }
+}
+
 // New returns an Admitter without accounts, whose capacity is unknown.
 func New(choices ...Option) *Admitter {
-	o := options{maxQueue: defaultMaxQueue, limitBurst: defaultLimitBurst, promptCost: 1, maxPromise: defaultMaxPromise}
+	o := options{maxQueue: defaultMaxQueue, limitBurst: defaultLimitBurst, promptCost: 1, maxPromise: defaultMaxPromise, waitTrust: 1}
 	for _, option := range choices {
 		option(&o)
 	}
--- a/peridotmeasure/entry.go
+++ b/peridotmeasure/entry.go
@@ -20,7 +20,7 @@
 	// patience is how long after the deadline a caller still waits.
 	patience         = 5 * time.Second
 	progressInterval = time.Second
-	learnedShare     = 1.0 / 64
+	waitTrust        = 0.5
 )
 
 // entry is one entry instance with decisions of its own.
@@ -64,7 +64,7 @@
 		bench:    b,
 		policy:   p,
 		router:   peridotroute.New(seed, peridotroute.MoveKV(kvBytesPerToken, kvBytesPerSecond, kvFixed)),
-		admitter: peridotadmit.New(peridotadmit.PromptCost(b.promptCost())),
+		admitter: peridotadmit.New(peridotadmit.PromptCost(b.promptCost()), peridotadmit.WaitTrust(waitTrust)),
 		retries:  peridotretry.New(seed),
 		fixed:    newFixedChoice(),
 	}
