Admit by what the scarcer role can do, with a queue of 2 s

The admitter was told the engines' rates added up, also when the engines of one role were fully busy and the others idle, so it let in requests that waited and then came late. The entry instances of the bench now tell it the part that the mix of the last requests can use.

--- a/peridotmeasure/entry.go
+++ b/peridotmeasure/entry.go
@@ -20,7 +20,10 @@
 	// patience is how long after the deadline a caller still waits.
 	patience         = 5 * time.Second
 	progressInterval = time.Second
-	waitTrust        = 0.5
+	// learnedShare is the part of a new request in the mix of the last ones.
+	learnedShare = 1.0 / 64
+	waitTrust    = 0.5
+	maxQueue     = 2 * time.Second
 )
 
 // entry is one entry instance with decisions of its own.
@@ -33,6 +36,7 @@
 	retries  *peridotretry.Policy
 	fixed    *fixedChoice
 	flights  []*exchange
+	mix      mix
 }
 
 // exchange is one request from its arrival to its only answer.
@@ -64,7 +68,7 @@
 		bench:    b,
 		policy:   p,
 		router:   peridotroute.New(seed, peridotroute.MoveKV(kvBytesPerToken, kvBytesPerSecond, kvFixed)),
-		admitter: peridotadmit.New(peridotadmit.PromptCost(b.promptCost()), peridotadmit.WaitTrust(waitTrust)),
+		admitter: peridotadmit.New(peridotadmit.PromptCost(b.promptCost()), peridotadmit.WaitTrust(waitTrust), peridotadmit.MaxQueue(maxQueue)),
 		retries:  peridotretry.New(seed),
 		fixed:    newFixedChoice(),
 	}
@@ -76,18 +80,32 @@
 	return e
 }
 
-// setServers takes the list of servers, and the capacity that follows from it.
+// setServers takes the list of servers.
 func (e *entry) setServers(list []peridotroute.Server) {
 	now := e.bench.clock.now
 	e.servers = list
 	e.router.SetServers(now, list)
-	capacity := 0.0
-	for _, s := range list {
-		if s.Model != "" && !s.Leaving && !s.Down {
-			capacity += s.DecodeTokensPerSecond
+	e.setCapacity()
+}
+
+// setCapacity tells the admitter how much work of the present mix the servers
+// can do, of which this instance may have its part.
+func (e *entry) setCapacity() {
+	var prefill, decode, mixed float64
+	for _, s := range e.servers {
+		switch {
+		case s.Model == "" || s.Leaving || s.Down:
+		case s.Role == peridotroute.Prefill:
+			prefill++
+		case s.Role == peridotroute.Decode:
+			decode++
+		default:
+			mixed++
 		}
 	}
-	e.admitter.SetCapacity(now, capacity/float64(len(e.bench.entries)))
+	engines := e.mix.part(prefill, decode, mixed)
+	rate := e.bench.profile.Engine.decodeTokensPerSecond()
+	e.admitter.SetCapacity(e.bench.clock.now, engines*rate/float64(len(e.bench.entries)))
 }
 
 // arrive takes a request from its caller.
@@ -151,6 +169,8 @@
 
 // count tells the controller of the work that arrives.
 func (e *entry) count(x *exchange, c peridotroute.Choice) {
+	unread := float64(x.record.PromptTokens - c.CachedTokens)
+	e.mix.add(unread*e.bench.promptCost(), float64(x.record.MaxTokens))
 	e.bench.arrived = append(e.bench.arrived, peridotplanner.Arrival{
 		Model:         x.record.Model,
 		Domain:        x.record.Domain,
@@ -244,6 +264,7 @@
 
 // progress passes on how far the streams have come.
 func (e *entry) progress() {
+	e.setCapacity()
 	now := e.bench.clock.now
 	for _, x := range e.flights {
 		if x.job == nil || x.first == 0 {
@@ -317,3 +338,25 @@
 func (b *bench) fault(format string, arguments ...any) {
 	b.tally.faults = append(b.tally.faults, fmt.Sprintf(format, arguments...))
 }
+
+// mix is the work of the requests that arrived lately, in output tokens.
+type mix struct {
+	prefill float64
+	decode  float64
+}
+
+// add counts a request and forgets the oldest ones slowly.
+func (m *mix) add(prefill, decode float64) {
+	m.prefill += (prefill - m.prefill) * learnedShare
+	m.decode += (decode - m.decode) * learnedShare
+}
+
+// part returns how many of the engines, all of one rate, the mix can use before
+// those of one role are fully busy.
+func (m *mix) part(prefill, decode, mixed float64) float64 {
+	total := m.prefill + m.decode
+	if total == 0 {
+		return prefill + decode + mixed
+	}
+	return min(prefill+decode+mixed, (prefill+mixed)*total/m.prefill, (decode+mixed)*total/m.decode)
+}
