Put urgency before the load of the account at the engines

Admission has kept the shares fair by then, so the engines' order can serve the deadlines; the load of the account now only parts requests of one urgency. Ruled out: too little KV memory, for nothing waited there.

--- a/peridotadmit/admit.go
+++ b/peridotadmit/admit.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// priorityLevels part the requests of one Priority by the load of their
+	// priorityLevels part the requests of one urgency by the load of their
 	// account.
 	priorityLevels = 16
-	// urgencyLevels part the requests of one level by how long they can wait, in
-	// urgencyStep.
+	// urgencyLevels part the requests of one Priority by how long they can wait,
+	// in urgencyStep.
 	urgencyLevels = 32
 	urgencyStep   = 250 * time.Millisecond
 	// learnShare is the part of a new output length in the learned mean.
@@ -137,13 +137,13 @@
 	return defaultOutput
 }
 
-// priority puts the requests of accounts with a short queue before the others,
-// within one Priority of the accounts, and of these the ones before that can
-// wait the least.
+// priority puts the requests that can wait the least before the others, within
+// one Priority of the accounts, and of these the ones of accounts with a short
+// queue. Fair shares are kept by what is admitted.
 func (d *Admitter) priority(a *account, ask Ask) int {
 	level := int(priorityLevels * d.queueTime(a, a.finish) / max(1, d.options.maxQueue))
 	level = max(0, priorityLevels-1-level)
-	return (a.Priority*priorityLevels+level)*urgencyLevels + urgency(ask)
+	return (a.Priority*urgencyLevels+urgency(ask))*priorityLevels + level
 }
 
 // urgency returns how little the ask can wait for its first token.
