--- a/peridotadmit/admit.go
+++ b/peridotadmit/admit.go
@@ -30,7 +30,7 @@
 	if !ok {
 		return refuse(peridotverdict.NotAllowed, "the client account is unknown", 0)
 	}
-	if hopeless, after := late(d.believed(ask)); hopeless {
+	if hopeless, after := d.late(a, ask); hopeless {
 		return refuse(peridotverdict.DeadlineTooShort, "the answer cannot be whole before the deadline", after)
 	}
 	if d.limitWait(now, a.limitAt, a) > 0 {
@@ -40,28 +40,25 @@
 		return d.refuseLoad(now, a, ask, peridotverdict.Overloaded, "the client account has used up its share")
 	}
 	priority := d.priority(a, ask)
-	f := &flight{account: a, prompt: ask.PromptTokens, charged: a.expected(ask)}
+	f := &flight{account: a, prompt: ask.PromptTokens, cached: ask.CachedTokens, charged: a.expected(ask)}
 	d.flights[id] = f
-	d.pay(now, a, float64(ask.PromptTokens), f.charged)
+	d.pay(now, f, float64(f.prompt), float64(f.cached), f.charged)
 	return Decision{Admit: true, Priority: priority}
 }
 
-// believed returns ask with only the part of the wait that is believed.
-func (d *Admitter) believed(ask Ask) Ask {
-	doubted := time.Duration(float64(ask.Wait) * (1 - d.options.waitTrust))
-	ask.Wait -= doubted
-	ask.Finish -= doubted
-	return ask
-}
-
 // late reports whether ask cannot make its deadline, and when it could: the
 // time to the first token shrinks as others end, the time after it does not.
-func late(ask Ask) (bool, time.Duration) {
-	if ask.Deadline <= 0 || ask.Finish <= ask.Deadline {
-		return false, 0
+func (d *Admitter) late(a *account, ask Ask) (bool, time.Duration) {
+	wait := ask.Wait
+	if ask.Alone > 0 {
+		// The engine lets an account with a short queue pass a flood.
+		wait = min(wait, ask.Alone+d.queueTime(a, a.finish))
 	}
-	over := ask.Finish - ask.Deadline
-	if over > ask.Wait {
+	over := wait + ask.Finish - ask.Wait - ask.Deadline
+	switch {
+	case ask.Deadline <= 0 || over <= 0:
+		return false, 0
+	case over > wait-ask.Alone:
 		return true, 0
 	}
 	return true, over
@@ -98,16 +95,17 @@
 	wait := max(d.queueWait(finish, a, ask), d.limitWait(now, free, a))
 	if wait < d.options.maxPromise {
 		output := a.expected(ask)
-		a.promised = max(finish, d.virtual) + d.cost(float64(ask.PromptTokens), output)/a.weight()
+		a.promised = max(finish, d.virtual) + d.cost(float64(ask.PromptTokens-ask.CachedTokens), output)/a.weight()
 		a.limitPromised = free + d.limitTime(a, float64(ask.PromptTokens)+output)
 	}
 	return refuse(code, message, wait)
 }
 
-// pay charges tokens to the account's queue and limit; negative ones are given
-// back.
-func (d *Admitter) pay(now time.Duration, a *account, prompt, output float64) {
-	d.charge(a, d.cost(prompt, output))
+// pay charges tokens of a request to its account's queue and limit; negative
+// ones are given back.
+func (d *Admitter) pay(now time.Duration, f *flight, prompt, cached, output float64) {
+	a := f.account
+	d.charge(a, d.cost(prompt-cached, output))
 	a.limitAt = max(a.limitAt, now) + d.limitTime(a, prompt+output)
 }
 
@@ -119,8 +117,32 @@
 	return seconds(tokens / (a.TokensPerSecond * d.share))
 }
 
+// Expected returns the output tokens that a request of the account is expected
+// to have, at most told when that is not 0.
+func (d *Admitter) Expected(name string, told int) int {
+	expected := defaultOutput
+	if a, ok := d.accounts[name]; ok && a.output > 0 {
+		expected = int(a.output)
+	}
+	if told > 0 {
+		expected = min(expected, told)
+	}
+	return max(1, expected)
+}
+
+// Cancel gives back what an admitted request that did not run was charged.
+func (d *Admitter) Cancel(now time.Duration, id string) {
+	f, ok := d.flights[id]
+	if !ok {
+		return
+	}
+	delete(d.flights, id)
+	d.advance(now)
+	d.pay(now, f, float64(-f.prompt), float64(-f.cached), -f.charged)
+}
+
 func (d *Admitter) cost(prompt, output float64) float64 {
-	return prompt*d.options.promptCost + output
+	return prompt*d.promptCost + output
 }
 
 // expected returns the output tokens to charge on arrival.
@@ -165,7 +187,7 @@
 	d.advance(now)
 	more := float64(outputTokens) - f.charged + f.charged*extension
 	f.charged += more
-	d.pay(now, f.account, 0, more)
+	d.pay(now, f, 0, 0, more)
 }
 
 // Done settles an admitted request by what it really used, and learns from it.
@@ -182,7 +204,7 @@
 	} else {
 		a.output += (float64(outputTokens) - a.output) * learnShare
 	}
-	d.pay(now, a, float64(promptTokens-f.prompt), float64(outputTokens)-f.charged)
+	d.pay(now, f, float64(promptTokens-f.prompt), 0, float64(outputTokens)-f.charged)
 }
 
 // refuse returns a refusal; after is zero when coming back makes no sense.
--- a/peridotadmit/admit_test.go
+++ b/peridotadmit/admit_test.go
@@ -66,6 +66,12 @@
 			name: "never in time", ask: Ask{Account: "a", Deadline: time.Second, Wait: 100 * time.Millisecond, Finish: 2 * time.Second},
 			want: peridotverdict.DeadlineTooShort,
 		},
+		{name: "in time by its priority", ask: Ask{Account: "a", Deadline: time.Second, Wait: 5 * time.Second, Finish: 5500 * time.Millisecond, Alone: 100 * time.Millisecond}},
+		{
+			name: "late behind its own queue", before: []Ask{{Account: "a", PromptTokens: 500, ExpectedOutput: 100}},
+			ask: Ask{Account: "a", Deadline: time.Second, Wait: 5 * time.Second, Finish: 5500 * time.Millisecond, Alone: 100 * time.Millisecond}, want: peridotverdict.DeadlineTooShort, after: 201 * time.Millisecond,
+		},
+		{name: "never in time alone", ask: Ask{Account: "a", Deadline: time.Second, Wait: 5 * time.Second, Finish: 5500 * time.Millisecond, Alone: 600 * time.Millisecond}, want: peridotverdict.DeadlineTooShort},
 	}
 	for _, test := range tests {
 		d := New()
@@ -123,6 +129,15 @@
 	if got, want := a.finish, 272.0+260; got != want {
 		t.Errorf("the next: got %v tokens, want %v", got, want)
 	}
+	d.Cancel(0, "2")
+	if got, want := a.finish, 272.0; got != want {
+		t.Errorf("after the next did not run: got %v tokens, want %v", got, want)
+	}
+	for _, test := range []struct{ told, want int }{{0, 260}, {100, 100}, {4096, 260}} {
+		if got := d.Expected("a", test.told); got != test.want {
+			t.Errorf("expected with %d told: got %d, want %d", test.told, got, test.want)
+		}
+	}
 }
 
 // demand is what one account asks for in a random schedule.
--- a/peridotadmit/admitter.go
+++ b/peridotadmit/admitter.go
@@ -31,14 +31,21 @@
 type Ask struct {
 	Account      string
 	PromptTokens int
+	// CachedTokens is how much of the prompt need not be read again. It costs no
+	// share, but counts for the account's limit.
+	CachedTokens int
 	// ExpectedOutput bounds the output tokens as far as the caller told; 0 means
 	// that it did not.
 	ExpectedOutput int
 	// Deadline is the time left for the whole answer; 0 means no deadline.
 	Deadline time.Duration
-	// Wait and Finish are the estimated times to the first token and to the end.
+	// Wait and Finish are the estimated times to the first token and to the end
+	// on an engine that takes requests in the order they come.
 	Wait   time.Duration
 	Finish time.Duration
+	// Alone is the part of Wait that would be left without other requests, for
+	// engines that honour priorities; 0 means that they do not.
+	Alone time.Duration
 }
 
 // Decision answers an Ask.
@@ -56,6 +63,8 @@
 	options options
 	// capacity is in cost units a second; 0 means unknown, which bounds nothing.
 	capacity float64
+	// promptCost is the cost of a prompt token; an output token costs 1.
+	promptCost float64
 	// share is the part of each account's limit that this process hands out.
 	share    float64
 	accounts map[string]*account
@@ -73,9 +82,7 @@
 type options struct {
 	maxQueue   time.Duration
 	limitBurst time.Duration
-	promptCost float64
 	maxPromise time.Duration
-	waitTrust  float64
 }
 
 // Option sets an optional part of an Admitter.
@@ -91,36 +98,24 @@
 	return func(o *options) { o.limitBurst = d }
 }
 
-// PromptCost sets the cost of a prompt token against an output token's 1. The
-// limits of accounts count every token as 1.
-func PromptCost(cost float64) Option {
-	return func(o *options) { o.promptCost = cost }
-}
-
 // MaxPromise bounds by how much refused requests that come back may put off the
 // time that later ones are told.
 func MaxPromise(d time.Duration) Option {
 	return func(o *options) { o.maxPromise = d }
 }
 
-// WaitTrust sets which part of an estimated wait is believed when a deadline
-// looks too short. An estimate that leaves out that urgent requests go first is
-// too long for these; without the option all of it is believed.
-func WaitTrust(part float64) Option {
-	return func(o *options) { o.waitTrust = part }
-}
-
 // New returns an Admitter without accounts, whose capacity is unknown.
 func New(choices ...Option) *Admitter {
-	o := options{maxQueue: defaultMaxQueue, limitBurst: defaultLimitBurst, promptCost: 1, maxPromise: defaultMaxPromise, waitTrust: 1}
+	o := options{maxQueue: defaultMaxQueue, limitBurst: defaultLimitBurst, maxPromise: defaultMaxPromise}
 	for _, option := range choices {
 		option(&o)
 	}
 	return &Admitter{
-		options:  o,
-		share:    1,
-		accounts: make(map[string]*account),
-		flights:  make(map[string]*flight),
+		options:    o,
+		promptCost: 1,
+		share:      1,
+		accounts:   make(map[string]*account),
+		flights:    make(map[string]*flight),
 	}
 }
 
@@ -149,6 +144,7 @@
 type flight struct {
 	account *account
 	prompt  int
+	cached  int
 	// charged is the number of output tokens paid for.
 	charged float64
 }
@@ -194,6 +190,13 @@
 	d.capacity = tokensPerSecond
 }
 
+// SetPromptCost sets the cost of a prompt token against an output token's 1. The
+// limits of accounts count every token as 1.
+func (d *Admitter) SetPromptCost(now time.Duration, cost float64) {
+	d.advance(now)
+	d.promptCost = cost
+}
+
 // SetShare sets the part of each account's limit that this process hands out,
 // which is 1 over the number of processes that callers are spread over.
 func (d *Admitter) SetShare(now time.Duration, share float64) {
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
@@ -22,6 +23,8 @@
 const (
 	logPrefix    = "entry: "
 	syncInterval = time.Second
+	// maxHeadBytes bounds the request line and headers together.
+	maxHeadBytes = 64 << 10
 )
 
 // Entry is an entry instance. Make one with New.
@@ -31,6 +34,7 @@
 	metrics  *peridotmetric.Metrics
 	config   atomic.Pointer[peridotconfig.Config]
 	pool     *pool
+	traffic  *traffic
 	callers  callers
 	stopping atomic.Bool
 	// running waits for callers' requests during a graceful shutdown.
@@ -50,12 +54,24 @@
 	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}}
 	e.config.Store(&peridotconfig.Config{})
 	e.pool = newPool(s.Instance, platform.Instances, e.version)
+	e.traffic = newTraffic(seedOf(s.Instance), e.pool, e.Config)
+	e.pool.observe = e.traffic.observe
 	for _, option := range options {
 		option(e)
 	}
 	return e
 }
 
+// WithIdentity makes the entry prove who it is to agents, and check who they are.
+func WithIdentity(i *peridotwire.Identity) Option {
+	return func(e *Entry) { e.pool.identity = i }
+}
+
+// seedOf returns a seed that differs between instances.
+func seedOf(instance string) uint64 {
+	return xxhash.Sum64String(instance)
+}
+
 // Config returns the configuration in force.
 func (e *Entry) Config() *peridotconfig.Config {
 	return e.config.Load()
@@ -89,13 +105,19 @@
 }
 
 func (e *Entry) callerServer() *nbhttp.Server {
+	e.callers.metrics = e.metrics
+	e.callers.bodyTimeout = time.Duration(e.settings.BodyTimeoutMillis) * time.Millisecond
 	server := nbhttp.NewServer(nbhttp.Config{
 		Network:         "tcp",
 		Addrs:           []string{e.settings.CallerAddress},
 		MaxHTTPBodySize: e.settings.MaxBodyBytes,
+		ReadLimit:       e.settings.MaxBodyBytes + maxHeadBytes,
 		Handler:         http.HandlerFunc(e.serveCaller),
+		OnRequest:       e.callers.received,
 	})
+	server.OnOpen(e.callers.opened)
 	server.OnClose(e.callers.closed)
+	server.OnData(e.callers.arrived)
 	return server
 }
 
--- a/peridotmeasure/entry.go
+++ b/peridotmeasure/entry.go
@@ -22,7 +22,6 @@
 	progressInterval = time.Second
 	// learnedShare is the part of a new request in the mix of the last ones.
 	learnedShare = 1.0 / 64
-	waitTrust    = 0.5
 	maxQueue     = 2 * time.Second
 )
 
@@ -68,7 +67,7 @@
 		bench:    b,
 		policy:   p,
 		router:   peridotroute.New(seed, peridotroute.MoveKV(kvBytesPerToken, kvBytesPerSecond, kvFixed)),
-		admitter: peridotadmit.New(peridotadmit.PromptCost(b.promptCost()), peridotadmit.WaitTrust(waitTrust), peridotadmit.MaxQueue(maxQueue)),
+		admitter: peridotadmit.New(peridotadmit.MaxQueue(maxQueue)),
 		retries:  peridotretry.New(seed),
 		fixed:    newFixedChoice(),
 	}
@@ -77,6 +76,7 @@
 		accounts = append(accounts, c.Account)
 	}
 	e.admitter.SetAccounts(0, accounts)
+	e.admitter.SetPromptCost(0, b.promptCost())
 	return e
 }
 
@@ -203,10 +203,12 @@
 	}
 	decision := e.admitter.Admit(e.bench.clock.now, strconv.Itoa(x.record.ID), peridotadmit.Ask{
 		Account:        x.record.Account,
-		PromptTokens:   x.record.PromptTokens - x.choice.CachedTokens,
+		PromptTokens:   x.record.PromptTokens,
+		CachedTokens:   x.choice.CachedTokens,
 		ExpectedOutput: x.record.MaxTokens,
 		Deadline:       x.left(),
 		Wait:           x.choice.Wait,
+		Alone:          x.choice.Alone,
 		Finish:         x.choice.Finish,
 	})
 	if !decision.Admit {
@@ -325,11 +327,12 @@
 		return
 	}
 	if x.admitted {
-		read := x.record.PromptTokens - x.choice.CachedTokens
+		prompt := x.record.PromptTokens
 		if x.job != nil && x.job.read > 0 {
-			read = x.job.read
+			// What was read beyond the estimate is charged, and the other way round.
+			prompt = x.job.read + x.choice.CachedTokens
 		}
-		x.entry.admitter.Done(x.entry.bench.clock.now, strconv.Itoa(x.record.ID), read, x.passed)
+		x.entry.admitter.Done(x.entry.bench.clock.now, strconv.Itoa(x.record.ID), prompt, x.passed)
 	}
 	x.entry.bench.tally.answer(x, o)
 }
--- a/peridotretry/policy.go
+++ b/peridotretry/policy.go
@@ -115,6 +115,11 @@
 	return Decision{Retry: true, After: after, Exclude: p.exclude(a)}
 }
 
+// GiveUp returns the final answer of a request whose retry has nowhere to go.
+func (a Attempt) GiveUp() *peridotverdict.Error {
+	return final(a, a.Err.Code, a.Err.Message)
+}
+
 // Hedge decides whether to start a second try beside one that has brought
 // nothing for the time waited.
 func (p *Policy) Hedge(_ time.Duration, a Attempt, waited time.Duration) Decision {
@@ -185,17 +190,26 @@
 	}
 }
 
-// Forget drops the budget of an instance that is gone.
-func (p *Policy) Forget(instance string) {
-	delete(p.servers, instance)
-	if i := slices.Index(p.spent, instance); i >= 0 {
-		p.spent = slices.Delete(p.spent, i, i+1)
-	}
+// Keep drops the budgets of all client accounts and instances but those named.
+func (p *Policy) Keep(accounts, instances []string) {
+	keep(p.accounts, accounts)
+	keep(p.servers, instances)
+	p.spent = slices.DeleteFunc(p.spent, func(instance string) bool {
+		_, known := p.servers[instance]
+		return !known
+	})
 }
 
-// ForgetAccount drops the budget of a client account that is gone.
-func (p *Policy) ForgetAccount(account string) {
-	delete(p.accounts, account)
+func keep(budgets map[string]*Budget, names []string) {
+	named := make(map[string]bool, len(names))
+	for _, name := range names {
+		named[name] = true
+	}
+	for name := range budgets {
+		if !named[name] {
+			delete(budgets, name)
+		}
+	}
 }
 
 func (p *Policy) budgetOf(budgets map[string]*Budget, name string) *Budget {
--- a/peridotroute/router_test.go
+++ b/peridotroute/router_test.go
@@ -32,7 +32,7 @@
 		{name: "prefill only", servers: []Server{engine("a", Prefill)}, request: Request{Model: "m"}, code: peridotverdict.NoBackend},
 		{
 			name: "one", servers: []Server{engine("a", Mixed)}, request: Request{Model: "m", PromptTokens: 1000, ExpectedOutput: 100},
-			want: Choice{Instance: "a", Wait: 100 * time.Millisecond, Finish: 200 * time.Millisecond},
+			want: Choice{Instance: "a", Wait: 100 * time.Millisecond, Alone: 100 * time.Millisecond, Finish: 200 * time.Millisecond},
 		},
 		{
 			name: "the other", servers: []Server{engine("a", Mixed), engine("b", Mixed)}, request: Request{Model: "m", ExpectedOutput: 100, Exclude: []string{"a"}},
@@ -44,7 +44,7 @@
 		},
 		{
 			name: "split", servers: []Server{engine("a", Prefill), engine("b", Decode)}, request: Request{Model: "m", PromptTokens: 1000, ExpectedOutput: 100},
-			want: Choice{Instance: "b", PrefillInstance: "a", Wait: 211 * time.Millisecond, Finish: 311 * time.Millisecond},
+			want: Choice{Instance: "b", PrefillInstance: "a", Wait: 211 * time.Millisecond, Alone: 211 * time.Millisecond, Finish: 311 * time.Millisecond},
 		},
 	}
 	for _, test := range tests {
@@ -203,6 +203,18 @@
 	}
 }
 
+func TestRunning(t *testing.T) {
+	r := New(1)
+	r.SetServers(0, []Server{engine("a", Mixed), engine("b", Mixed)})
+	r.Observe(0, Report{Instance: "a", Running: 3, Waiting: 1})
+	r.Sent(2*time.Second, Request{ID: "1", Model: "m"}, Choice{Instance: "a"})
+	r.Sent(2*time.Second, Request{ID: "2", Model: "m"}, Choice{Instance: "b"})
+	mine, total := r.Running("m", "")
+	if mine != 2 || total != 6 {
+		t.Errorf("got %d of %d, want 2 of 6", mine, total)
+	}
+}
+
 func ExampleRouter() {
 	r := New(1)
 	r.SetServers(0, []Server{
