--- a/peridotadmit/admit.go
+++ b/peridotadmit/admit.go
@@ -36,7 +36,7 @@
 	if d.limitWait(now, a.limitAt, a) > 0 {
 		return d.refuseLoad(now, a, ask, peridotverdict.AccountLimit, "the client account is at its limit of tokens")
 	}
-	if d.queueWait(a.finish, a, ask) > 0 && d.crowded() {
+	if d.queueWait(a.finish, a, ask) > 0 {
 		return d.refuseLoad(now, a, ask, peridotverdict.Overloaded, "the client account has used up its share")
 	}
 	priority := d.priority(a, ask)
@@ -64,12 +64,6 @@
 	return true, over
 }
 
-// crowded reports whether the queues of all accounts together are long. While
-// they are not, an account may go beyond its share at nobody's cost.
-func (d *Admitter) crowded() bool {
-	return d.capacity > 0 && d.backlog > d.options.maxTotal.Seconds()*d.capacity
-}
-
 // queueWait returns how much too long for the ask the account's queue is when
 // it ends at the virtual time finish.
 func (d *Admitter) queueWait(finish float64, a *account, ask Ask) time.Duration {
--- a/peridotadmit/admitter.go
+++ b/peridotadmit/admitter.go
@@ -77,15 +77,12 @@
 	// sum of their weights.
 	active activeQueue
 	weight float64
-	// backlog is the cost in the queues of all accounts.
-	backlog float64
 }
 
 type options struct {
 	maxQueue   time.Duration
 	limitBurst time.Duration
 	maxPromise time.Duration
-	maxTotal   time.Duration
 }
 
 // Option sets an optional part of an Admitter.
@@ -107,12 +104,6 @@
 	return func(o *options) { o.maxPromise = d }
 }
 
-// MaxTotal sets for how long the queues of all accounts together must take to
-// drain before an account is held to its share.
-func MaxTotal(d time.Duration) Option {
-	return func(o *options) { o.maxTotal = d }
-}
-
 // New returns an Admitter without accounts, whose capacity is unknown.
 func New(choices ...Option) *Admitter {
 	o := options{maxQueue: defaultMaxQueue, limitBurst: defaultLimitBurst, maxPromise: defaultMaxPromise}
--- a/peridotadmit/queue.go
+++ b/peridotadmit/queue.go
@@ -38,7 +38,6 @@
 func (d *Admitter) advance(now time.Duration) {
 	left := (now - d.at).Seconds() * d.capacity
 	d.at = max(d.at, now)
-	d.backlog = max(0, d.backlog-max(0, left))
 	for left > 0 && len(d.active) > 0 {
 		first := d.active[0]
 		need := (first.finish - d.virtual) * d.weight
@@ -70,7 +69,6 @@
 		return
 	}
 	a.finish = max(a.finish, d.virtual) + cost/a.weight()
-	d.backlog = max(0, d.backlog+cost)
 	switch {
 	case a.finish <= d.virtual:
 		d.deactivate(a)
