Count lost servers against the ceiling

Engines of a lost failure domain were left out of the fleet, so the planner ordered others in their place up to the ceiling and beyond it once they came back. They now have a state: they cost, do no work, do not count for the minimum, and no server is ordered into their failure domain.

Without the cost of lost servers TestPlan fails: got [AddServer d0 AddServer d1], want [].

--- a/peridotmeasure/control.go
+++ b/peridotmeasure/control.go
@@ -103,7 +103,7 @@
 	}
 	queue := peridotplanner.Queue{Model: p.Model}
 	for _, e := range c.bench.engines {
-		if e.state == gone || e.state == down {
+		if e.state == gone {
 			continue
 		}
 		f.Engines = append(f.Engines, c.engine(e))
@@ -122,6 +122,8 @@
 func (c *control) engine(e *engine) peridotplanner.Engine {
 	known := peridotplanner.Engine{ID: e.id, Domain: e.domain, Model: c.bench.profile.Model, Role: e.role, AvailableAt: e.availableAt}
 	switch {
+	case e.state == down:
+		known.State = peridotplanner.Down
 	case e.returning:
 		known.State = peridotplanner.Leaving
 	case e.state == arriving:
--- a/peridotplanner/fleet.go
+++ b/peridotplanner/fleet.go
@@ -1,6 +1,7 @@
 package peridotplanner
 
 import (
+	"slices"
 	"time"
 
 	"peridotstack/peridotconfig"
@@ -18,6 +19,8 @@
 	Arriving
 	// Leaving engines finish their requests and go.
 	Leaving
+	// Down engines are lost for now and cost nevertheless: they may come back.
+	Down
 )
 
 // Fleet is what a Planner may move, all in one region.
@@ -100,7 +103,8 @@
 	return Bound{Model: model, Domain: domain}
 }
 
-// count returns how many servers of a model are in a failure domain to stay.
+// count returns how many servers of a model are in a failure domain to stay, or
+// may come back there.
 func (f *Fleet) count(model, domain string) int {
 	n := 0
 	for _, e := range f.Engines {
@@ -111,7 +115,23 @@
 	return n
 }
 
-// cost returns what all servers cost an hour, arriving and leaving ones too.
+// live returns how many of these are not lost.
+func (f *Fleet) live(model, domain string) int {
+	n := f.count(model, domain)
+	for _, e := range f.Engines {
+		if e.Model == model && e.Domain == domain && e.State == Down {
+			n--
+		}
+	}
+	return n
+}
+
+// lost reports whether an engine of the failure domain is lost.
+func (f *Fleet) lost(domain string) bool {
+	return slices.ContainsFunc(f.Engines, func(e Engine) bool { return e.Domain == domain && e.State == Down })
+}
+
+// cost returns what all servers cost an hour, also those that do not serve.
 func (f *Fleet) cost() float64 {
 	cost := f.OtherCostPerHour
 	for _, e := range f.Engines {
--- a/peridotplanner/forecast.go
+++ b/peridotplanner/forecast.go
@@ -69,7 +69,7 @@
 	switch e.State {
 	case Serving:
 		return true
-	case Leaving:
+	case Leaving, Down:
 		return false
 	}
 	return e.AvailableAt <= at
--- a/peridotplanner/planner_test.go
+++ b/peridotplanner/planner_test.go
@@ -116,6 +116,21 @@
 			},
 			want: []string{"AddServer d0"},
 		},
+		{
+			name: "too few in all, under the ceiling once the lost ones are back", prefill: 4, decode: 4,
+			change: func(f *Fleet) {
+				f.CostCeilingPerHour = 13
+				for i := range f.Bounds {
+					f.Bounds[i].Max = 4
+				}
+				for i := range f.Engines {
+					if f.Engines[i].Domain == "d1" {
+						f.Engines[i].State = Down
+					}
+				}
+			},
+			want: nil,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/peridotplanner/server.go
+++ b/peridotplanner/server.go
@@ -27,7 +27,7 @@
 func (w *work) staying(m Model) float64 {
 	n := 0.0
 	for _, e := range w.fleet.Engines {
-		if e.Model != m.Name || e.State == Leaving {
+		if e.Model != m.Name || e.State == Leaving || e.State == Down {
 			continue
 		}
 		if e.Role == peridotconfig.Mixed {
@@ -46,12 +46,12 @@
 }
 
 // domainForOrder picks the failure domain with the fewest servers of the model,
-// so that the loss of one domain costs least.
+// so that the loss of one domain costs least, and none that has lost servers.
 func (w *work) domainForOrder(m Model) (string, bool) {
 	best, fewest := "", 0
 	for _, b := range w.fleet.Bounds {
 		n := w.fleet.count(m.Name, b.Domain)
-		if b.Model != m.Name || n >= b.Max || w.ordered(m, b.Domain) {
+		if b.Model != m.Name || n >= b.Max || w.ordered(m, b.Domain) || w.fleet.lost(b.Domain) {
 			continue
 		}
 		if best == "" || n < fewest {
@@ -116,7 +116,7 @@
 	var best Engine
 	most := 0
 	for _, e := range w.fleet.Engines {
-		n := w.fleet.count(m.Name, e.Domain)
+		n := w.fleet.live(m.Name, e.Domain)
 		if e.Model != m.Name || e.State != Serving || w.fleet.changing(e.Domain) {
 			continue
 		}
--- a/peridotplanner/work.go
+++ b/peridotplanner/work.go
@@ -95,7 +95,7 @@
 			actions = append(actions, SetRole{Engine: e.ID, Domain: e.Domain, From: e.Role, To: role})
 		}
 	}
-	if w.fleet.count(e.Model, e.Domain) <= w.fleet.bound(e.Model, e.Domain).Min {
+	if w.fleet.live(e.Model, e.Domain) <= w.fleet.bound(e.Model, e.Domain).Min {
 		return actions
 	}
 	for _, m := range w.fleet.Models {
