Tell the planner what requests turn out to need

The planner was told estimates: prefill came out 7 % higher, for cache events get lost, and outputs 3 % shorter than their bounds, so that it took engines away from prefill when both sides were full. Entry instances now scale what they report by what the last requests took.

--- a/peridotmeasure/entry.go
+++ b/peridotmeasure/entry.go
@@ -36,6 +36,9 @@
 	fixed    *fixedChoice
 	flights  []*exchange
 	mix      mix
+	// took and expected are what requests needed lately, and what it was
+	// expected to be.
+	took, expected mix
 }
 
 // exchange is one request from its arrival to its only answer.
@@ -70,6 +73,8 @@
 		admitter: peridotadmit.New(peridotadmit.MaxQueue(maxQueue)),
 		retries:  peridotretry.New(seed),
 		fixed:    newFixedChoice(),
+		took:     mix{prefill: 1, decode: 1},
+		expected: mix{prefill: 1, decode: 1},
 	}
 	var accounts []peridotadmit.Account
 	for _, c := range b.profile.Accounts {
@@ -174,11 +179,20 @@
 	e.bench.arrived = append(e.bench.arrived, peridotplanner.Arrival{
 		Model:         x.record.Model,
 		Domain:        x.record.Domain,
-		PrefillTokens: x.record.PromptTokens - c.CachedTokens,
-		OutputTokens:  x.record.MaxTokens,
+		PrefillTokens: int(unread * e.took.prefill / e.expected.prefill),
+		OutputTokens:  int(float64(x.record.MaxTokens) * e.took.decode / e.expected.decode),
 	})
 }
 
+// learn compares what a request took with what was expected.
+func (e *entry) learn(x *exchange) {
+	if x.record.Model == "" {
+		return
+	}
+	e.took.add(float64(x.job.read), float64(x.passed))
+	e.expected.add(float64(x.record.PromptTokens-x.choice.CachedTokens), float64(x.record.MaxTokens))
+}
+
 func (e *entry) choose(now time.Duration, r peridotroute.Request) (peridotroute.Choice, error) {
 	if _, ok := e.policy.Choice.(routed); ok {
 		return e.router.Choose(now, r)
@@ -298,6 +312,7 @@
 	if tokens != x.record.OutputTokens {
 		x.entry.bench.fault("request %d got %d tokens, want %d", x.record.ID, tokens, x.record.OutputTokens)
 	}
+	x.entry.learn(x)
 	x.entry.done(x)
 	x.entry.retries.Succeeded(x.entry.bench.clock.now, x.record.Account, x.choice.Instance)
 	if x.left() < 0 {
@@ -342,7 +357,8 @@
 	b.tally.faults = append(b.tally.faults, fmt.Sprintf(format, arguments...))
 }
 
-// mix is the work of the requests that arrived lately, in output tokens.
+// mix is a mean over the requests that came lately, such as their work in output
+// tokens.
 type mix struct {
 	prefill float64
 	decode  float64
