Ask twice the seconds lost of a change of role

Some changes were taken back within two minutes, at a gain that barely paid for the 18 s an engine is away.

--- a/peridotplanner/options.go
+++ b/peridotplanner/options.go
@@ -10,7 +10,7 @@
 	defaultTarget     = 0.85
 	defaultLow        = 0.6
 	defaultBand       = 0.25
-	defaultHysteresis = 1.0
+	defaultHysteresis = 2.0
 	// issuedGrace is how long an issued action may go unseen in the fleet.
 	issuedGrace = 30 * time.Second
 )
