Follow a shift within a slow window of 20 s

The first change came 22 s after a shift, for a change needs both windows and the slow one of 30 s had to fill.

--- a/peridotplanner/options.go
+++ b/peridotplanner/options.go
@@ -4,7 +4,7 @@
 
 const (
 	defaultFast       = 10 * time.Second
-	defaultSlow       = 30 * time.Second
+	defaultSlow       = 20 * time.Second
 	defaultHorizon    = time.Minute
 	defaultCalm       = 10 * time.Minute
 	defaultTarget     = 0.85
