--- a/peridotmeasure/bench.go
+++ b/peridotmeasure/bench.go
@@ -138,7 +138,6 @@
 			Role:                   string(e.role),
 			PrefillTokensPerSecond: e.kind.PrefillTokensPerSecond,
 			DecodeTokensPerSecond:  e.kind.decodeTokensPerSecond(),
-			TokenInterval:          e.kind.Step,
 			MaxRunning:             e.kind.MaxStreams,
 			RoundTrip:              2 * b.profile.Network,
 			Leaving:                e.state == draining,
--- a/peridotroute/load.go
+++ b/peridotroute/load.go
@@ -238,8 +238,7 @@
 	if s.MaxRunning > 0 {
 		beside = min(beside, float64(s.MaxRunning-1))
 	}
-	interval := max(s.TokenInterval, seconds((beside+1)/s.DecodeTokensPerSecond))
-	return time.Duration(output * float64(interval))
+	return seconds(output * (beside + 1) / s.DecodeTokensPerSecond)
 }
 
 func seconds(s float64) time.Duration {
--- a/peridotroute/server.go
+++ b/peridotroute/server.go
@@ -26,9 +26,6 @@
 	// the server together; 0 means unknown, as for plain services.
 	PrefillTokensPerSecond float64
 	DecodeTokensPerSecond  float64
-	// TokenInterval is the time between two tokens of a request that runs alone;
-	// 0 means unknown.
-	TokenInterval time.Duration
 	// MaxRunning is how many requests run at once, others wait; 0 means no bound.
 	MaxRunning int
 	// RoundTrip is the network time to the server and back.
