Tell the router how old load reports usually are

It believed reports to be a second old, while they are 0.3 s, and counted what it had sent in between twice.

--- a/peridotmeasure/entry.go
+++ b/peridotmeasure/entry.go
@@ -17,6 +17,8 @@
 	kvBytesPerToken  = 160e3
 	kvBytesPerSecond = 25e9
 	kvFixed          = 10 * time.Millisecond
+	// reportLag is how old the entry instances believe load reports to be.
+	reportLag = 400 * time.Millisecond
 	// patience is how long after the deadline a caller still waits.
 	patience         = 5 * time.Second
 	progressInterval = time.Second
@@ -69,7 +71,7 @@
 	e := &entry{
 		bench:    b,
 		policy:   p,
-		router:   peridotroute.New(seed, peridotroute.MoveKV(kvBytesPerToken, kvBytesPerSecond, kvFixed)),
+		router:   peridotroute.New(seed, peridotroute.MoveKV(kvBytesPerToken, kvBytesPerSecond, kvFixed), peridotroute.ReportLag(reportLag)),
 		admitter: peridotadmit.New(peridotadmit.MaxQueue(maxQueue)),
 		retries:  peridotretry.New(seed),
 		fixed:    newFixedChoice(),
