Report goodput against plain baselines and changes per engine and shift

The target of at most one role change per engine and shift could not be read off, and the best baseline hid that it uses the real router and admission.

--- a/peridotmeasure/bench.go
+++ b/peridotmeasure/bench.go
@@ -58,6 +58,9 @@
 			b.clock.at(d.Until, func() { b.returnDomain(p.Domains[d.Domain]) })
 		}
 	}
+	for _, at := range s.shifts() {
+		b.clock.at(at, func() { clear(b.control.moves) })
+	}
 	b.clock.every(controlTick, length, b.control.tick)
 	b.clock.every(reportInterval, length+tail, b.report)
 	b.clock.every(progressInterval, length+tail, func() {
--- a/peridotmeasure/control.go
+++ b/peridotmeasure/control.go
@@ -27,7 +27,10 @@
 	bounds  []peridotplanner.Bound
 	recent  []recentWork
 	changes int
-	moved   map[string]bool
+	// moves counts the changes of each engine since the last shift, and most is
+	// the largest of these counts.
+	moves map[string]int
+	most  int
 	// spent is the cost of all servers so far.
 	spent float64
 }
@@ -40,7 +43,7 @@
 }
 
 func newControl(b *bench) *control {
-	c := &control{bench: b, planner: peridotplanner.New(), moved: make(map[string]bool)}
+	c := &control{bench: b, planner: peridotplanner.New(), moves: make(map[string]int)}
 	for _, domain := range b.profile.Domains {
 		n := 0
 		for _, e := range b.engines {
@@ -156,7 +159,8 @@
 		return
 	}
 	c.changes++
-	c.moved[e.id] = true
+	c.moves[e.id]++
+	c.most = max(c.most, c.moves[e.id])
 	e.nextRole = to
 	c.drain(e, func() {
 		e.state = away
--- a/peridotmeasure/measure_test.go
+++ b/peridotmeasure/measure_test.go
@@ -58,6 +58,9 @@
 			if own.RoleChanges > maxChanges {
 				t.Errorf("got %d role changes, want at most %d", own.RoleChanges, maxChanges)
 			}
+			if own.MostMoves > 1 {
+				t.Errorf("got %d role changes of one engine within a shift, want at most 1", own.MostMoves)
+			}
 			if own.Failed != 0 || own.Cut != 0 || own.CallsFailed != 0 {
 				t.Errorf("got %d failed, %d cut, %d calls failed, want none without a failure", own.Failed, own.Cut, own.CallsFailed)
 			}
--- a/peridotmeasure/result.go
+++ b/peridotmeasure/result.go
@@ -35,11 +35,15 @@
 	OfBound float64
 	// OfBestBaseline is Goodput against that of the best baseline; 0 if not set.
 	OfBestBaseline float64
-	FirstP95       time.Duration
-	GapP95         time.Duration
-	RoleChanges    int
-	// EnginesMoved counts the engines that changed their role at least once.
-	EnginesMoved int
+	// OfPlain is Goodput against the better of round robin and least outstanding
+	// requests; 0 if not set.
+	OfPlain     float64
+	FirstP95    time.Duration
+	GapP95      time.Duration
+	RoleChanges int
+	// MostMoves is the largest number of role changes of one engine between two
+	// shifts of the scenario.
+	MostMoves int
 	// WorstShare is the smallest part of its fair share that an account got, in
 	// the work of answers in time, and MeanShare the mean over the accounts.
 	WorstShare   float64
@@ -60,28 +64,28 @@
 func (b *bench) result(trace []Record) Result {
 	t := b.tally
 	r := Result{
-		Profile:      b.profile.Name,
-		Scenario:     b.scenario.Name,
-		Policy:       b.policy.Name,
-		Baseline:     b.policy.Baseline,
-		Arrivals:     t.arrivals,
-		Settled:      t.settled,
-		InTime:       t.counts[inTime],
-		Late:         t.counts[late],
-		Refused:      t.counts[refused],
-		Failed:       t.counts[failed],
-		Cut:          t.cut,
-		GaveUp:       t.counts[gaveUp],
-		CallsInTime:  t.calls[inTime],
-		CallsFailed:  t.calls[failed],
-		Goodput:      float64(t.counts[inTime]) / (length - warmUp).Seconds(),
-		FirstP95:     t.firstP95(),
-		GapP95:       t.gapP95(),
-		RoleChanges:  b.control.changes,
-		EnginesMoved: len(b.control.moved),
-		Cost:         b.control.spent,
-		Refusals:     b.refusals,
-		Faults:       t.faults,
+		Profile:     b.profile.Name,
+		Scenario:    b.scenario.Name,
+		Policy:      b.policy.Name,
+		Baseline:    b.policy.Baseline,
+		Arrivals:    t.arrivals,
+		Settled:     t.settled,
+		InTime:      t.counts[inTime],
+		Late:        t.counts[late],
+		Refused:     t.counts[refused],
+		Failed:      t.counts[failed],
+		Cut:         t.cut,
+		GaveUp:      t.counts[gaveUp],
+		CallsInTime: t.calls[inTime],
+		CallsFailed: t.calls[failed],
+		Goodput:     float64(t.counts[inTime]) / (length - warmUp).Seconds(),
+		FirstP95:    t.firstP95(),
+		GapP95:      t.gapP95(),
+		RoleChanges: b.control.changes,
+		MostMoves:   b.control.most,
+		Cost:        b.control.spent,
+		Refusals:    b.refusals,
+		Faults:      t.faults,
 	}
 	r.CostPerThousand = 1000 * r.Cost / float64(max(1, r.InTime))
 	limit := boundOf(b.profile, b.scenario, trace)
@@ -123,16 +127,28 @@
 	for range policies {
 		<-done
 	}
-	best := 0.0
-	for _, r := range results {
+	compare(policies, results)
+	return results
+}
+
+// compare fills in what results reached against the baselines.
+func compare(policies []Policy, results []Result) {
+	best, plain := 0.0, 0.0
+	for i, r := range results {
 		if r.Baseline {
 			best = max(best, r.Goodput)
 		}
+		if _, ok := policies[i].Choice.(routed); !ok {
+			plain = max(plain, r.Goodput)
+		}
 	}
 	for i := range results {
+		r := &results[i]
 		if best > 0 {
-			results[i].OfBestBaseline = results[i].Goodput / best
+			r.OfBestBaseline = r.Goodput / best
+		}
+		if plain > 0 {
+			r.OfPlain = r.Goodput / plain
 		}
 	}
-	return results
 }
--- a/peridotmeasure/scenario.go
+++ b/peridotmeasure/scenario.go
@@ -177,3 +177,21 @@
 	}
 	return false
 }
+
+// shifts returns the times at which something changes.
+func (s Scenario) shifts() []time.Duration {
+	var times []time.Duration
+	for _, t := range s.Turns {
+		switch t := t.(type) {
+		case RatioMoves:
+			times = append(times, t.At)
+		case DomainFails:
+			times = append(times, t.At, t.Until)
+		case AccountFloods:
+			times = append(times, t.At, t.Until)
+		case LoadRises:
+			times = append(times, t.At)
+		}
+	}
+	return times
+}
