Let an account's queue be 3 s long

Small accounts were refused their second dossier in six seconds: one takes 1.35 s of an engine, and 8 % of an entry instance's part of the fleet needs 5.6 s for it.

--- a/peridotmeasure/entry.go
+++ b/peridotmeasure/entry.go
@@ -24,7 +24,7 @@
 	progressInterval = time.Second
 	// learnedShare is the part of a new request in the mix of the last ones.
 	learnedShare = 1.0 / 64
-	maxQueue     = 2 * time.Second
+	maxQueue     = 3 * time.Second
 )
 
 // entry is one entry instance with decisions of its own.
