--- a/peridot/measure.go
+++ b/peridot/measure.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"io"
 	"os"
 
@@ -20,18 +21,17 @@
 	json     bool
 }
 
-// addMeasure adds the command to app.
-func addMeasure(app *kingpin.Application) {
+// measureCommand adds the command to app.
+func measureCommand(app *kingpin.Application) command {
 	m := &measure{}
-	command := app.Command("measure", "Measure the decisions against baselines on a fake clock.").Action(func(*kingpin.ParseContext) error {
-		return m.run(os.Stdout)
-	})
-	command.Flag("profile", "quadro or jamaica.").Default("quadro").EnumVar(&m.profile, "quadro", "jamaica")
-	command.Flag("scenario", "A scenario, single, pairs or all.").Default("single").StringVar(&m.scenario)
-	command.Flag("seed", "Seed of the trace and of all decisions.").Default("1").Uint64Var(&m.seed)
-	command.Flag("trace", "Replay this file instead of a generated trace.").ExistingFileVar(&m.trace)
-	command.Flag("record", "Write the trace to this file; for one scenario only.").StringVar(&m.record)
-	command.Flag("json", "Print JSON lines instead of tables.").BoolVar(&m.json)
+	clause := app.Command("measure", "Measure the decisions against baselines on a fake clock.")
+	clause.Flag("profile", "quadro or jamaica.").Default("quadro").EnumVar(&m.profile, "quadro", "jamaica")
+	clause.Flag("scenario", "A scenario, single, pairs or all.").Default("single").StringVar(&m.scenario)
+	clause.Flag("seed", "Seed of the trace and of all decisions.").Default("1").Uint64Var(&m.seed)
+	clause.Flag("trace", "Replay this file instead of a generated trace.").ExistingFileVar(&m.trace)
+	clause.Flag("record", "Write the trace to this file; for one scenario only.").StringVar(&m.record)
+	clause.Flag("json-lines", "Print JSON lines instead of tables.").BoolVar(&m.json)
+	return command{clause: clause, run: func(context.Context) error { return m.run(os.Stdout) }}
 }
 
 func (m *measure) run(w io.Writer) error {
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -17,12 +17,12 @@
 	"peridotstack/peridotoperator"
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotsettings"
+	"peridotstack/peridotsync"
 	"peridotstack/peridotwire"
 )
 
 const (
-	logPrefix    = "entry: "
-	syncInterval = time.Second
+	logPrefix = "entry: "
 	// maxHeadBytes bounds the request line and headers together.
 	maxHeadBytes = 64 << 10
 )
@@ -32,7 +32,8 @@
 	settings peridotsettings.Entry
 	platform *peridotplatform.Client
 	metrics  *peridotmetric.Metrics
-	config   atomic.Pointer[peridotconfig.Config]
+	identity *peridotwire.Identity
+	node     *peridotsync.Node
 	pool     *pool
 	traffic  *traffic
 	callers  callers
@@ -52,19 +53,22 @@
 // New returns an entry instance that has not started.
 func New(s peridotsettings.Entry, platform *peridotplatform.Client, options ...Option) *Entry {
 	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}}
-	e.config.Store(&peridotconfig.Config{})
-	e.pool = newPool(s.Instance, platform.Instances, e.version)
-	e.traffic = newTraffic(seedOf(s.Instance), e.pool, e.Config)
-	e.pool.observe = e.traffic.observe
 	for _, option := range options {
 		option(e)
 	}
+	e.pool = newPool(s.Instance, s.Domain, platform.Instances)
+	e.node = peridotsync.New(s.Instance, platform, e.pool, peridotsync.WithMetrics(e.metrics))
+	e.node.SetReader(true)
+	e.pool.node = e.node
+	e.pool.identity = e.identity
+	e.traffic = newTraffic(seedOf(s.Instance), e.pool, e.Config)
+	e.pool.observe = e.traffic.observe
 	return e
 }
 
 // WithIdentity makes the entry prove who it is to agents, and check who they are.
 func WithIdentity(i *peridotwire.Identity) Option {
-	return func(e *Entry) { e.pool.identity = i }
+	return func(e *Entry) { e.identity = i }
 }
 
 // seedOf returns a seed that differs between instances.
@@ -74,11 +78,7 @@
 
 // Config returns the configuration in force.
 func (e *Entry) Config() *peridotconfig.Config {
-	return e.config.Load()
-}
-
-func (e *Entry) version() peridotwire.Version {
-	return peridotwire.Version{Seq: e.Config().Seq}
+	return e.node.Config()
 }
 
 // Serve runs the entry until ctx is done, then lets callers' requests end
@@ -86,8 +86,10 @@
 func (e *Entry) Serve(ctx context.Context) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go e.followConfig(serving)
+	go e.node.Serve(serving)
 	go e.pool.Serve(serving)
+	go e.keepPanels(serving)
+	e.awaitFirstProof(ctx)
 	operator := e.operatorServer()
 	if err := operator.Start(); err != nil {
 		return errors.Wrap(err, "listen for operators")
@@ -125,7 +127,9 @@
 	operator := &peridotoperator.Operator{
 		Log:     &peridotconfig.Log{Store: e.platform},
 		Config:  e.Config,
-		Refresh: e.refreshConfig,
+		Refresh: e.node.Refresh,
+		Await:   e.awaitAccepted,
+		Version: e.versions,
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/operator/", operator.Handler())
@@ -165,29 +169,3 @@
 		log.Warn(logPrefix + "shutdown grace passed with requests still running")
 	}
 }
-
-// followConfig keeps the configuration up to date.
-func (e *Entry) followConfig(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := e.refreshConfig(ctx); err != nil {
-			e.metrics.Count("config_read_failures")
-		}
-		wait(ctx, syncInterval)
-	}
-}
-
-// refreshConfig applies the commits that the table service has by now.
-func (e *Entry) refreshConfig(ctx context.Context) error {
-	timeline := &peridotconfig.Log{Store: e.platform}
-	for {
-		old := e.Config()
-		next, err := timeline.Load(ctx, old)
-		if err != nil {
-			return err
-		}
-		// Two refreshes may race; the configuration only ever moves forward.
-		if next.Seq <= old.Seq || e.config.CompareAndSwap(old, next) {
-			return nil
-		}
-	}
-}
--- a/peridotentry/traffic_test.go
+++ b/peridotentry/traffic_test.go
@@ -15,12 +15,13 @@
 )
 
 // withSecondAccount adds a client account and returns its key.
-func withSecondAccount(e *Entry, name string) string {
+func withSecondAccount(t *testing.T, e *Entry, name string) string {
+	t.Helper()
 	key, id, hash := peridotkey.New()
-	config := *e.Config()
-	config.Accounts = append(config.Accounts, peridotconfig.Account{Name: name, Models: []string{testModel}, Weight: 1})
-	config.Keys = append(config.Keys, peridotconfig.Key{ID: id, Account: name, Hash: hash})
-	e.config.Store(&config)
+	commit(t, e, peridotconfig.Changes{
+		peridotconfig.PutAccount{Account: peridotconfig.Account{Name: name, Models: []string{testModel}, Services: []string{testService}, Weight: 1}},
+		peridotconfig.GiveKey{Key: peridotconfig.Key{ID: id, Account: name, Hash: hash}},
+	})
 	return key
 }
 
@@ -35,7 +36,7 @@
 		return echo(p, r)
 	}}
 	e, flood := entryWith(t, agent)
-	small := withSecondAccount(e, "capela")
+	small := withSecondAccount(t, e, "capela")
 	// 400,000 prompt tokens are 40 seconds of the only engine.
 	long := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":1}`, testModel, strings.Repeat("psalm", 320_000))
 	var wg sync.WaitGroup
--- a/peridotoperator/operator.go
+++ b/peridotoperator/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"peridotstack/peridotconfig"
@@ -26,6 +27,26 @@
 	Config func() *peridotconfig.Config
 	// Refresh applies the commits that the table service has by now.
 	Refresh func(context.Context) error
+	// Await waits a while until a commit is accepted, and reports whether it is.
+	Await func(ctx context.Context, seq int64) bool
+	// Version returns the versions in force at the instances.
+	Version func() []InstanceVersion
+}
+
+// InstanceVersion is the version of the configuration in force at an instance.
+type InstanceVersion struct {
+	Instance string
+	Domain   string
+	Seq      int64
+	// ConfirmedMillis is the age of the last proof that no newer version was
+	// accepted; negative when there is none.
+	ConfirmedMillis int64
+	// Usable instances may start keyed work.
+	Usable bool
+}
+
+func (o *Operator) versions(_ *http.Request, _ string) (any, error) {
+	return o.Version(), nil
 }
 
 // Handler serves the interface under /operator/.
@@ -38,6 +59,8 @@
 	mux.HandleFunc("POST /operator/keys", o.as(o.giveKey))
 	mux.HandleFunc("POST /operator/keys/{id}/withdraw", o.as(o.withdrawKey))
 	mux.HandleFunc("GET /operator/config", o.as(o.config))
+	mux.HandleFunc("GET /operator/versions", o.as(o.versions))
+	mux.HandleFunc("GET /operator/history", o.as(o.history))
 	return mux
 }
 
@@ -116,6 +139,10 @@
 type Accepted struct {
 	// Seq is the number of the commit.
 	Seq int64
+	// Accepted is set when a majority of the witnesses has acknowledged the commit:
+	// no keyed work starts by an older configuration 3 s from then on. While it is
+	// not set, the commit is stored and takes effect wherever it is known.
+	Accepted bool
 }
 
 func (o *Operator) confirm(r *http.Request, _ string) (any, error) {
@@ -169,6 +196,19 @@
 	return o.Config(), nil
 }
 
+// history returns the commits behind the number in the query parameter after.
+func (o *Operator) history(r *http.Request, _ string) (any, error) {
+	after := int64(0)
+	if text := r.URL.Query().Get("after"); text != "" {
+		number, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || number < 0 {
+			return nil, peridotverdict.New(peridotverdict.BadRequest, peridotverdict.NotRun, "after must be the number of a commit", peridotverdict.Field("after"))
+		}
+		after = number
+	}
+	return o.Log.After(r.Context(), after)
+}
+
 func (o *Operator) book() *peridotintent.Book {
 	return &peridotintent.Book{Store: o.Log.Store}
 }
@@ -190,7 +230,10 @@
 		}
 		next, err := try(o.Config())
 		if err == nil {
-			return Accepted{Seq: next.Seq}, o.Refresh(ctx)
+			if err := o.Refresh(ctx); err != nil {
+				return Accepted{Seq: next.Seq}, nil
+			}
+			return Accepted{Seq: next.Seq, Accepted: o.Await(ctx, next.Seq)}, nil
 		}
 		last = err
 		if !peridottable.IsConflict(err) {
