--- a/peridotplanner/forecast.go
+++ b/peridotplanner/forecast.go
@@ -1,6 +1,7 @@
 package peridotplanner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -46,26 +47,30 @@
 	return part
 }
 
+// add counts an engine of a model with a role.
+func (c *capacity) add(m Model, role peridotconfig.Role) {
+	switch role {
+	case peridotconfig.Prefill:
+		c.prefill++
+	case peridotconfig.Decode:
+		c.decode++
+	default:
+		c.mixed += m.MixedShare
+	}
+}
+
 // capacityAt counts the engines of a model that take requests at a time.
 func (f *Fleet) capacityAt(m Model, at time.Duration) capacity {
 	var c capacity
-	for _, e := range f.Engines {
-		if e.Model != m.Name || !e.availableAt(at) {
-			continue
-		}
-		switch e.Role {
-		case peridotconfig.Prefill:
-			c.prefill++
-		case peridotconfig.Decode:
-			c.decode++
-		default:
-			c.mixed += m.MixedShare
+	for i := range f.Engines {
+		if e := &f.Engines[i]; e.Model == m.Name && e.availableAt(at) {
+			c.add(m, e.Role)
 		}
 	}
 	return c
 }
 
-func (e Engine) availableAt(at time.Duration) bool {
+func (e *Engine) availableAt(at time.Duration) bool {
 	switch e.State {
 	case Serving:
 		return true
@@ -75,20 +80,50 @@
 	return e.AvailableAt <= at
 }
 
-// forecast returns the engine-seconds of a model's work that get done between
-// now and the horizon, with arrivals and returns of engines as they are planned.
-func (f *Fleet) forecast(m Model, n need, now, horizon time.Duration, target float64) float64 {
-	times := []time.Duration{now, now + horizon}
-	for _, e := range f.Engines {
-		if e.Model == m.Name && e.AvailableAt > now && e.AvailableAt < now+horizon {
-			times = append(times, e.AvailableAt)
+// coming is an engine that will take requests.
+type coming struct {
+	at   time.Duration
+	role peridotconfig.Role
+}
+
+// comingTo lists the engines of a model that will take requests after now and
+// within the horizon, in the order of their times.
+func (f *Fleet) comingTo(m Model, now, horizon time.Duration) []coming {
+	var list []coming
+	for i := range f.Engines {
+		e := &f.Engines[i]
+		if e.Model != m.Name || e.availableAt(now) || !e.availableAt(now+horizon) {
+			continue
 		}
+		list = append(list, coming{at: e.AvailableAt, role: e.Role})
 	}
-	slices.Sort(times)
-	done := 0.0
-	for i, at := range times[:len(times)-1] {
-		part := f.capacityAt(m, at).served(n, target)
-		done += part * n.total() * (times[i+1] - at).Seconds()
+	slices.SortStableFunc(list, func(a, b coming) int { return cmp.Compare(a.at, b.at) })
+	return list
+}
+
+// forecast returns the engine-seconds of a model's work that get done between
+// now and the horizon, with arrivals and returns of engines as they are planned,
+// when the work is as d says through the fast and through the slow window.
+func (f *Fleet) forecast(m Model, d demand, now, horizon time.Duration, target float64) done {
+	c := f.capacityAt(m, now)
+	var sum done
+	at := now
+	for _, next := range f.comingTo(m, now, horizon) {
+		sum.add(c, d, target, next.at-at)
+		c.add(m, next.role)
+		at = next.at
 	}
-	return done
+	sum.add(c, d, target, now+horizon-at)
+	return sum
+}
+
+// done is work in engine-seconds, through both windows.
+type done struct {
+	fast float64
+	slow float64
+}
+
+func (s *done) add(c capacity, d demand, target float64, length time.Duration) {
+	s.fast += c.served(d.fast, target) * d.fast.total() * length.Seconds()
+	s.slow += c.served(d.slow, target) * d.slow.total() * length.Seconds()
 }
--- a/peridotplanner/work.go
+++ b/peridotplanner/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"peridotstack/peridotconfig"
@@ -22,10 +23,13 @@
 	now     time.Duration
 	fleet   Fleet
 	demands map[string]demand
+	// forecasts holds those of the fleet as it is now, by model.
+	forecasts map[string]done
 }
 
 // apply makes the fleet look as it does once the action is under way.
 func (w *work) apply(a Action) {
+	w.forecasts = nil
 	switch a := a.(type) {
 	case SetRole:
 		w.move(a.Engine, func(e *Engine) { e.Role = a.To })
@@ -67,14 +71,12 @@
 func (w *work) change() (Action, bool) {
 	var best Action
 	most := 0.0
-	seen := make(map[Engine]bool)
-	for _, e := range w.fleet.Engines {
-		alike := Engine{Domain: e.Domain, Model: e.Model, Role: e.Role}
-		if e.State != Serving || seen[alike] || w.fleet.changing(e.Domain) {
-			continue
-		}
-		seen[alike] = true
-		for _, a := range w.changesOf(e) {
+	short := w.shortModels()
+	if len(short) == 0 {
+		return nil, false
+	}
+	for _, e := range w.movable() {
+		for _, a := range w.changesOf(e, short) {
 			if gain := w.gain(a); gain > most {
 				best, most = a, gain
 			}
@@ -87,28 +89,64 @@
 	return best, true
 }
 
-// changesOf lists the changes of an engine that the bounds allow.
-func (w *work) changesOf(e Engine) []Action {
-	var actions []Action
-	for _, role := range rolesOf(w.fleet.model(e.Model)) {
-		if role != e.Role && !w.turnsBack(e.Model, role) {
-			actions = append(actions, SetRole{Engine: e.ID, Domain: e.Domain, From: e.Role, To: role})
+// shortModels returns the models whose work does not all get done, through both
+// windows. No change gains anything for the others.
+func (w *work) shortModels() []Model {
+	var short []Model
+	for _, m := range w.fleet.Models {
+		d, f := w.demands[m.Name], w.forecast(m)
+		seconds := w.planner.horizon.Seconds()
+		if f.fast < d.fast.total()*seconds && f.slow < d.slow.total()*seconds {
+			short = append(short, m)
 		}
 	}
-	if w.fleet.live(e.Model, e.Domain) <= w.fleet.bound(e.Model, e.Domain).Min {
-		return actions
+	return short
+}
+
+// movable returns one engine of each kind that is alike, from the failure
+// domains in which none is changing.
+func (w *work) movable() []Engine {
+	busy := make(map[string]bool)
+	for _, e := range w.fleet.Engines {
+		if e.State == Changing || e.State == Leaving {
+			busy[e.Domain] = true
+		}
 	}
-	for _, m := range w.fleet.Models {
-		if m.Name == e.Model || w.fleet.count(m.Name, e.Domain) >= w.fleet.bound(m.Name, e.Domain).Max {
-			continue
+	seen := make(map[Engine]bool)
+	var list []Engine
+	for _, e := range w.fleet.Engines {
+		alike := Engine{Domain: e.Domain, Model: e.Model, Role: e.Role}
+		if e.State == Serving && !busy[e.Domain] && !seen[alike] {
+			seen[alike] = true
+			list = append(list, e)
 		}
+	}
+	return list
+}
+
+// changesOf lists the changes of an engine that the bounds allow and that help
+// one of the models that are short.
+func (w *work) changesOf(e Engine, short []Model) []Action {
+	var actions []Action
+	leaves := w.fleet.live(e.Model, e.Domain) > w.fleet.bound(e.Model, e.Domain).Min
+	for _, m := range short {
 		for _, role := range rolesOf(m) {
-			actions = append(actions, LoadModel{Engine: e.ID, Domain: e.Domain, From: e.Model, To: m.Name, Role: role})
+			switch {
+			case m.Name != e.Model && leaves && w.takes(m, e.Domain):
+				actions = append(actions, LoadModel{Engine: e.ID, Domain: e.Domain, From: e.Model, To: m.Name, Role: role})
+			case m.Name == e.Model && role != e.Role && !w.turnsBack(e.Model, role):
+				actions = append(actions, SetRole{Engine: e.ID, Domain: e.Domain, From: e.Role, To: role})
+			}
 		}
 	}
 	return actions
 }
 
+// takes reports whether the failure domain may have one more server of m.
+func (w *work) takes(m Model, domain string) bool {
+	return w.fleet.count(m.Name, domain) < w.fleet.bound(m.Name, domain).Max
+}
+
 // rolesOf lists the roles that engines of a model may take.
 func rolesOf(m Model) []peridotconfig.Role {
 	roles := []peridotconfig.Role{peridotconfig.Prefill, peridotconfig.Decode}
@@ -122,23 +160,73 @@
 // has to pay for, in engine-seconds; at most 0 means that it is not worth it.
 // Both windows must agree: the fast one alone would follow each swing.
 func (w *work) gain(a Action) float64 {
-	after := &work{planner: w.planner, now: w.now, fleet: w.fleet, demands: w.demands}
-	after.fleet.Engines = append([]Engine(nil), w.fleet.Engines...)
-	after.apply(a)
-	fast, slow, price := 0.0, 0.0, 0.0
-	for _, m := range w.fleet.Models {
-		d := w.demands[m.Name]
-		fast += after.forecast(m, d.fast) - w.forecast(m, d.fast)
-		slow += after.forecast(m, d.slow) - w.forecast(m, d.slow)
-		if m.Name == modelOf(a, w) {
-			price = w.planner.hysteresis * (m.Away + m.Drain).Seconds()
-		}
+	models := w.modelsOf(a)
+	var before, after done
+	for _, m := range models {
+		before.plus(w.forecast(m))
+	}
+	undo := w.try(a)
+	for _, m := range models {
+		after.plus(w.fleet.forecast(m, w.demands[m.Name], w.now, w.planner.horizon, w.planner.target))
+	}
+	undo()
+	m := models[0]
+	price := w.planner.hysteresis * (m.Away + m.Drain).Seconds()
+	return min(after.fast-before.fast, after.slow-before.slow) - price
+}
+
+// try applies an action to the fleet, and returns what takes it back.
+func (w *work) try(a Action) (undo func()) {
+	forecasts := w.forecasts
+	i := w.index(a)
+	was := w.fleet.Engines[i]
+	w.apply(a)
+	return func() {
+		w.fleet.Engines[i] = was
+		w.forecasts = forecasts
 	}
-	return min(fast, slow) - price
 }
 
-func (w *work) forecast(m Model, n need) float64 {
-	return w.fleet.forecast(m, n, w.now, w.planner.horizon, w.planner.target)
+// index returns the place of the engine that an action changes.
+func (w *work) index(a Action) int {
+	id := ""
+	switch a := a.(type) {
+	case SetRole:
+		id = a.Engine
+	case LoadModel:
+		id = a.Engine
+	}
+	return slices.IndexFunc(w.fleet.Engines, func(e Engine) bool { return e.ID == id })
+}
+
+func (s *done) plus(other done) {
+	s.fast += other.fast
+	s.slow += other.slow
+}
+
+// forecast returns that of the fleet as it is now.
+func (w *work) forecast(m Model) done {
+	if f, ok := w.forecasts[m.Name]; ok {
+		return f
+	}
+	f := w.fleet.forecast(m, w.demands[m.Name], w.now, w.planner.horizon, w.planner.target)
+	if w.forecasts == nil {
+		w.forecasts = make(map[string]done)
+	}
+	w.forecasts[m.Name] = f
+	return f
+}
+
+// modelsOf returns the models that an action concerns, first that which the
+// engine has afterwards.
+func (w *work) modelsOf(a Action) []Model {
+	switch a := a.(type) {
+	case SetRole:
+		return []Model{w.fleet.model(modelOf(a, w))}
+	case LoadModel:
+		return []Model{w.fleet.model(a.To), w.fleet.model(a.From)}
+	}
+	return nil
 }
 
 // modelOf returns the model that an engine has after the action.
