--- a/peridot/main.go
+++ b/peridot/main.go
@@ -29,6 +29,7 @@
 	commands := []command{demoCommand(app), entryCommand(app), agentCommand(app)}
 	commands = append(commands, standinCommands(app)...)
 	commands = append(commands, operatorCommands(app)...)
+	commands = append(commands, measureCommand(app))
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
