--- a/peridotentry/callerconn.go
+++ b/peridotentry/callerconn.go
@@ -35,6 +35,8 @@
 // the queue is empty.
 type callerConn struct {
 	net.Conn
+	// remote is the caller's address; it does not change.
+	remote string
 
 	mu sync.Mutex
 	// changed is closed and replaced whenever a field below changes.
@@ -51,7 +53,7 @@
 }
 
 func newCallerConn(conn net.Conn) *callerConn {
-	return &callerConn{Conn: conn, changed: make(chan struct{})}
+	return &callerConn{Conn: conn, remote: conn.RemoteAddr().String(), changed: make(chan struct{})}
 }
 
 // wake lets every waiter look again; the mutex is held.
--- a/peridotentry/callers.go
+++ b/peridotentry/callers.go
@@ -24,22 +24,33 @@
 	bodyTimeout time.Duration
 	metrics     *peridotmetric.Metrics
 
-	mu    sync.Mutex
-	conns map[string]*callerConn
+	mu sync.Mutex
+	// conns finds a connection by what nbio calls it, and remotes by its remote
+	// address. Looking it up also orders what the accepting goroutine wrote to
+	// the connection before what the others read, which nbio leaves to epoll.
+	conns   map[net.Conn]*callerConn
+	remotes map[string]*callerConn
 }
 
-// get returns the connection from a remote address, or nil.
-func (c *callers) get(remote string) *callerConn {
+// get returns what belongs to nbio's connection, or nil.
+func (c *callers) get(conn net.Conn) *callerConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.conns[remote]
+	return c.conns[conn]
+}
+
+// from returns the connection from a remote address, or nil.
+func (c *callers) from(remote string) *callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.remotes[remote]
 }
 
 // watch returns a context that is canceled when the connection from the remote
 // address closes. The returned function must be called when the request ended.
 func (c *callers) watch(ctx context.Context, remote string) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	if cc := c.get(remote); cc != nil {
+	if cc := c.from(remote); cc != nil {
 		go cc.watch(ctx, cancel)
 	}
 	return ctx, cancel
@@ -50,27 +61,32 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conns == nil {
-		c.conns = make(map[string]*callerConn)
+		c.conns = make(map[net.Conn]*callerConn)
+		c.remotes = make(map[string]*callerConn)
 	}
-	c.conns[conn.RemoteAddr().String()] = newCallerConn(conn)
+	cc := newCallerConn(conn)
+	c.conns[conn] = cc
+	c.remotes[cc.remote] = cc
 }
 
 // closed is called by nbhttp when a connection has closed.
 func (c *callers) closed(conn net.Conn, _ error) {
-	remote := conn.RemoteAddr().String()
-	cc := c.get(remote)
+	cc := c.get(conn)
 	if cc == nil {
 		return
 	}
 	cc.lost()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.conns, remote)
+	delete(c.conns, conn)
+	if c.remotes[cc.remote] == cc {
+		delete(c.remotes, cc.remote)
+	}
 }
 
 // written is called by nbio when bytes have gone to the network.
 func (c *callers) written(conn *nbio.Conn, _ []byte, n int) {
-	if cc := c.get(conn.RemoteAddr().String()); cc != nil {
+	if cc := c.get(conn); cc != nil {
 		cc.wrote(n)
 	}
 }
@@ -78,7 +94,7 @@
 // arrived takes bytes of a request in place of nbhttp's own handler.
 func (c *callers) arrived(conn *nbio.Conn, data []byte) {
 	parser, ok := conn.Session().(*nbhttp.Parser)
-	cc := c.get(conn.RemoteAddr().String())
+	cc := c.get(conn)
 	if !ok || cc == nil {
 		_ = conn.Close()
 		return
@@ -103,7 +119,7 @@
 
 // received is called by nbhttp once a request has arrived whole.
 func (c *callers) received(_ http.ResponseWriter, r *http.Request) {
-	if cc := c.get(r.RemoteAddr); cc != nil {
+	if cc := c.from(r.RemoteAddr); cc != nil {
 		cc.beginAnswer()
 	}
 }
