--- a/peridotconfig/config.go
+++ b/peridotconfig/config.go
@@ -129,6 +129,17 @@
 	return Key{}, false
 }
 
+// Purgeable returns the withdrawn keys beyond the number to keep.
+func (c *Config) Purgeable(keep int) []string {
+	var ids []string
+	for _, k := range c.Keys {
+		if k.Withdrawn {
+			ids = append(ids, k.ID)
+		}
+	}
+	return ids[:max(0, len(ids)-keep)]
+}
+
 // Admits is the second check of a request, at another process than the one that
 // knew the caller's key and decided by the configuration seq. It refuses a key
 // that is withdrawn here, and one that is unknown here although seq is not newer:
--- a/peridotconfig/follower.go
+++ b/peridotconfig/follower.go
@@ -103,6 +103,11 @@
 	f.reader = reader
 }
 
+// Reader reports whether the process is one of the few readers.
+func (f *Follower) Reader() bool {
+	return f.reader
+}
+
 // Adopt puts a configuration in force unless it is older than the present one.
 // It reports whether the configuration moved.
 func (f *Follower) Adopt(c *Config) bool {
--- a/peridotconfig/follower_test.go
+++ b/peridotconfig/follower_test.go
@@ -54,15 +54,15 @@
 }
 
 func (w *world) setCut(i, j int, cut bool) {
-	w.cut[i][j], w.cut[j][i] = cut, cut
+	w.cut[[2]int{i, j}], w.cut[[2]int{j, i}] = cut, cut
 }
 
 // cutDomain cuts the failure domain of a process off from the others.
 func (w *world) cutDomain(id int, cut bool) {
-	domain := w.procs[id].domain()
+	domain := w.procs[id].domain
 	for i := range processes {
 		for j := range processes {
-			if (w.procs[i].domain() == domain) != (w.procs[j].domain() == domain) {
+			if (w.procs[i].domain == domain) != (w.procs[j].domain == domain) {
 				w.setCut(i, j, cut)
 			}
 		}
--- a/peridotconfig/log_test.go
+++ b/peridotconfig/log_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -219,6 +220,12 @@
 			t.Errorf("Admits(%q, %d): got %t, want %t", tt.key, tt.seq, got, tt.want)
 		}
 	}
+	if got := c.Purgeable(1); len(got) != 0 {
+		t.Errorf("Purgeable(1): got %v, want none", got)
+	}
+	if got, want := c.Purgeable(0), []string{"withdrawn"}; !slices.Equal(got, want) {
+		t.Errorf("Purgeable(0): got %v, want %v", got, want)
+	}
 	if _, err := c.Apply(PurgeKeys{[]string{"live"}}); !peridotverdict.Is(err, peridotverdict.BadRequest) {
 		t.Errorf("purge of a live key: got %v, want %s", err, peridotverdict.BadRequest)
 	}
--- a/peridotconfig/panel.go
+++ b/peridotconfig/panel.go
@@ -43,6 +43,9 @@
 	if p.Number != c.Panel().Number+1 {
 		return badField("Panel", "the panel must follow the one in office")
 	}
+	if len(p.Witnesses) == 0 {
+		return badField("Panel", "a panel without witnesses could acknowledge nothing")
+	}
 	for i, w := range p.Witnesses {
 		if slices.ContainsFunc(p.Witnesses[:i], func(o Witness) bool { return o.Domain == w.Domain }) {
 			return badField("Panel", "two witnesses in failure domain "+w.Domain)
--- a/peridotconfig/schedule_test.go
+++ b/peridotconfig/schedule_test.go
@@ -8,26 +8,65 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"peridotstack/peridotmember"
 )
 
 const (
-	domains         = 4
+	domainCount     = 4
 	agentsPerDomain = 2
-	processes       = domains * (1 + agentsPerDomain)
+	processes       = domainCount * (1 + agentsPerDomain)
 	faultsUntil     = 60 * time.Second
-	inForceWithin   = 7 * time.Second
-	callTimeout     = 2 * time.Second
-	keyCount        = 60
+	inForceWithin   = 3 * time.Second
+	// readersPerDomain is how many entry instances of a failure domain check the
+	// table service.
+	readersPerDomain = 2
+	callTimeout      = time.Second
+	keyCount         = 60
 )
 
 var errCut = errors.New("no answer")
 
-// process is one process of a schedule. The first process of each failure
-// domain is an entry instance, the others are agents.
+// shape is the number of processes of each kind. The first processes of a failure
+// domain are entry instances, the others agents.
+type shape struct {
+	domains, entries, agents int
+}
+
+func (s shape) processes() int { return s.domains * (s.entries + s.agents) }
+
+// links returns the agents that an entry instance pings.
+func (s shape) links(p *process) []int {
+	var entries, agents []string
+	for id := range s.processes() {
+		if id%(s.entries+s.agents) < s.entries {
+			entries = append(entries, strconv.Itoa(id))
+		} else {
+			agents = append(agents, strconv.Itoa(id))
+		}
+	}
+	if !p.entry {
+		return nil
+	}
+	var links []int
+	for _, name := range linksPerProcess.Agents(p.name(), entries, agents) {
+		id, _ := strconv.Atoi(name)
+		links = append(links, id)
+	}
+	return links
+}
+
+// linksPerProcess links the four entry instances of a small schedule to all agents.
+var linksPerProcess = peridotmember.Links{PerEntry: 4, PerAgent: 4}
+
+// process is one process of a schedule.
 type process struct {
 	id     int
 	life   int
+	domain int
 	entry  bool
+	// links are the agents that an entry instance pings.
+	links  []int
 	paused time.Time
 	*Follower
 	// pongs holds when each agent last answered, and in which life.
@@ -37,10 +76,8 @@
 
 func (p *process) name() string { return strconv.Itoa(p.id) }
 
-func (p *process) domain() int { return p.id / (1 + agentsPerDomain) }
-
 func (p *process) witness() Witness {
-	return Witness{Domain: strconv.Itoa(p.domain()), Instance: p.name(), Incarnation: strconv.Itoa(p.life)}
+	return Witness{Domain: strconv.Itoa(p.domain), Instance: p.name(), Incarnation: strconv.Itoa(p.life)}
 }
 
 // event runs at a process; it is dropped when the process was restarted since.
@@ -69,18 +106,19 @@
 
 // world runs one schedule in fake time.
 type world struct {
-	t        *testing.T
+	t        testing.TB
+	shape    shape
 	seed     uint64
 	random   *rand.Rand
 	now      time.Time
 	start    time.Time
 	queue    events
 	order    int
-	procs    [processes]*process
+	procs    []*process
 	commits  []Commit
 	down     bool
-	storeCut [processes]bool
-	cut      [processes][processes]bool
+	storeCut map[int]bool
+	cut      map[[2]int]bool
 	faults   bool
 	// accepted holds when the withdrawal of a key was accepted.
 	accepted map[string]time.Time
@@ -97,19 +135,32 @@
 	run func()
 }
 
-func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), accepted: make(map[string]time.Time)}
-	w.start = w.now
+func newWorld(t testing.TB, seed uint64) *world {
+	return newShapedWorld(t, seed, shape{domainCount, 1, agentsPerDomain})
+}
+
+func newShapedWorld(t testing.TB, seed uint64, s shape) *world {
+	w := &world{
+		t:        t,
+		shape:    s,
+		seed:     seed,
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		now:      time.Unix(1000, 0),
+		start:    time.Unix(1000, 0),
+		procs:    make([]*process, s.processes()),
+		storeCut: make(map[int]bool),
+		cut:      make(map[[2]int]bool),
+		accepted: make(map[string]time.Time),
+	}
 	changes := Changes{PutAccount{Account: Account{Name: "matriz-recife", Weight: 1}}}
 	for i := range keyCount {
 		changes = append(changes, GiveKey{Key: Key{ID: fmt.Sprint("k", i), Account: "matriz-recife"}})
 	}
 	var panel Panel
 	panel.Number = 1
-	for i := range processes {
-		w.procs[i] = w.boot(i, 0)
-		if i%(1+agentsPerDomain) == 1 {
-			panel.Witnesses = append(panel.Witnesses, w.procs[i].witness())
+	for i := range w.procs {
+		if p := w.boot(i, 0); i%(s.entries+s.agents) == s.entries {
+			panel.Witnesses = append(panel.Witnesses, p.witness())
 		}
 	}
 	w.commits = []Commit{{Seq: 1, Changes: append(changes, AppointPanel{Panel: panel})}}
@@ -117,13 +168,15 @@
 }
 
 func (w *world) boot(id, life int) *process {
-	p := &process{id: id, life: life, entry: id%(1+agentsPerDomain) == 0, pongs: make(map[int]Witness), seen: make(map[int]time.Time)}
+	perDomain := w.shape.entries + w.shape.agents
+	p := &process{id: id, life: life, domain: id / perDomain, entry: id%perDomain < w.shape.entries, pongs: make(map[int]Witness), seen: make(map[int]time.Time)}
+	p.links = w.shape.links(p)
 	var options []FollowerOption
 	if !p.entry {
 		options = append(options, WithoutStore())
 	}
 	p.Follower = NewFollower(uint64(id), options...)
-	p.SetReader(p.entry)
+	p.SetReader(id%perDomain < readersPerDomain)
 	w.procs[id] = p
 	w.every(p, 100*time.Millisecond, func() { w.tick(p) })
 	if p.entry {
@@ -150,7 +203,7 @@
 
 // send delivers a message unless the two processes are cut off from each other.
 func (w *world) send(from, to *process, run func()) {
-	if w.cut[from.id][to.id] {
+	if w.cut[[2]int{from.id, to.id}] {
 		return
 	}
 	delay := time.Millisecond + time.Duration(w.random.Int64N(int64(4*time.Millisecond)))
@@ -187,7 +240,7 @@
 		case CheckHead:
 			w.checkHead(p)
 		case AskWitnesses:
-			w.pingAll(p)
+			w.ask(p)
 		case Fetch:
 			w.fetch(p, action)
 		}
@@ -244,9 +297,17 @@
 
 // pingAll is the exchange of versions between an entry instance and the agents.
 func (w *world) pingAll(p *process) {
-	for _, a := range w.procs {
-		if !a.entry {
-			w.ping(p, a)
+	for _, id := range p.links {
+		w.ping(p, w.procs[id])
+	}
+}
+
+// ask exchanges versions with the witnesses.
+func (w *world) ask(p *process) {
+	for _, panel := range p.Config().Panels {
+		for _, witness := range panel.Witnesses {
+			id, _ := strconv.Atoi(witness.Instance)
+			w.ping(p, w.procs[id])
 		}
 	}
 }
@@ -290,7 +351,7 @@
 		return
 	}
 	seq := p.Config().Seq
-	a := w.procs[p.domain()*(1+agentsPerDomain)+1+w.random.IntN(agentsPerDomain)]
+	a := w.procs[p.links[w.random.IntN(len(p.links))]]
 	w.send(p, a, func() {
 		if !a.Fresh(w.now) || !a.Config().Admits(id, seq) {
 			return
@@ -308,7 +369,7 @@
 		return
 	}
 	var candidates []Witness
-	for id := range processes {
+	for _, id := range p.links {
 		if at, ok := p.seen[id]; ok && w.now.Sub(at) < 2*time.Second {
 			candidates = append(candidates, p.pongs[id])
 		}
@@ -341,6 +402,6 @@
 		w.accepted[keyID] = w.now
 		return
 	}
-	w.pingAll(p)
+	w.ask(p)
 	w.after(p, 200*time.Millisecond, func() { w.awaitAccepted(p, keyID, seq) })
 }
--- a/peridotentry/caller.go
+++ b/peridotentry/caller.go
@@ -40,7 +40,7 @@
 	defer e.running.Done()
 	ctx, done := e.callers.watch(r.Context(), r.RemoteAddr)
 	defer done()
-	if refused := e.stale(r); refused != nil {
+	if refused := e.stale(ctx, r); refused != nil {
 		e.refuse(w, refused, "")
 		return
 	}
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -32,6 +32,8 @@
 	pool     *pool
 	callers  callers
 	stopping atomic.Bool
+	// proven is closed once callers need not wait for the first configuration.
+	proven chan struct{}
 	// running waits for callers' requests during a graceful shutdown.
 	running sync.WaitGroup
 }
@@ -46,7 +48,7 @@
 
 // New returns an entry instance that has not started.
 func New(s peridotsettings.Entry, platform *peridotplatform.Client, options ...Option) *Entry {
-	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}}
+	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}, proven: make(chan struct{})}
 	for _, option := range options {
 		option(e)
 	}
@@ -70,7 +72,7 @@
 	go e.node.Serve(serving)
 	go e.pool.Serve(serving)
 	go e.keepPanels(serving)
-	e.awaitFirstProof(ctx)
+	go e.awaitFirstProof(serving)
 	operator := e.operatorServer()
 	if err := operator.Start(); err != nil {
 		return errors.Wrap(err, "listen for operators")
--- a/peridotentry/versions.go
+++ b/peridotentry/versions.go
@@ -25,8 +25,8 @@
 	readersPerDomain = 2
 	// panelInterval is the time between two looks at the panels of witnesses.
 	panelInterval = 3 * time.Second
-	// firstProofWait bounds how long a new instance waits for a configuration
-	// before it listens.
+	// firstProofWait bounds how long the first callers of a new instance wait for
+	// its configuration.
 	firstProofWait = 2 * time.Second
 	proofPoll      = 10 * time.Millisecond
 	// acceptWait bounds how long an operator waits for the acknowledgements of a
@@ -175,8 +175,9 @@
 }
 
 // awaitFirstProof gives a new instance a moment to get its configuration, so that
-// its first callers need not be refused.
+// its first callers wait for it and need not be refused.
 func (e *Entry) awaitFirstProof(ctx context.Context) {
+	defer close(e.proven)
 	end := time.Now().Add(firstProofWait)
 	for !e.node.Fresh() && ctx.Err() == nil && time.Now().Before(end) {
 		wait(ctx, proofPoll)
@@ -195,7 +196,11 @@
 
 // stale refuses a request that needs a key while the configuration in force
 // cannot be proven to be the newest.
-func (e *Entry) stale(r *http.Request) *peridotverdict.Error {
+func (e *Entry) stale(ctx context.Context, r *http.Request) *peridotverdict.Error {
+	select {
+	case <-e.proven:
+	case <-ctx.Done():
+	}
 	refused := e.node.CheckFresh()
 	if refused != nil && e.open(r) {
 		return nil
--- a/peridotoperator/operator.go
+++ b/peridotoperator/operator.go
@@ -17,6 +17,8 @@
 	bearer = "Bearer "
 	// maxRounds bounds how often a change is tried anew after another came first.
 	maxRounds = 10
+	// maxWithdrawn bounds the withdrawn keys that stay listed.
+	maxWithdrawn = 1000
 )
 
 // Operator serves the operator's interface. All fields must be set.
@@ -184,7 +186,11 @@
 }
 
 func (o *Operator) withdrawKey(r *http.Request, operator string) (any, error) {
-	return o.commit(r.Context(), operator, peridotconfig.Changes{peridotconfig.WithdrawKey{ID: r.PathValue("id")}})
+	changes := peridotconfig.Changes{peridotconfig.WithdrawKey{ID: r.PathValue("id")}}
+	if ids := o.Config().Purgeable(maxWithdrawn); len(ids) > 0 {
+		changes = append(changes, peridotconfig.PurgeKeys{IDs: ids})
+	}
+	return o.commit(r.Context(), operator, changes)
 }
 
 func (o *Operator) config(r *http.Request, _ string) (any, error) {
--- a/peridotsync/node.go
+++ b/peridotsync/node.go
@@ -18,8 +18,12 @@
 )
 
 const (
-	tickInterval     = 100 * time.Millisecond
-	callTimeout      = 2 * time.Second
+	tickInterval = 100 * time.Millisecond
+	// callTimeout bounds a check and a fetch; a lost answer delays the next try by
+	// as much.
+	callTimeout = time.Second
+	// firstReadTimeout bounds the read of a whole configuration.
+	firstReadTimeout = 5 * time.Second
 	incarnationBytes = 8
 	// acceptPoll is the time between two looks at the acknowledgements of a commit.
 	acceptPoll = 100 * time.Millisecond
@@ -146,7 +150,11 @@
 }
 
 func (n *Node) fetch(ctx context.Context, f peridotconfig.Fetch) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	timeout := callTimeout
+	if f.After == 0 {
+		timeout = firstReadTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	update, err := n.read(ctx, f)
 	if err == nil {
@@ -321,13 +329,14 @@
 }
 
 // Succeed commits the change of the panels of witnesses that is due, if any.
-// Candidates are processes that answered a moment ago.
+// Candidates are processes that answered a moment ago. Readers alone do so, for
+// of many that try one wins.
 func (n *Node) Succeed(ctx context.Context, instance string, candidates []peridotconfig.Witness) error {
 	n.mu.Lock()
-	base := n.follower.Config()
+	base, reader := n.follower.Config(), n.follower.Reader()
 	change := n.follower.Reports.Succession(base, candidates, time.Now())
 	n.mu.Unlock()
-	if change == nil || base.Seq == 0 {
+	if change == nil || base.Seq == 0 || !reader {
 		return nil
 	}
 	id := make([]byte, incarnationBytes)
