--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
@@ -17,10 +18,13 @@
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridotsync"
+	"peridotstack/peridotwire"
 )
 
 const (
 	logPrefix = "entry: "
+	// maxHeadBytes bounds the request line and headers together.
+	maxHeadBytes = 64 << 10
 )
 
 // Entry is an entry instance. Make one with New.
@@ -28,8 +32,10 @@
 	settings peridotsettings.Entry
 	platform *peridotplatform.Client
 	metrics  *peridotmetric.Metrics
+	identity *peridotwire.Identity
 	node     *peridotsync.Node
 	pool     *pool
+	traffic  *traffic
 	callers  callers
 	stopping atomic.Bool
 	// proven is closed once callers need not wait for the first configuration.
@@ -56,9 +62,22 @@
 	e.node = peridotsync.New(s.Instance, platform, e.pool, peridotsync.WithMetrics(e.metrics))
 	e.node.SetReader(true)
 	e.pool.node = e.node
+	e.pool.identity = e.identity
+	e.traffic = newTraffic(seedOf(s.Instance), e.pool, e.Config)
+	e.pool.observe = e.traffic.observe
 	return e
 }
 
+// WithIdentity makes the entry prove who it is to agents, and check who they are.
+func WithIdentity(i *peridotwire.Identity) Option {
+	return func(e *Entry) { e.identity = i }
+}
+
+// seedOf returns a seed that differs between instances.
+func seedOf(instance string) uint64 {
+	return xxhash.Sum64String(instance)
+}
+
 // Config returns the configuration in force.
 func (e *Entry) Config() *peridotconfig.Config {
 	return e.node.Config()
@@ -90,13 +109,19 @@
 }
 
 func (e *Entry) callerServer() *nbhttp.Server {
+	e.callers.metrics = e.metrics
+	e.callers.bodyTimeout = time.Duration(e.settings.BodyTimeoutMillis) * time.Millisecond
 	server := nbhttp.NewServer(nbhttp.Config{
 		Network:         "tcp",
 		Addrs:           []string{e.settings.CallerAddress},
 		MaxHTTPBodySize: e.settings.MaxBodyBytes,
+		ReadLimit:       e.settings.MaxBodyBytes + maxHeadBytes,
 		Handler:         http.HandlerFunc(e.serveCaller),
+		OnRequest:       e.callers.received,
 	})
+	server.OnOpen(e.callers.opened)
 	server.OnClose(e.callers.closed)
+	server.OnData(e.callers.arrived)
 	return server
 }
 
--- a/peridotentry/keys_test.go
+++ b/peridotentry/keys_test.go
@@ -59,7 +59,8 @@
 	}
 	var instances []peridotplatform.Instance
 	agent := func(i int, domain, model string, s peridotsettings.Agent) {
-		s.Process = peridotsettings.Process{Instance: fmt.Sprint("agent-", i), Domain: domain, PeerAddress: freeAddress(t), PlatformAddress: platform}
+		s.PeerAddress = freeAddress(t)
+		s.Process = peridotsettings.Process{Instance: fmt.Sprint("agent-", i), Domain: domain, PlatformAddress: platform}
 		run(peridotagent.New(s, peridotplatform.NewClient(platform)).Serve)
 		instances = append(instances, peridotplatform.Instance{
 			ID: s.Instance, Role: peridotplatform.RoleAgent, Domain: domain, Address: s.PeerAddress, Model: model, Service: s.Service,
