Wait for the first configuration in the request itself

Change: the first callers look themselves whether the configuration is fresh, at most until 2 s after the instance was made. No goroutine, no channel.

--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -38,8 +38,10 @@
 	traffic  *traffic
 	callers  callers
 	stopping atomic.Bool
-	// proven is closed once callers need not wait for the first configuration.
-	proven chan struct{}
+	// created is when the instance was made; proven is set once callers need not
+	// wait for its first configuration.
+	created time.Time
+	proven  atomic.Bool
 	// running waits for callers' requests during a graceful shutdown.
 	running sync.WaitGroup
 }
@@ -54,7 +56,7 @@
 
 // New returns an entry instance that has not started.
 func New(s peridotsettings.Entry, platform *peridotplatform.Client, options ...Option) *Entry {
-	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}, proven: make(chan struct{})}
+	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}, created: time.Now()}
 	for _, option := range options {
 		option(e)
 	}
@@ -91,7 +93,6 @@
 	go e.node.Serve(serving)
 	go e.pool.Serve(serving)
 	go e.keepPanels(serving)
-	go e.awaitFirstProof(serving)
 	operator := e.operatorServer()
 	if err := operator.Start(); err != nil {
 		return errors.Wrap(err, "listen for operators")
--- a/peridotentry/versions.go
+++ b/peridotentry/versions.go
@@ -177,9 +177,11 @@
 // awaitFirstProof gives a new instance a moment to get its configuration, so that
 // its first callers wait for it and need not be refused.
 func (e *Entry) awaitFirstProof(ctx context.Context) {
-	defer close(e.proven)
-	end := time.Now().Add(firstProofWait)
-	for !e.node.Fresh() && ctx.Err() == nil && time.Now().Before(end) {
+	for !e.proven.Load() && ctx.Err() == nil {
+		if e.node.Fresh() || time.Since(e.created) > firstProofWait {
+			e.proven.Store(true)
+			return
+		}
 		wait(ctx, proofPoll)
 	}
 }
@@ -197,10 +199,7 @@
 // stale refuses a request that needs a key while the configuration in force
 // cannot be proven to be the newest.
 func (e *Entry) stale(ctx context.Context, r *http.Request) *peridotverdict.Error {
-	select {
-	case <-e.proven:
-	case <-ctx.Done():
-	}
+	e.awaitFirstProof(ctx)
 	refused := e.node.CheckFresh()
 	if refused != nil && e.open(r) {
 		return nil
