Ask witnesses without a link over the peers' own TLS

Cause: the connection to a witness that an entry instance has no link to was dialed in the clear, while peers prove themselves to each other by TLS since the merge; such a witness could not be asked in an outage of the store.

Change: dial by the identity, as links do. TestAskWitnessWithoutLink runs the path (20 runs with -race green), without certificates; with certificates not run.

--- a/peridotentry/versions.go
+++ b/peridotentry/versions.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -110,7 +109,7 @@
 	instance := peridotplatform.Instance{ID: w.Instance, Address: w.Address}
 	peer := p.peerOf(w.Instance)
 	if peer == nil {
-		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", w.Address)
+		conn, err := p.identity.Dial(ctx, w.Address, dialTimeout)
 		if err != nil {
 			return
 		}
