--- a/peridotagent/agent.go
+++ b/peridotagent/agent.go
@@ -13,6 +13,7 @@
 
 	"peridotstack/peridotbackend"
 	"peridotstack/peridotmetric"
+	"peridotstack/peridotorder"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridotsync"
 	"peridotstack/peridottable"
@@ -21,8 +22,10 @@
 )
 
 const (
-	// maxJobs bounds the answers kept, running and ended together.
+	// maxJobs bounds the requests under way.
 	maxJobs = 4096
+	// maxEnded bounds the ended answers kept.
+	maxEnded = 4096
 	// keepEnded is how long an ended answer waits for a reader to resume.
 	keepEnded = 30 * time.Second
 	// logPrefix starts every log line of this part.
@@ -43,8 +46,14 @@
 	mu   sync.Mutex
 	jobs map[string]*job
 	// active is the number of jobs that have not ended; running waits for them.
-	active  int
+	active int
+	// ended lists the ended jobs, the oldest first.
+	ended   []endedJob
 	running sync.WaitGroup
+	// quietUntil is set while an order needs the engine to itself; mu guards it.
+	quietUntil time.Time
+	// orders is nil beside a plain service.
+	orders *peridotorder.Executor
 }
 
 // Option sets an optional part of an Agent.
@@ -73,6 +82,7 @@
 		option(a)
 	}
 	a.node = peridotsync.New(s.Instance, nil, &a.entries, peridotsync.WithMetrics(a.metrics))
+	a.orders = a.newExecutor()
 	return a
 }
 
@@ -95,7 +105,7 @@
 	case err := <-served:
 		return errors.Wrap(err, "serve peers")
 	}
-	a.drain()
+	a.drain(server)
 	stop()
 	return <-served
 }
@@ -106,22 +116,30 @@
 	log.Warn(logPrefix + "refused a peer: " + err.Error())
 }
 
-// drain takes no new work and waits for what runs, up to the shutdown grace.
-func (a *Agent) drain() {
+// drain takes no new work and waits, up to the shutdown grace, until what runs
+// has ended and its answers have been written.
+func (a *Agent) drain(server *peridotwire.Server) {
+	a.mu.Lock()
 	a.leaving.Store(true)
+	a.mu.Unlock()
 	log.Info(logPrefix + "draining")
 	grace := time.Duration(a.settings.ShutdownGraceMillis) * time.Millisecond
-	done := make(chan struct{})
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	ended := make(chan struct{})
 	go func() {
 		a.running.Wait()
-		close(done)
+		close(ended)
 	}()
 	select {
-	case <-done:
-		log.Info(logPrefix + "drained")
-	case <-time.After(grace):
+	case <-ended:
+	case <-ctx.Done():
+	}
+	if err := server.AwaitAnswers(ctx); err != nil {
 		log.Warn(logPrefix + "shutdown grace passed with requests still running")
+		return
 	}
+	log.Info(logPrefix + "drained")
 }
 
 // Call serves a request of an entry instance.
@@ -151,6 +169,10 @@
 			return nil, err
 		}
 		return a.node.Since(f.After), nil
+	case peridotwire.MethodOrder:
+		return a.order(ctx, params)
+	case peridotwire.MethodDescribe:
+		return a.describe(ctx, params)
 	default:
 		return nil, peridotverdict.New(peridotverdict.BadRequest, peridotverdict.NotRun, "unknown method "+method)
 	}
@@ -181,6 +203,7 @@
 		Stamp:       a.node.Stamp(),
 		Load:        a.load(),
 		Leaving:     a.leaving.Load(),
+		Quiet:       a.isQuiet(),
 	}
 	if pong.Leaving {
 		// Another process may soon answer at this address; this one acknowledges
--- a/peridotentry/agent_test.go
+++ b/peridotentry/agent_test.go
@@ -99,6 +99,14 @@
 	return nil, nil
 }
 
+// place is where an entry finds an agent.
+type place struct {
+	instance string
+	address  string
+	model    string
+	service  string
+}
+
 // entryWith returns an entry that is connected to the given agents, and the key
 // of its client account.
 func entryWith(t *testing.T, agents ...*scripted) (*Entry, string) {
@@ -109,7 +117,7 @@
 		stop()
 		serving.Wait()
 	})
-	var list []peridotplatform.Instance
+	var places []place
 	for _, s := range agents {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -117,7 +125,23 @@
 		}
 		server := &peridotwire.Server{Listener: listener, Handler: s}
 		serving.Go(func() { _ = server.Serve(ctx) })
-		list = append(list, peridotplatform.Instance{ID: s.instance, Role: peridotplatform.RoleAgent, Address: listener.Addr().String(), Model: s.model, Service: s.service})
+		places = append(places, place{s.instance, listener.Addr().String(), s.model, s.service})
+	}
+	return entryTo(t, places...)
+}
+
+// entryTo is entryWith for agents that are served already.
+func entryTo(t *testing.T, places ...place) (*Entry, string) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	var serving sync.WaitGroup
+	t.Cleanup(func() {
+		stop()
+		serving.Wait()
+	})
+	var list []peridotplatform.Instance
+	for _, p := range places {
+		list = append(list, peridotplatform.Instance{ID: p.instance, Role: peridotplatform.RoleAgent, Address: p.address, Model: p.model, Service: p.service})
 	}
 	key, id, hash := peridotkey.New()
 	platform := httptest.NewServer(peridotstandin.NewPlatform(list...).Handler())
@@ -129,18 +153,27 @@
 		peridotconfig.PutService{Service: peridotconfig.Service{Name: testService, Routes: []peridotconfig.Route{{Method: http.MethodPost, Path: "/push"}}}},
 		peridotconfig.PutAccount{Account: peridotconfig.Account{Name: testAccount, Models: []string{testModel}, Services: []string{testService}, Weight: 1}},
 		peridotconfig.GiveKey{Key: peridotconfig.Key{ID: id, Account: testAccount, Hash: hash}},
-		peridotconfig.SetDeployments{Deployments: []peridotconfig.Deployment{{Model: testModel, Replicas: len(agents)}}},
+		peridotconfig.SetDeployments{Deployments: []peridotconfig.Deployment{{Model: testModel, Replicas: len(places)}}},
 	})
 	serving.Go(func() { _ = e.node.Serve(ctx) })
 	serving.Go(func() { _ = e.pool.Serve(ctx) })
-	for _, s := range agents {
-		for e.pool.peerOf(s.instance) == nil || !e.node.Fresh() {
-			wait(ctx, pollInterval)
-		}
+	for !e.node.Fresh() || !allUp(e, len(places)) {
+		wait(ctx, pollInterval)
 	}
 	return e, key
 }
 
+// allUp reports whether requests may go to n backend servers.
+func allUp(e *Entry, n int) bool {
+	up := 0
+	for _, s := range e.pool.servers() {
+		if !s.Down && !s.Leaving {
+			up++
+		}
+	}
+	return up == n
+}
+
 // commit adds changes to the shared configuration and puts them in force at e.
 func commit(t *testing.T, e *Entry, changes peridotconfig.Changes) {
 	t.Helper()
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +24,8 @@
 	logPrefix = "entry: "
 	// maxHeadBytes bounds the request line and headers together.
 	maxHeadBytes = 64 << 10
+	// controlStopTimeout bounds the wait for the release of leases.
+	controlStopTimeout = 5 * time.Second
 )
 
 // Entry is an entry instance. Make one with New.
@@ -42,8 +43,8 @@
 	// wait for its first configuration.
 	created time.Time
 	proven  atomic.Bool
-	// running waits for callers' requests during a graceful shutdown.
-	running sync.WaitGroup
+	// unready tells the balancer to send callers elsewhere.
+	unready atomic.Bool
 }
 
 // Option sets an optional part of an Entry.
@@ -104,8 +105,19 @@
 	}
 	defer caller.Stop()
 	log.Info(logPrefix + "serving callers on " + e.settings.CallerAddress)
+	stopControl := newControl(e).start()
 	<-ctx.Done()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stopControl()
+	}()
 	e.drain()
+	select {
+	case <-stopped:
+	case <-time.After(controlStopTimeout):
+		log.Warn(logPrefix + "leases were not released in time")
+	}
 	return nil
 }
 
@@ -123,6 +135,7 @@
 	server.OnOpen(e.callers.opened)
 	server.OnClose(e.callers.closed)
 	server.OnData(e.callers.arrived)
+	server.OnWrittenSize(e.callers.written)
 	return server
 }
 
@@ -148,27 +161,26 @@
 
 // serveReady tells the balancer whether to send callers here.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() || e.Config().Seq == 0 {
+	if e.unready.Load() || e.Config().Seq == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-// drain takes no new requests and waits for those under way.
+// drain first only tells the balancer to send callers elsewhere, then takes no
+// new requests and waits until those under way are answered and sent.
 func (e *Entry) drain() {
-	e.stopping.Store(true)
+	e.unready.Store(true)
 	log.Info(logPrefix + "draining")
-	done := make(chan struct{})
-	go func() {
-		e.running.Wait()
-		close(done)
-	}()
+	time.Sleep(time.Duration(e.settings.LameDuckMillis) * time.Millisecond)
+	e.stopping.Store(true)
 	grace := time.Duration(e.settings.ShutdownGraceMillis) * time.Millisecond
-	select {
-	case <-done:
-		log.Info(logPrefix + "drained")
-	case <-time.After(grace):
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if err := e.callers.drain(ctx); err != nil {
 		log.Warn(logPrefix + "shutdown grace passed with requests still running")
+		return
 	}
+	log.Info(logPrefix + "drained")
 }
--- a/peridotentry/keys_test.go
+++ b/peridotentry/keys_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -110,7 +109,11 @@
 		peridotconfig.GiveKey{Key: peridotconfig.Key{ID: id, Account: "a", Hash: hash}},
 		peridotconfig.PutOperator{Operator: peridotconfig.Operator{Name: "o", ID: opID, Hash: opHash}},
 		peridotconfig.SetDeployments{Deployments: []peridotconfig.Deployment{
-			{Domain: "domain-0", Model: "m", Version: "v1", Replicas: 1}, {Domain: "domain-0", Service: "api", Replicas: 1},
+			{Domain: "domain-0", Model: "m", Version: "v1", Replicas: 1},
+			{Domain: "domain-0", Service: "api", Replicas: 1},
+			{Domain: "domain-1", Service: "api", Replicas: 1},
+			{Domain: "domain-2", Service: "api", Replicas: 1},
+			{Domain: "domain-3", Service: "api", Replicas: 1},
 		}},
 	}
 	timeline := &peridotconfig.Log{Store: peridotplatform.NewClient(platform)}
@@ -128,12 +131,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := peridotstandin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // call is one request; empty fields are left out.
--- a/peridotentry/versions.go
+++ b/peridotentry/versions.go
@@ -57,6 +57,11 @@
 	return p.view.MarkedLeaving(instance)
 }
 
+// accepts reports whether new work may go over the link now. The pool is locked.
+func (p *pool) accepts(l *link) bool {
+	return l.peer != nil && !l.pong.Quiet && p.usable(l)
+}
+
 // usable reports whether new work may go over the link. The pool is locked.
 func (p *pool) usable(l *link) bool {
 	return l.pong.Version.Seq > 0 && p.view.Usable(l.instance.ID, time.Now())
--- a/peridotwire/message.go
+++ b/peridotwire/message.go
@@ -146,6 +146,9 @@
 	Load  Load
 	// Leaving is set once the process takes no new work.
 	Leaving bool
+	// Quiet is set while the process takes no new work because an order is about
+	// to change its engine.
+	Quiet bool
 }
 
 // Fetch asks for the commits behind a number.
@@ -154,7 +157,12 @@
 }
 
 // Describe asks what the backend server runs.
-type Describe struct{}
+type Describe struct {
+	// Shard and Token are set by the holder of the shard's lease: no order with
+	// an older token is taken from then on.
+	Shard string
+	Token int64
+}
 
 // Description answers Describe.
 type Description struct {
@@ -171,4 +179,7 @@
 	// OrderID names the last order taken; Busy says whether it is under way.
 	OrderID string
 	Busy    bool
+	// Ticket is set for a holder whose token is the newest seen; its orders must
+	// name it.
+	Ticket string
 }
