--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -39,6 +39,10 @@
 	traffic  *traffic
 	callers  callers
 	stopping atomic.Bool
+	// created is when the instance was made; proven is set once callers need not
+	// wait for its first configuration.
+	created time.Time
+	proven  atomic.Bool
 	// unready tells the balancer to send callers elsewhere.
 	unready atomic.Bool
 }
@@ -53,7 +57,7 @@
 
 // New returns an entry instance that has not started.
 func New(s peridotsettings.Entry, platform *peridotplatform.Client, options ...Option) *Entry {
-	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}}
+	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}, created: time.Now()}
 	for _, option := range options {
 		option(e)
 	}
@@ -90,7 +94,6 @@
 	go e.node.Serve(serving)
 	go e.pool.Serve(serving)
 	go e.keepPanels(serving)
-	e.awaitFirstProof(ctx)
 	operator := e.operatorServer()
 	if err := operator.Start(); err != nil {
 		return errors.Wrap(err, "listen for operators")
--- a/peridotentry/versions.go
+++ b/peridotentry/versions.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -25,8 +24,8 @@
 	readersPerDomain = 2
 	// panelInterval is the time between two looks at the panels of witnesses.
 	panelInterval = 3 * time.Second
-	// firstProofWait bounds how long a new instance waits for a configuration
-	// before it listens.
+	// firstProofWait bounds how long the first callers of a new instance wait for
+	// its configuration.
 	firstProofWait = 2 * time.Second
 	proofPoll      = 10 * time.Millisecond
 	// acceptWait bounds how long an operator waits for the acknowledgements of a
@@ -115,7 +114,7 @@
 	instance := peridotplatform.Instance{ID: w.Instance, Address: w.Address}
 	peer := p.peerOf(w.Instance)
 	if peer == nil {
-		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", w.Address)
+		conn, err := p.identity.Dial(ctx, w.Address, dialTimeout)
 		if err != nil {
 			return
 		}
@@ -180,10 +179,13 @@
 }
 
 // awaitFirstProof gives a new instance a moment to get its configuration, so that
-// its first callers need not be refused.
+// its first callers wait for it and need not be refused.
 func (e *Entry) awaitFirstProof(ctx context.Context) {
-	end := time.Now().Add(firstProofWait)
-	for !e.node.Fresh() && ctx.Err() == nil && time.Now().Before(end) {
+	for !e.proven.Load() && ctx.Err() == nil {
+		if e.node.Fresh() || time.Since(e.created) > firstProofWait {
+			e.proven.Store(true)
+			return
+		}
 		wait(ctx, proofPoll)
 	}
 }
@@ -200,7 +202,8 @@
 
 // stale refuses a request that needs a key while the configuration in force
 // cannot be proven to be the newest.
-func (e *Entry) stale(r *http.Request) *peridotverdict.Error {
+func (e *Entry) stale(ctx context.Context, r *http.Request) *peridotverdict.Error {
+	e.awaitFirstProof(ctx)
 	refused := e.node.CheckFresh()
 	if refused != nil && e.open(r) {
 		return nil
