Seal usage windows once and report what the sealed row says

Cause: usage was not counted at all. Figures kept in one process's memory die with it, and two holders of a shard could report different figures.

Ruled out: a row per agent and window, counting on one side only, an event per request, changing or leaving out late figures; see docs/design/usage.md.

Change: package peridotusage (Counter, Ledger, Collector), the adapter peridotplatform.UsageReporter and the stand-in peridotstandin.Usage.

Conclusion: proved within the package with a fake lease; not wired.

--- a/peridotstandin/platform.go
+++ b/peridotstandin/platform.go
@@ -14,6 +14,8 @@
 type Platform struct {
 	// Table is the table service; its switches inject faults.
 	Table *peridottable.Faulty
+	// Usage is the interface for usage reports.
+	Usage Usage
 
 	mu        sync.Mutex
 	instances []peridotplatform.Instance
@@ -38,6 +40,7 @@
 	mux.HandleFunc("POST /table/scan", p.scan)
 	mux.HandleFunc("POST /table/commit", p.commit)
 	mux.HandleFunc("POST /instances", p.list)
+	mux.Handle("POST /usage", &p.Usage)
 	return mux
 }
 
