Let the agent guard non-idempotent requests and count use

Cause: peridotonce and peridotusage were not used by any process.

Change: the agent claims the key of a request that is not idempotent before it runs it, goes on without readers and ignores cancellation for it, and records outcomes before a graceful shutdown ends. Agent and entry count each request in the window that the entry stamps into the Run message; the Pong message tells the agent's incarnation; the End message tells a repeat, which counts nothing.

Not measured: the latency the claim adds. Not wired: handing figures to a collector and running it, which need the lease.

--- a/peridotagent/agent.go
+++ b/peridotagent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"net"
 	"sync"
@@ -14,8 +15,10 @@
 	"peridotstack/peridotbackend"
 	"peridotstack/peridotconfig"
 	"peridotstack/peridotmetric"
+	"peridotstack/peridotonce"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridottable"
+	"peridotstack/peridotusage"
 	"peridotstack/peridotverdict"
 	"peridotstack/peridotwire"
 )
@@ -39,6 +42,10 @@
 	metrics  *peridotmetric.Metrics
 	config   atomic.Pointer[peridotconfig.Config]
 	leaving  atomic.Bool
+	// incarnation tells this process from earlier ones of the same instance.
+	incarnation string
+	once        *peridotonce.Keeper
+	usage       *peridotusage.Counter
 
 	mu   sync.Mutex
 	jobs map[string]*job
@@ -64,6 +71,9 @@
 		a.backend = peridotbackend.NewService(s.ServiceAddress)
 	}
 	a.config.Store(&peridotconfig.Config{})
+	a.incarnation = rand.Text()
+	a.once = peridotonce.NewKeeper(store, peridotonce.Process{Instance: s.Instance, Incarnation: a.incarnation}, peridotonce.Options{})
+	a.usage = peridotusage.NewCounter(a.process(), 0)
 	for _, option := range options {
 		option(a)
 	}
@@ -83,6 +93,7 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(serving) }()
 	go a.followConfig(serving)
+	go a.once.Serve(serving)
 	log.Info(logPrefix + "serving on " + listener.Addr().String())
 	select {
 	case <-ctx.Done():
@@ -102,6 +113,7 @@
 	done := make(chan struct{})
 	go func() {
 		a.running.Wait()
+		a.saveOutcomes(grace)
 		close(done)
 	}()
 	select {
@@ -172,6 +184,8 @@
 		Version: peridotwire.Version{Seq: a.config.Load().Seq},
 		Load:    a.load(),
 		Leaving: a.leaving.Load(),
+
+		Incarnation: a.incarnation,
 	}
 }
 
--- a/peridotagent/job.go
+++ b/peridotagent/job.go
@@ -21,6 +21,8 @@
 	account  string
 	timeline peridotstream.Timeline
 	cancel   context.CancelFunc
+	// once is set for a request that is not idempotent; it goes on without readers.
+	once bool
 	// orphan fires when no reader has come back in time; it is guarded by the
 	// agent's mutex, and so is readers.
 	orphan  *time.Timer
@@ -71,7 +73,7 @@
 		return nil, peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "too many requests", peridotverdict.RetryAfter(time.Second))
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(r.TimeoutMillis)*time.Millisecond)
-	j := &job{account: r.Account, cancel: cancel}
+	j := &job{account: r.Account, cancel: cancel, once: !r.Idempotent}
 	j.timeline.MaxBytes = maxAnswerBytes
 	a.jobs[r.RequestID] = j
 	a.active++
@@ -83,7 +85,7 @@
 func (a *Agent) execute(ctx context.Context, r peridotwire.Run, j *job) {
 	defer a.running.Done()
 	defer j.cancel()
-	peridotbackend.Run(ctx, a.backend, peridotbackend.Request{
+	request := peridotbackend.Request{
 		ID:             r.RequestID,
 		Method:         r.Method,
 		Path:           r.Path,
@@ -93,7 +95,16 @@
 		Stream:         r.Stream,
 		Priority:       r.Priority,
 		IdempotencyKey: r.IdempotencyKey,
-	}, &j.timeline)
+	}
+	ran := true
+	if r.Idempotent {
+		peridotbackend.Run(ctx, a.backend, request, &j.timeline)
+	} else {
+		ran = a.runOnce(ctx, r, request, &j.timeline)
+	}
+	if ran {
+		a.countUse(r, &j.timeline)
+	}
 	a.mu.Lock()
 	a.active--
 	a.mu.Unlock()
@@ -153,17 +164,18 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	j.readers--
-	if j.readers == 0 && j.timeline.Ended() == nil {
+	if j.readers == 0 && !j.once && j.timeline.Ended() == nil {
 		j.orphan = time.AfterFunc(orphanGrace, j.cancel)
 	}
 }
 
-// cancel ends a request whose caller has gone.
+// cancel ends a request whose caller has gone, unless it may run only once: its
+// caller may ask again.
 func (a *Agent) cancel(requestID string) {
 	a.mu.Lock()
 	j := a.jobs[requestID]
 	a.mu.Unlock()
-	if j != nil {
+	if j != nil && !j.once {
 		j.cancel()
 	}
 }
--- /dev/null
+++ b/peridotagent/once.go
@@ -0,0 +1,73 @@
+package peridotagent
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"peridotstack/peridotbackend"
+	"peridotstack/peridotonce"
+	"peridotstack/peridotstream"
+	"peridotstack/peridotverdict"
+	"peridotstack/peridotwire"
+)
+
+// runOnce runs a request that is not idempotent unless its key was used before;
+// then t gets what became of the first attempt. It reports whether the request
+// was handed to the backend server. It always closes t.
+func (a *Agent) runOnce(ctx context.Context, r peridotwire.Run, request peridotbackend.Request, t *peridotstream.Timeline) bool {
+	if r.IdempotencyKey == "" {
+		t.Close(peridotstream.End{Err: peridotverdict.New(peridotverdict.BadRequest, peridotverdict.NotRun, "the request needs an idempotency key")})
+		return false
+	}
+	reply := a.once.Ask(ctx, peridotonce.Request{
+		RequestID:   r.RequestID,
+		Account:     r.Account,
+		Service:     r.Service,
+		Key:         r.IdempotencyKey,
+		Fingerprint: peridotonce.Fingerprint(r.Method, r.Path, r.Query, r.ContentType, r.Body),
+		Timeout:     time.Duration(r.TimeoutMillis) * time.Millisecond,
+	})
+	if !reply.Run {
+		a.metrics.Count("repeats")
+		t.Close(endOf(reply, t))
+		return false
+	}
+	peridotbackend.Run(ctx, a.backend, request, t)
+	a.once.End(r.RequestID, outcomeOf(t))
+	return true
+}
+
+// endOf writes what a repeat gets.
+func endOf(reply peridotonce.Reply, t *peridotstream.Timeline) peridotstream.End {
+	if reply.Err != nil {
+		return peridotstream.End{Err: reply.Err}
+	}
+	if err := t.Append(reply.Outcome.Body); err != nil {
+		return peridotstream.End{Err: peridotverdict.As(err)}
+	}
+	return peridotstream.End{Status: reply.Outcome.Status, ContentType: reply.Outcome.ContentType, Repeat: true}
+}
+
+// outcomeOf returns the outcome of an answer that has ended.
+func outcomeOf(t *peridotstream.Timeline) peridotonce.Outcome {
+	end := t.Ended()
+	if end.Err != nil {
+		return peridotonce.Outcome{Err: end.Err}
+	}
+	// An answer that has ended is there at once.
+	chunks, _, _ := t.Next(context.Background(), 0)
+	return peridotonce.Outcome{Status: end.Status, ContentType: end.ContentType, Body: strings.Join(chunks, "")}
+}
+
+// saveOutcomes waits until the outcomes of all requests are recorded, up to the
+// shutdown grace.
+func (a *Agent) saveOutcomes(grace time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if err := a.once.Flush(ctx); err != nil {
+		log.Warn(logPrefix + "shutdown grace passed with outcomes not recorded")
+	}
+}
--- a/peridotentry/caller.go
+++ b/peridotentry/caller.go
@@ -192,7 +192,10 @@
 	}
 	defer e.pool.release(l)
 	run.RequestID = newRequestID(l.instance.ID)
+	use := e.useOf(l, run.Account)
+	run.UsageWindow = int64(use.cell.Window)
 	x := newExchange(run, 0)
+	x.use = use
 	e.serveExchange(ctx, w, peer, x, false)
 }
 
@@ -226,6 +229,7 @@
 		if err != nil {
 			end = &peridotstream.End{Err: err}
 		}
+		e.countUse(x, *end)
 		x.timeline.Close(*end)
 	}()
 	if x.request.Stream {
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"peridotstack/peridotoperator"
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotsettings"
+	"peridotstack/peridotusage"
 	"peridotstack/peridotwire"
 )
 
@@ -32,6 +34,7 @@
 	config   atomic.Pointer[peridotconfig.Config]
 	pool     *pool
 	callers  callers
+	usage    *peridotusage.Counter
 	stopping atomic.Bool
 	// running waits for callers' requests during a graceful shutdown.
 	running sync.WaitGroup
@@ -49,6 +52,7 @@
 func New(s peridotsettings.Entry, platform *peridotplatform.Client, options ...Option) *Entry {
 	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}}
 	e.config.Store(&peridotconfig.Config{})
+	e.usage = peridotusage.NewCounter(peridotusage.Process{Instance: s.Instance, Incarnation: rand.Text()}, 0)
 	e.pool = newPool(s.Instance, platform.Instances, e.version)
 	for _, option := range options {
 		option(e)
--- a/peridotentry/exchange.go
+++ b/peridotentry/exchange.go
@@ -47,6 +47,8 @@
 	// after is how many chunks the caller already had.
 	after    int
 	timeline peridotstream.Timeline
+	// use is nil when the exchange only continues an answer.
+	use *use
 
 	mu      sync.Mutex
 	checker *peridotstream.Checker
--- a/peridotstream/timeline.go
+++ b/peridotstream/timeline.go
@@ -22,6 +22,8 @@
 	// PromptTokens and OutputTokens are what the engine counted.
 	PromptTokens int
 	OutputTokens int
+	// Repeat is set when the answer is that of an earlier attempt and nothing ran.
+	Repeat bool
 	// Err is set when the answer broke off; the chunks are then not whole.
 	Err *peridotverdict.Error
 }
--- a/peridotwire/message.go
+++ b/peridotwire/message.go
@@ -56,6 +56,8 @@
 	Idempotent bool
 	// TimeoutMillis is what is left until the caller's deadline.
 	TimeoutMillis int64
+	// UsageWindow is the number of the window that the request's use counts in.
+	UsageWindow int64
 }
 
 // Resume asks for the chunks of a running or ended request behind a checkpoint.
@@ -127,6 +129,8 @@
 	Load    Load
 	// Leaving is set once the process takes no new work.
 	Leaving bool
+	// Incarnation differs after each restart of the instance's process.
+	Incarnation string
 }
 
 // Fetch asks for the commits behind a number.
