Read the lease row's version once per step of the collector

Cause: the authority over a shard is known in memory, but the version of its row changes with each renewal; asking for both at once would make a holder drop its figures when the table service is down.

Change: Authority.Hold answers from memory, Authority.Fence reads the check that all commits of a Step carry.

--- a/peridotentry/path_test.go
+++ b/peridotentry/path_test.go
@@ -239,7 +239,11 @@
 type holder struct{}
 
 func (holder) Hold(string) (peridotusage.Hold, bool) {
-	return peridotusage.Hold{Token: 1, Check: peridottable.Check{Key: "lease/" + domain}, Quiet: true}, true
+	return peridotusage.Hold{Token: 1, Quiet: true}, true
+}
+
+func (holder) Fence(context.Context, string, int64) (peridottable.Check, error) {
+	return peridottable.Check{Key: "lease/" + domain}, nil
 }
 
 // TestReportsMatchTheEngine compares what the platform took with what the engine
--- a/peridotusage/collector.go
+++ b/peridotusage/collector.go
@@ -29,8 +29,6 @@
 type Hold struct {
 	// Token is the fencing token of the lease.
 	Token int64
-	// Check makes a commit fail once another process has taken the lease over.
-	Check peridottable.Check
 	// Quiet is set once nothing that an earlier holder sent can still be taken by
 	// a receiver: the lease has been held for longer than the receiver's timeout.
 	Quiet bool
@@ -39,8 +37,12 @@
 // Authority tells who holds a shard. It must be safe for concurrent use.
 type Authority interface {
 	// Hold returns this process's authority over a shard at this moment, and false
-	// when it has none.
+	// when it has none. It does not ask the table service, so that figures
+	// survive its outage.
 	Hold(shard string) (Hold, bool)
+	// Fence returns the check that makes a commit fail unless the lease row still
+	// has the given token. It may come from a stale read.
+	Fence(ctx context.Context, shard string, token int64) (peridottable.Check, error)
 }
 
 // Reporter is the platform's interface for usage reports.
@@ -77,7 +79,9 @@
 	loaded       bool
 	reloadAt     time.Time
 	checkpointAt time.Time
-	commits      int
+	// fence is the check of the lease row that all commits of a Step carry.
+	fence   peridottable.Check
+	commits int
 
 	// mu guards ledger and token.
 	mu     sync.Mutex
@@ -122,6 +126,11 @@
 		return nil
 	}
 	c.begin(hold, now)
+	fence, err := c.Authority.Fence(ctx, c.Shard, hold.Token)
+	if err != nil {
+		return err
+	}
+	c.fence = fence
 	if !c.loaded || !now.Before(c.reloadAt) {
 		if err := c.load(ctx); err != nil {
 			return err
@@ -311,7 +320,7 @@
 	c.commits++
 	return peridottable.Txn{
 		ID:     fmt.Sprintf("usage/%s/%d/%d", c.Shard, hold.Token, c.commits),
-		Checks: []peridottable.Check{hold.Check},
+		Checks: []peridottable.Check{c.fence},
 	}
 }
 
--- a/peridotusage/collector_test.go
+++ b/peridotusage/collector_test.go
@@ -130,7 +130,14 @@
 
 func (v *view) Hold(string) (Hold, bool) {
 	quiet := v.w.now.Sub(v.w.takenAt) >= grace
-	return Hold{Token: v.token, Check: v.check, Quiet: quiet}, v.token == v.w.token
+	return Hold{Token: v.token, Quiet: quiet}, v.token == v.w.token
+}
+
+func (v *view) Fence(context.Context, string, int64) (peridottable.Check, error) {
+	if v.w.down {
+		return peridottable.Check{}, peridotverdict.New(peridotverdict.StoreUnavailable, peridotverdict.NotRun, "down")
+	}
+	return v.check, nil
 }
 
 // replaceHolder lets another process take the lease over.
