Hand figures over to whoever holds the shard

Cause: nothing brought the figures of a Counter to a Collector.

Change: Counter.HandOver sends encoded parts to a Receiver and gives a new collector everything again; peridotwire has the messages. The collector tests hand over that way.

Not wired: a Receiver over peridotwire and the processes that call HandOver and Collector.Step; they need the lease.

--- a/peridotusage/collector_test.go
+++ b/peridotusage/collector_test.go
@@ -284,14 +284,15 @@
 		return
 	}
 	for _, c := range slices.Concat(w.agents, w.entries) {
-		parts := c.Parts(testShard, w.token, 1000)
-		receipt, err := w.collector.Take(parts)
-		if err == nil {
-			c.Handed(testShard, parts, receipt)
-		}
+		_ = c.HandOver(w.t.Context(), testShard, w) // The next one goes on.
 	}
 }
 
+// Take brings parts to the collector that holds the shard.
+func (w *world) Take(_ context.Context, _ string, parts []byte) (Receipt, error) {
+	return w.collector.TakeEncoded(parts)
+}
+
 // tick is one second of the world.
 func (w *world) tick(end time.Time) {
 	if w.busy() {
@@ -580,6 +581,26 @@
 	return a == agentKilled && b == entryKilled
 }
 
+// TestNewCollectorGetsEverything makes sure that a receipt of one collector does
+// not keep figures from the next.
+func TestNewCollectorGetsEverything(t *testing.T) {
+	w, cell, f := quiet(t)
+	_ = w.collector.Step(t.Context(), w.now)
+	w.handOver()
+	w.replaceHolder()
+	_ = w.collector.Step(t.Context(), w.now)
+	other := cell
+	other.Account = "ocho-rios"
+	w.agents[0].Add(testShard, other, f)
+	w.handOver()
+	if got := len(w.collector.ledger.Open()); got != 2 {
+		t.Errorf("the new collector has %d figures, want 2", got)
+	}
+	if got := len(w.agents[0].Parts(testShard, w.token, 10)); got != 0 {
+		t.Errorf("the agent has %d figures left to hand over, want 0", got)
+	}
+}
+
 func TestReportsUnderFaults(t *testing.T) {
 	// Each seed takes its share of the faults and pairs of faults.
 	const shares = 14
--- a/peridotusage/counter.go
+++ b/peridotusage/counter.go
@@ -14,8 +14,10 @@
 	self     Process
 	maxCells int
 
-	mu      sync.Mutex
-	cells   map[address]*count
+	mu    sync.Mutex
+	cells map[address]*count
+	// tokens are those of the collectors that took the last parts, by shard.
+	tokens  map[string]int64
 	dropped int64
 }
 
@@ -38,7 +40,7 @@
 	if maxCells <= 0 {
 		maxCells = defaultMaxCells
 	}
-	return &Counter{self: self, maxCells: maxCells, cells: make(map[address]*count)}
+	return &Counter{self: self, maxCells: maxCells, cells: make(map[address]*count), tokens: make(map[string]int64)}
 }
 
 // Add counts use. When the counter is full it drops the figures of its oldest
