--- a/peridotagent/agent.go
+++ b/peridotagent/agent.go
@@ -13,10 +13,12 @@
 
 	"peridotstack/peridotbackend"
 	"peridotstack/peridotmetric"
+	"peridotstack/peridotonce"
 	"peridotstack/peridotorder"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridotsync"
 	"peridotstack/peridottable"
+	"peridotstack/peridotusage"
 	"peridotstack/peridotverdict"
 	"peridotstack/peridotwire"
 )
@@ -42,6 +44,8 @@
 	node     *peridotsync.Node
 	entries  entries
 	leaving  atomic.Bool
+	once     *peridotonce.Keeper
+	usage    *peridotusage.Counter
 
 	mu   sync.Mutex
 	jobs map[string]*job
@@ -82,6 +86,8 @@
 		option(a)
 	}
 	a.node = peridotsync.New(s.Instance, nil, &a.entries, peridotsync.WithMetrics(a.metrics))
+	a.once = peridotonce.NewKeeper(store, peridotonce.Process{Instance: s.Instance, Incarnation: a.node.Incarnation}, peridotonce.Options{})
+	a.usage = peridotusage.NewCounter(a.process(), 0)
 	a.orders = a.newExecutor()
 	return a
 }
@@ -99,6 +105,7 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(serving) }()
 	go a.node.Serve(serving)
+	go a.once.Serve(serving)
 	log.Info(logPrefix + "serving on " + listener.Addr().String())
 	select {
 	case <-ctx.Done():
@@ -129,6 +136,7 @@
 	ended := make(chan struct{})
 	go func() {
 		a.running.Wait()
+		a.saveOutcomes(grace)
 		close(ended)
 	}()
 	select {
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridotsync"
+	"peridotstack/peridotusage"
 	"peridotstack/peridotwire"
 )
 
@@ -38,6 +40,7 @@
 	pool     *pool
 	traffic  *traffic
 	callers  callers
+	usage    *peridotusage.Counter
 	stopping atomic.Bool
 	// created is when the instance was made; proven is set once callers need not
 	// wait for its first configuration.
@@ -58,6 +61,7 @@
 // New returns an entry instance that has not started.
 func New(s peridotsettings.Entry, platform *peridotplatform.Client, options ...Option) *Entry {
 	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}, created: time.Now()}
+	e.usage = peridotusage.NewCounter(peridotusage.Process{Instance: s.Instance, Incarnation: rand.Text()}, 0)
 	for _, option := range options {
 		option(e)
 	}
--- a/peridotentry/exchange.go
+++ b/peridotentry/exchange.go
@@ -53,6 +53,8 @@
 	timeline *peridotstream.Timeline
 	// progress, if set, is told how many chunks have come.
 	progress func(chunks int)
+	// use is nil when the exchange only continues an answer.
+	use *use
 
 	mu      sync.Mutex
 	checker *peridotstream.Checker
--- a/peridotentry/retry.go
+++ b/peridotentry/retry.go
@@ -110,13 +110,21 @@
 		return nil, 0, err
 	}
 	defer e.pool.release(l)
+	use := e.useOf(l, c.run.Account)
+	c.run.UsageWindow = int64(use.cell.Window)
 	x := newExchange(c.run, 0, &a.timeline)
+	x.use = use
 	x.progress = func(chunks int) {
 		if chunks == 1 || chunks%progressChunks == 0 {
 			e.traffic.progress(c.id, &x.request, chunks)
 		}
 	}
 	end, err := e.conduct(ctx, peer, x, false)
+	if err != nil {
+		e.countUse(x, peridotstream.End{Err: err})
+	} else {
+		e.countUse(x, *end)
+	}
 	return end, x.abandon(), err
 }
 
--- a/peridotwire/message.go
+++ b/peridotwire/message.go
@@ -59,6 +59,8 @@
 	Idempotent bool
 	// TimeoutMillis is what is left until the caller's deadline.
 	TimeoutMillis int64
+	// UsageWindow is the number of the window that the request's use counts in.
+	UsageWindow int64
 }
 
 // Resume asks for the chunks of a running or ended request behind a checkpoint.
