Write outcomes apart from claims, so that conflicts do not hold them up

An outcome waited in one transaction with claims on keys that the other agent has; each such claim makes the whole transaction conflict, and callers that come back bring new ones. Ruled out: a lost save, a stale cache (the row stays claimed). A commit now takes entries of one class. TestOutcomesGoApartFromClaims: red before (3 rows in one commit), green after.

--- a/peridotonce/flight.go
+++ b/peridotonce/flight.go
@@ -54,14 +54,52 @@
 	return []Action{l.send(now)}
 }
 
-// take removes the next batch from the queue. A claim whose fate is unknown has
-// to be read and goes by itself.
+// class orders the entries that wait for a commit. A commit takes entries of one
+// class only: rows that are surely ours cannot conflict, and must not fail again
+// and again together with claims on keys that another process has.
+type class int
+
+const (
+	// ours are outcomes and releases of rows that this process wrote.
+	ours class = iota
+	// contended claims were part of a commit that conflicted, but not its cause.
+	contended
+	// unread entries must be read first and go by themselves.
+	unread
+	// fresh claims have not been tried. They come last, for there is no end of
+	// them.
+	fresh
+)
+
+func (e *entry) class() class {
+	switch {
+	case e.unknown():
+		return unread
+	case e.phase != claiming:
+		return ours
+	case e.conflicts > 0:
+		return contended
+	default:
+		return fresh
+	}
+}
+
+// take removes the next batch from the queue: entries of the first class that
+// has any ready.
 func (l *Ledger) take(now time.Time) []*entry {
+	first := fresh
+	for _, e := range l.queue {
+		if !now.Before(e.notBefore) {
+			first = min(first, e.class())
+		}
+	}
+	limit := l.options.MaxBatch
+	if first == unread {
+		limit = 1
+	}
 	var batch, rest []*entry
 	for _, e := range l.queue {
-		full := len(batch) >= l.options.MaxBatch
-		single := len(batch) > 0 && (batch[0].unknown() || e.unknown())
-		if full || single || now.Before(e.notBefore) {
+		if len(batch) >= limit || e.class() != first || now.Before(e.notBefore) {
 			rest = append(rest, e)
 			continue
 		}
