Test planned changes and bounded stops with streams under way

A key withdrawn and a version loaded while 16 streams are held in the middle cut none; stops with streams that never end return.

--- a/peridotentry/fleet_test.go
+++ b/peridotentry/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -17,12 +18,13 @@
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridotstandin"
+	"peridotstack/peridottable"
 )
 
 const (
 	fleetModel   = "m"
 	fleetService = "api"
-	fleetGrace   = 60_000
+	fleetGrace   = 60_000 // milliseconds
 )
 
 // process is one process of the system that a test can stop.
@@ -57,31 +59,45 @@
 	entries  [2]*process
 	callers  [2]string
 	key      string
+	keyID    string
+	// address is the platform's.
+	address string
 }
 
-// startFleet starts a fleet. through, if set, returns the address at which the
-// entries reach the agent that listens on the given one.
-func startFleet(t *testing.T, through func(address string) string) *fleet {
+// fleetOptions say in what a fleet differs from the usual one.
+type fleetOptions struct {
+	// through, if set, returns the address at which the entries reach the agent
+	// that listens on the given one.
+	through func(address string) string
+	// graceMillis is the shutdown grace; 0 means a long one.
+	graceMillis int64
+}
+
+func startFleet(t *testing.T, o fleetOptions) *fleet {
 	t.Helper()
+	if o.graceMillis == 0 {
+		o.graceMillis = fleetGrace
+	}
 	f := &fleet{platform: peridotstandin.NewPlatform()}
 	platform := serveStandIn(t, f.platform.Handler())
-	f.bootstrap(t, platform)
+	f.address = platform
+	f.bootstrap(t)
 	var instances []peridotplatform.Instance
 	for i := range f.engines {
-		f.engines[i] = peridotstandin.NewEngine(peridotstandin.EngineOptions{Model: fleetModel, Version: "v1"})
+		f.engines[i] = peridotstandin.NewEngine(peridotstandin.EngineOptions{Model: fleetModel, Version: "v1", Role: string(peridotconfig.Mixed)})
 		s := peridotsettings.Agent{PeerAddress: freeAddress(t), EngineAddress: serveStandIn(t, f.engines[i].Handler())}
-		s.Process = peridotsettings.Process{Instance: fmt.Sprint("agent-", i), Domain: fmt.Sprint("domain-", i), ShutdownGraceMillis: fleetGrace}
+		s.Process = peridotsettings.Process{Instance: fmt.Sprint("agent-", i), Domain: fmt.Sprint("domain-", i), ShutdownGraceMillis: o.graceMillis}
 		f.agents[i] = start(t, peridotagent.New(s, peridotplatform.NewClient(platform)).Serve)
 		address := s.PeerAddress
-		if through != nil {
-			address = through(address)
+		if o.through != nil {
+			address = o.through(address)
 		}
 		instances = append(instances, peridotplatform.Instance{ID: s.Instance, Role: peridotplatform.RoleAgent, Domain: s.Domain, Address: address, Model: fleetModel})
 	}
 	f.platform.SetInstances(instances...)
 	for i := range f.entries {
 		s := peridotsettings.Entry{CallerAddress: freeAddress(t), MaxBodyBytes: 1 << 20, BodyTimeoutMillis: fleetGrace}
-		s.Process = peridotsettings.Process{Instance: fmt.Sprint("entry-", i), Domain: fmt.Sprint("domain-", i), OperatorAddress: freeAddress(t), ShutdownGraceMillis: fleetGrace}
+		s.Process = peridotsettings.Process{Instance: fmt.Sprint("entry-", i), Domain: fmt.Sprint("domain-", i), OperatorAddress: freeAddress(t), ShutdownGraceMillis: o.graceMillis}
 		f.callers[i] = s.CallerAddress
 		f.entries[i] = start(t, peridotentry.New(s, peridotplatform.NewClient(platform)).Serve)
 	}
@@ -91,21 +107,46 @@
 	return f
 }
 
-func (f *fleet) bootstrap(t *testing.T, platform string) {
+func (f *fleet) bootstrap(t *testing.T) {
 	t.Helper()
 	key, id, hash := peridotkey.New()
-	f.key = key
-	timeline := &peridotconfig.Log{Store: peridotplatform.NewClient(platform)}
-	_, err := timeline.Append(context.Background(), &peridotconfig.Config{}, "bootstrap", "o", peridotconfig.Changes{
+	f.key, f.keyID = key, id
+	f.commit(t, peridotconfig.Changes{
 		peridotconfig.PutDomain{Domain: peridotconfig.Domain{Name: "domain-0"}},
 		peridotconfig.PutDomain{Domain: peridotconfig.Domain{Name: "domain-1"}},
 		peridotconfig.PutModel{Model: peridotconfig.Model{Name: fleetModel, PrefillTokensPerSecond: 100_000, DecodeTokensPerSecond: 100_000}},
 		peridotconfig.PutAccount{Account: peridotconfig.Account{Name: "a", Models: []string{fleetModel}, Weight: 1}},
 		peridotconfig.GiveKey{Key: peridotconfig.Key{ID: id, Account: "a", Hash: hash}},
-		peridotconfig.SetDeployments{Deployments: []peridotconfig.Deployment{{Domain: "domain-0", Model: fleetModel, Version: "v1", Replicas: 1}, {Domain: "domain-1", Model: fleetModel, Version: "v1", Replicas: 1}}},
+		deploy("v1"),
 	})
-	if err != nil {
-		t.Fatal(err)
+}
+
+// deploy runs one engine with a version in each failure domain.
+func deploy(version string) peridotconfig.Change {
+	var list []peridotconfig.Deployment
+	for _, domain := range []string{"domain-0", "domain-1"} {
+		list = append(list, peridotconfig.Deployment{Domain: domain, Model: fleetModel, Version: version, Role: peridotconfig.Mixed, Replicas: 1})
+	}
+	return peridotconfig.SetDeployments{Deployments: list}
+}
+
+// commit adds changes to the shared configuration, as an operator does. It tries
+// again when another commit came first.
+func (f *fleet) commit(t *testing.T, changes peridotconfig.Changes) {
+	t.Helper()
+	timeline := &peridotconfig.Log{Store: peridotplatform.NewClient(f.address)}
+	for {
+		base, err := timeline.Load(t.Context(), &peridotconfig.Config{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = timeline.Append(t.Context(), base, rand.Text(), "operator", changes)
+		if err == nil {
+			return
+		}
+		if !peridottable.IsConflict(err) {
+			t.Fatal(err)
+		}
 	}
 }
 
--- a/peridotentry/lifecycle_test.go
+++ b/peridotentry/lifecycle_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"peridotstack/peridotconfig"
 )
 
 const (
@@ -72,7 +74,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			f := startFleet(t, nil)
+			f := startFleet(t, fleetOptions{})
 			answers := f.streams(t, n)
 			stopped := test.stop(f)
 			stopped.stop()
@@ -85,11 +87,72 @@
 	}
 }
 
+// TestPlannedChangeCutsNothing commits changes while streams are under way.
+func TestPlannedChangeCutsNothing(t *testing.T) {
+	const n = 16
+	tests := []struct {
+		name   string
+		change func(f *fleet) peridotconfig.Change
+		// inForce reports whether the change has come into force.
+		inForce func(f *fleet) bool
+	}{
+		{
+			"the streams' key is withdrawn",
+			func(f *fleet) peridotconfig.Change { return peridotconfig.WithdrawKey{ID: f.keyID} },
+			func(f *fleet) bool {
+				response, err := f.ask(0, 1, nil)
+				if err != nil {
+					return false
+				}
+				response.Body.Close()
+				return response.StatusCode == http.StatusUnauthorized
+			},
+		},
+		{
+			"another version is loaded",
+			func(*fleet) peridotconfig.Change { return deploy("v2") },
+			func(f *fleet) bool { return len(f.engines[0].Orders()) > 0 && len(f.engines[1].Orders()) > 0 },
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := startFleet(t, fleetOptions{})
+			answers := f.streams(t, n)
+			f.commit(t, peridotconfig.Changes{test.change(f)})
+			if test.name == tests[0].name {
+				f.awaitInForce(test.inForce)
+			}
+			f.engines[0].Release()
+			f.engines[1].Release()
+			checkWhole(t, answers, n)
+			f.awaitInForce(test.inForce)
+		})
+	}
+}
+
+// awaitInForce waits until a change has come into force.
+func (f *fleet) awaitInForce(inForce func(f *fleet) bool) {
+	for !inForce(f) {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestStopIsBounded stops processes whose streams never end.
+func TestStopIsBounded(t *testing.T) {
+	const n = 4
+	f := startFleet(t, fleetOptions{graceMillis: 100})
+	f.streams(t, n)
+	for _, p := range []*process{f.entries[0], f.agents[0], f.agents[1], f.entries[1]} {
+		p.stop()
+		<-p.done // Blocks until the test times out if the stop is not bounded.
+	}
+}
+
 // TestLeavingAgentGetsNoNewWork stops an agent whose streams go on: every new
 // request must run at the other engine.
 func TestLeavingAgentGetsNoNewWork(t *testing.T) {
 	const n = 8
-	f := startFleet(t, nil)
+	f := startFleet(t, fleetOptions{})
 	answers := f.streams(t, n)
 	f.engines[1].Release()
 	before := len(f.engines[0].Calls())
@@ -119,7 +182,7 @@
 // TestResumeThroughAnotherEntry breaks off a stream at its caller and resumes it
 // through the other entry instance.
 func TestResumeThroughAnotherEntry(t *testing.T) {
-	f := startFleet(t, nil)
+	f := startFleet(t, fleetOptions{})
 	held := []<-chan string{f.engines[0].Hold(holdAfter), f.engines[1].Hold(holdAfter)}
 	response, err := f.ask(0, streamTokens, http.Header{"Idempotency-Key": {"resume-1"}})
 	if err != nil {
@@ -154,7 +217,7 @@
 
 // TestCancelReachesEngine lets a caller go away that did not ask to resume.
 func TestCancelReachesEngine(t *testing.T) {
-	f := startFleet(t, nil)
+	f := startFleet(t, fleetOptions{})
 	held := []<-chan string{f.engines[0].Hold(holdAfter), f.engines[1].Hold(holdAfter)}
 	response, err := f.ask(0, streamTokens, nil)
 	if err != nil {
