--- a/peridotwire/server.go
+++ b/peridotwire/server.go
@@ -59,7 +59,7 @@
 		}
 		return
 	}
-	s.keep(newPeer(context.WithoutCancel(ctx), secure, s.Handler, &s.inflight))
+	s.keep(newPeer(context.WithoutCancel(ctx), idleConn{secure}, s.Handler, &s.inflight))
 	if ctx.Err() != nil {
 		s.closeAll()
 	}
