Look for a commit whose answer was lost before trying it again

Cause: an operator whose commit's answer was lost got an error although the key or plan counted, and a second try would have given a second key.

--- a/peridotoperator/operator.go
+++ b/peridotoperator/operator.go
@@ -1,6 +1,7 @@
 package peridotoperator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -148,7 +149,7 @@
 }
 
 func (o *Operator) confirm(r *http.Request, _ string) (any, error) {
-	return o.retry(r.Context(), func(base *peridotconfig.Config) (*peridotconfig.Config, error) {
+	return o.retry(r.Context(), r.PathValue("id"), func(base *peridotconfig.Config) (*peridotconfig.Config, error) {
 		return o.book().Confirm(r.Context(), base, r.PathValue("id"))
 	})
 }
@@ -221,30 +222,56 @@
 
 func (o *Operator) commit(ctx context.Context, operator string, changes peridotconfig.Changes) (Accepted, error) {
 	id := peridotintent.NewID()
-	return o.retry(ctx, func(base *peridotconfig.Config) (*peridotconfig.Config, error) {
+	return o.retry(ctx, id, func(base *peridotconfig.Config) (*peridotconfig.Config, error) {
 		return o.Log.Append(ctx, base, id, operator, changes)
 	})
 }
 
-// retry tries a commit on top of ever newer configurations until none came
-// between.
-func (o *Operator) retry(ctx context.Context, try func(base *peridotconfig.Config) (*peridotconfig.Config, error)) (Accepted, error) {
+// retry tries the commit with the given id on top of ever newer configurations
+// until none came between. One whose answer was lost is looked for in the
+// timeline before it is tried again.
+func (o *Operator) retry(ctx context.Context, id string, try func(base *peridotconfig.Config) (*peridotconfig.Config, error)) (Accepted, error) {
 	var last error
+	began := o.Config().Seq
 	for range maxRounds {
 		if err := o.Refresh(ctx); err != nil {
-			return Accepted{}, err
+			return Accepted{}, cmp.Or(last, err)
+		}
+		if last != nil {
+			if seq := o.find(ctx, began, id); seq > 0 {
+				return o.accepted(ctx, seq), nil
+			}
 		}
 		next, err := try(o.Config())
 		if err == nil {
-			if err := o.Refresh(ctx); err != nil {
-				return Accepted{Seq: next.Seq}, nil
-			}
-			return Accepted{Seq: next.Seq, Accepted: o.Await(ctx, next.Seq)}, nil
+			return o.accepted(ctx, next.Seq), nil
 		}
 		last = err
-		if !peridottable.IsConflict(err) {
+		if !peridottable.IsConflict(err) && peridotverdict.Of(err) == peridotverdict.NotRun {
 			break
 		}
 	}
 	return Accepted{}, last
 }
+
+// find returns the number of the commit with the given id behind a number, or 0.
+func (o *Operator) find(ctx context.Context, after int64, id string) int64 {
+	commits, err := o.Log.After(ctx, after)
+	if err != nil {
+		return 0
+	}
+	for _, commit := range commits {
+		if commit.ID == id {
+			return commit.Seq
+		}
+	}
+	return 0
+}
+
+// accepted waits for the acknowledgements of a commit that is stored.
+func (o *Operator) accepted(ctx context.Context, seq int64) Accepted {
+	if err := o.Refresh(ctx); err != nil {
+		return Accepted{Seq: seq}
+	}
+	return Accepted{Seq: seq, Accepted: o.Await(ctx, seq)}
+}
--- /dev/null
+++ b/peridotstream/example_test.go
@@ -0,0 +1,27 @@
+package peridotstream_test
+
+import (
+	"context"
+	"fmt"
+
+	"peridotstack/peridotstream"
+)
+
+// A reader that lost its connection goes on behind its checkpoint.
+func Example() {
+	var t peridotstream.Timeline
+	for _, chunk := range []string{"Ave ", "Maria, ", "gratia ", "plena"} {
+		if err := t.Append(chunk); err != nil {
+			fmt.Println(err)
+		}
+	}
+	t.Close(peridotstream.End{Status: 200})
+
+	reader := peridotstream.NewChecker(0)
+	first, _ := reader.Accept(0, []string{"Ave ", "Maria, "})
+	rest, end, _ := t.Next(context.Background(), reader.Received)
+	// The second chunk comes again; it is taken once.
+	fresh, _ := reader.Accept(1, append([]string{"Maria, "}, rest...))
+	fmt.Println(first, fresh, reader.Finish(*end))
+	// Output: [Ave  Maria, ] [gratia  plena] <nil>
+}
