--- a/peridotentry/fleet_test.go
+++ b/peridotentry/fleet_test.go
@@ -71,6 +71,8 @@
 	through func(address string) string
 	// graceMillis is the shutdown grace; 0 means a long one.
 	graceMillis int64
+	// bodyTimeoutMillis bounds how long a request may arrive; 0 means long.
+	bodyTimeoutMillis int64
 }
 
 func startFleet(t *testing.T, o fleetOptions) *fleet {
@@ -78,6 +80,9 @@
 	if o.graceMillis == 0 {
 		o.graceMillis = fleetGrace
 	}
+	if o.bodyTimeoutMillis == 0 {
+		o.bodyTimeoutMillis = fleetGrace
+	}
 	f := &fleet{platform: peridotstandin.NewPlatform()}
 	platform := serveStandIn(t, f.platform.Handler())
 	f.address = platform
@@ -96,7 +101,7 @@
 	}
 	f.platform.SetInstances(instances...)
 	for i := range f.entries {
-		s := peridotsettings.Entry{CallerAddress: freeAddress(t), MaxBodyBytes: 1 << 20, BodyTimeoutMillis: fleetGrace}
+		s := peridotsettings.Entry{CallerAddress: freeAddress(t), MaxBodyBytes: 1 << 20, BodyTimeoutMillis: o.bodyTimeoutMillis}
 		s.Process = peridotsettings.Process{Instance: fmt.Sprint("entry-", i), Domain: fmt.Sprint("domain-", i), OperatorAddress: freeAddress(t), ShutdownGraceMillis: o.graceMillis}
 		f.callers[i] = s.CallerAddress
 		f.entries[i] = start(t, peridotentry.New(s, peridotplatform.NewClient(platform)).Serve)
