--- a/peridotadmit/admit_test.go
+++ b/peridotadmit/admit_test.go
@@ -3,28 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strconv"
 	"testing"
 	"time"
 
 	"peridotstack/peridotverdict"
-)
-
-const defaultSeeds = 100
 
-// seeds returns how many seeded schedules a test runs.
-func seeds(t *testing.T) uint64 {
-	text := os.Getenv("PERIDOT_SEEDS")
-	if text == "" {
-		return defaultSeeds
-	}
-	n, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		t.Fatalf("PERIDOT_SEEDS: %v", err)
-	}
-	return n
-}
+	"peridotstack/peridotseed"
+)
 
 func TestAdmit(t *testing.T) {
 	accounts := []Account{
@@ -188,7 +174,7 @@
 func TestFairShares(t *testing.T) {
 	const capacity, length = 10_000.0, 60 * time.Second
 	worst := 1.0
-	for seed := range seeds(t) {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		var demands []*demand
 		var accounts []Account
@@ -251,7 +237,7 @@
 // TestRetryAfterIsTrue lets a crowd of requests arrive at once; each that is
 // refused comes back at the time it was told, while another account goes on.
 func TestRetryAfterIsTrue(t *testing.T) {
-	for seed := range seeds(t) {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		d := New(MaxPromise(5 * time.Minute))
 		limit := float64(random.IntN(4) * 1000)
--- a/peridotconfig/follower_test.go
+++ b/peridotconfig/follower_test.go
@@ -2,33 +2,19 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
+
+	"peridotstack/peridotseed"
 )
 
 const (
-	defaultSeeds = 100
 	// lastFault is when the last failure may begin; each ends within maxFault.
 	lastFault = faultsUntil - maxFault
 	maxFault  = 10 * time.Second
 )
 
-func seeds(t *testing.T) uint64 {
-	t.Helper()
-	text := os.Getenv("PERIDOT_SEEDS")
-	if text == "" {
-		return defaultSeeds
-	}
-	n, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return n
-}
-
 // inject brings about one failure and ends it after a while.
 func (w *world) inject() {
 	length := time.Second + time.Duration(w.random.Int64N(int64(maxFault-time.Second)))
@@ -107,7 +93,7 @@
 }
 
 func TestRandomFailures(t *testing.T) {
-	for seed := range seeds(t) {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		for together := 1; together <= 2; together++ {
 			w := newWorld(t, seed)
 			w.schedule(together)
--- a/peridotcontrol/converge_test.go
+++ b/peridotcontrol/converge_test.go
@@ -3,24 +3,16 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
 	"peridotstack/peridotconfig"
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotwire"
-)
 
-func seeds() int {
-	n, err := strconv.Atoi(os.Getenv("PERIDOT_SEEDS"))
-	if err != nil {
-		return 100
-	}
-	return n
-}
+	"peridotstack/peridotseed"
+)
 
 // apply makes an action take effect in a view.
 func apply(v *View, a Action, step int) {
@@ -54,7 +46,7 @@
 func TestConverges(t *testing.T) {
 	versions := []string{"", "v1", "v2"}
 	roles := []string{"Mixed", "Prefill", "Decode"}
-	for seed := range seeds() {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		r := rand.New(rand.NewPCG(uint64(seed), 4))
 		v := &View{Domain: "a", Config: config(
 			want("v2", peridotconfig.Prefill, r.IntN(3)),
--- a/peridotentry/cut_test.go
+++ b/peridotentry/cut_test.go
@@ -19,6 +19,8 @@
 	"peridotstack/peridotstandin"
 	"peridotstack/peridottable"
 	"peridotstack/peridotverdict"
+
+	"peridotstack/peridotseed"
 )
 
 // direction is that of the bytes that a cutter counts.
@@ -232,7 +234,7 @@
 
 // TestCutTwice cuts two connections at random points.
 func TestCutTwice(t *testing.T) {
-	for seed := range seeds(t) {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			random := rand.New(rand.NewPCG(seed, 0))
--- a/peridotentry/whole_test.go
+++ b/peridotentry/whole_test.go
@@ -4,9 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -14,22 +12,9 @@
 	"peridotstack/peridotstream"
 	"peridotstack/peridotverdict"
 	"peridotstack/peridotwire"
-)
-
-const defaultSeeds = 100
 
-// seeds returns how many seeded schedules a test runs.
-func seeds(t *testing.T) uint64 {
-	text := os.Getenv("PERIDOT_SEEDS")
-	if text == "" {
-		return defaultSeeds
-	}
-	n, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		t.Fatalf("PERIDOT_SEEDS: %v", err)
-	}
-	return n
-}
+	"peridotstack/peridotseed"
+)
 
 // TestWholeAnswer lets an agent send the chunks of one answer badly.
 func TestWholeAnswer(t *testing.T) {
@@ -77,7 +62,7 @@
 // connection. Callers of two client accounts use the same idempotency key.
 func TestCrossedAnswers(t *testing.T) {
 	const callers = 8
-	for seed := range seeds(t) {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		m := &mixer{random: rand.New(rand.NewPCG(seed, 0)), want: callers, mixed: make(chan struct{})}
 		agent := &scripted{instance: "a", service: testService, onRun: m.run}
 		e, key := entryWith(t, agent)
--- a/peridotlease/manager_test.go
+++ b/peridotlease/manager_test.go
@@ -4,25 +4,15 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"peridotstack/peridottable"
-)
 
-// seeds returns how many seeded schedules to run.
-func seeds(t testing.TB) int {
-	t.Helper()
-	n, err := strconv.Atoi(os.Getenv("PERIDOT_SEEDS"))
-	if err != nil {
-		return 100
-	}
-	return n
-}
+	"peridotstack/peridotseed"
+)
 
 // latency is what a call takes one way.
 const latency = 150 * time.Millisecond
@@ -150,7 +140,7 @@
 // and holds the history of each to a written model: at most one holder at any
 // time, and a token that never goes back and never changes hands.
 func TestOneHolderAtATime(t *testing.T) {
-	for seed := range seeds(t) {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		synctest.Test(t, func(t *testing.T) { checkSchedule(t, uint64(seed)) })
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
--- a/peridotmeasure/measure_test.go
+++ b/peridotmeasure/measure_test.go
@@ -2,31 +2,15 @@
 
 import (
 	"bytes"
-	"os"
 	"reflect"
 	"slices"
-	"strconv"
 	"testing"
-)
 
-const (
-	seedsVariable = "PERIDOT_SEEDS"
-	defaultSeeds  = 2
+	"peridotstack/peridotseed"
 )
 
-// seeds is how many seeds the longer tests try; a run takes seconds with the
-// race detector, so the default is small.
-func seeds(t *testing.T) uint64 {
-	text := os.Getenv(seedsVariable)
-	if text == "" {
-		return defaultSeeds
-	}
-	n, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		t.Fatalf("got %s=%q, want a number", seedsVariable, text)
-	}
-	return n
-}
+// defaultSeeds is small, for a run takes seconds with the race detector.
+const defaultSeeds = 2
 
 func find(t *testing.T, name string) Scenario {
 	t.Helper()
@@ -74,7 +58,7 @@
 	p := quadro()
 	for _, name := range []string{"ratio+domain", "domain+flood"} {
 		s := find(t, name)
-		for seed := range seeds(t) {
+		for seed := range peridotseed.Count(t, defaultSeeds) {
 			trace := Generate(p, s, seed)
 			for _, r := range RunAll(p, s, trace, seed) {
 				checkConservation(t, r, trace)
--- a/peridotonce/ledger_test.go
+++ b/peridotonce/ledger_test.go
@@ -3,30 +3,15 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
 	"peridotstack/peridottable"
 	"peridotstack/peridotverdict"
-)
-
-const defaultSeeds = 100
 
-func seeds(t *testing.T) int {
-	t.Helper()
-	text := os.Getenv("PERIDOT_SEEDS")
-	if text == "" {
-		return defaultSeeds
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatalf("PERIDOT_SEEDS: %v", err)
-	}
-	return n
-}
+	"peridotstack/peridotseed"
+)
 
 // fault is one kind of failure that a schedule brings about.
 type fault int
@@ -278,7 +263,7 @@
 }
 
 func TestAtMostOnceUnderFaults(t *testing.T) {
-	for seed := range seeds(t) {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		for a := range faults {
 			for b := a; b < faults; b++ {
 				w := schedule(t, uint64(seed), a, b)
--- a/peridotorder/executor_test.go
+++ b/peridotorder/executor_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +19,8 @@
 	"peridotstack/peridottable"
 	"peridotstack/peridotverdict"
 	"peridotstack/peridotwire"
+
+	"peridotstack/peridotseed"
 )
 
 // direct is a stand-in engine reached without a network.
@@ -291,18 +292,10 @@
 	}
 }
 
-func seeds() int {
-	n, err := strconv.Atoi(os.Getenv("PERIDOT_SEEDS"))
-	if err != nil {
-		return 100
-	}
-	return n
-}
-
 // TestEngineGetsOneSequence runs seeded schedules of failures, singly and in
 // pairs, with three instances that want to order, and checks the engine's log.
 func TestEngineGetsOneSequence(t *testing.T) {
-	for seed := range seeds() {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		synctest.Test(t, func(t *testing.T) { checkSequence(t, uint64(seed)) })
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
--- a/peridotorder/ledger_test.go
+++ b/peridotorder/ledger_test.go
@@ -15,6 +15,8 @@
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotstandin"
 	"peridotstack/peridotverdict"
+
+	"peridotstack/peridotseed"
 )
 
 // pipes is a listener of in-memory connections.
@@ -396,7 +398,7 @@
 // pairs, with three instances that want to order, and checks the platform's log:
 // each order at most once, and tokens that never go back.
 func TestPlatformGetsOneSequence(t *testing.T) {
-	for seed := range seeds() {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		synctest.Test(t, func(t *testing.T) { checkPlatform(t, uint64(seed)) })
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
--- a/peridotplanner/planner_test.go
+++ b/peridotplanner/planner_test.go
@@ -12,6 +12,8 @@
 	"pgregory.net/rapid"
 
 	"peridotstack/peridotconfig"
+
+	"peridotstack/peridotseed"
 )
 
 const testModel = "hino-llm"
@@ -52,15 +54,12 @@
 	}
 }
 
-const (
-	seedsVariable = "PERIDOT_SEEDS"
-	defaultSeeds  = "100"
-)
+const defaultSeeds = "100"
 
 // TestMain fixes the seeds of the property tests, so that each run sees the same.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	checks := cmp.Or(os.Getenv(seedsVariable), defaultSeeds)
+	checks := cmp.Or(os.Getenv(peridotseed.Variable), defaultSeeds)
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": checks, "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
--- a/peridotretry/policy_test.go
+++ b/peridotretry/policy_test.go
@@ -3,29 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
 	"peridotstack/peridotverdict"
-)
-
-const defaultSeeds = 100
 
-// seeds returns how many seeded schedules a test runs.
-func seeds(t *testing.T) uint64 {
-	text := os.Getenv("PERIDOT_SEEDS")
-	if text == "" {
-		return defaultSeeds
-	}
-	n, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		t.Fatalf("PERIDOT_SEEDS: %v", err)
-	}
-	return n
-}
+	"peridotstack/peridotseed"
+)
 
 func failed(code peridotverdict.Code, verdict peridotverdict.Verdict) *peridotverdict.Error {
 	return peridotverdict.New(code, verdict, "it failed")
@@ -123,7 +108,7 @@
 // TestRetriesStayFew bounds how much retries multiply the load.
 func TestRetriesStayFew(t *testing.T) {
 	const requests = 3000
-	for seed := range seeds(t) {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		for _, failing := range []float64{1, 0.9, 0.5, 0.1, 0.01} {
 			got := retryAll(New(seed), random, requests, failing)
--- a/peridotroute/herd_test.go
+++ b/peridotroute/herd_test.go
@@ -4,27 +4,13 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strconv"
 	"testing"
 	"time"
-)
-
-const defaultSeeds = 100
 
-// seeds returns how many seeded schedules a test runs.
-func seeds(t testing.TB) uint64 {
-	text := os.Getenv("PERIDOT_SEEDS")
-	if text == "" {
-		return defaultSeeds
-	}
-	n, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		t.Fatalf("PERIDOT_SEEDS: %v", err)
-	}
-	return n
-}
+	"peridotstack/peridotseed"
+)
 
 // event is something that happens at a time of the simulated clock.
 
@@ -197,8 +183,8 @@
 // reported load, and its absence with Router.
 func TestNoHerd(t *testing.T) {
 	var herd, random, own time.Duration
-	n := time.Duration(seeds(t))
-	for seed := range seeds(t) {
+	n := time.Duration(peridotseed.Count(t, peridotseed.Usual))
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		run := func(c chooser) time.Duration {
 			f := &fleet{random: rand.New(rand.NewPCG(seed, 1))}
 			return f.run(c)
--- a/peridotroute/router_test.go
+++ b/peridotroute/router_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"peridotstack/peridotverdict"
+
+	"peridotstack/peridotseed"
 )
 
 func engine(instance, role string) Server {
@@ -119,7 +121,7 @@
 // TestLoadSettles checks for random schedules that nothing is left of ended
 // requests, and that no estimate is negative on the way.
 func TestLoadSettles(t *testing.T) {
-	for seed := range seeds(t) {
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		r := New(seed)
 		list := []Server{engine("a", Mixed), engine("b", Mixed), engine("c", Mixed)}
--- a/peridotusage/collector_test.go
+++ b/peridotusage/collector_test.go
@@ -4,38 +4,24 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"reflect"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
 	"peridotstack/peridottable"
 	"peridotstack/peridotverdict"
+
+	"peridotstack/peridotseed"
 )
 
 const (
-	defaultSeeds = 100
-	testShard    = "kin-a"
-	leaseRow     = "lease/" + testShard
+	testShard = "kin-a"
+	leaseRow  = "lease/" + testShard
 	// grace is how long after a takeover nothing of the old holder can arrive.
 	grace = 5 * time.Second
 )
 
-func seeds(t *testing.T) int {
-	t.Helper()
-	text := os.Getenv("PERIDOT_SEEDS")
-	if text == "" {
-		return defaultSeeds
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatalf("PERIDOT_SEEDS: %v", err)
-	}
-	return n
-}
-
 // fault is one kind of failure that a schedule brings about.
 type fault int
 
@@ -604,8 +590,8 @@
 func TestReportsUnderFaults(t *testing.T) {
 	// Each seed takes its share of the faults and pairs of faults.
 	const shares = 28
-	for seed := range seeds(t) {
-		number := 0
+	for seed := range peridotseed.Count(t, peridotseed.Usual) {
+		number := uint64(0)
 		for a := range faults {
 			for b := a; b < faults; b++ {
 				number++
