--- a/peridotentry/retry.go
+++ b/peridotentry/retry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"peridotstack/peridotretry"
@@ -16,40 +15,6 @@
 // cost.
 const progressChunks = 32
 
-// answer is what the caller of one request gets, from one try or several.
-type answer struct {
-	timeline peridotstream.Timeline
-	stream   bool
-	// after is how many chunks the caller already had.
-	after int
-	// idempotent requests are canceled when their caller goes away.
-	idempotent bool
-	// resumable answers go on without their caller, who may come back for them.
-	resumable bool
-
-	mu        sync.Mutex
-	requestID string
-}
-
-func newAnswer(stream, idempotent bool, after int) *answer {
-	a := &answer{stream: stream, idempotent: idempotent, after: after}
-	a.timeline.MaxBytes = maxAnswer
-	return a
-}
-
-// id returns the id of the try under way, or of the last.
-func (a *answer) id() string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.requestID
-}
-
-func (a *answer) setID(id string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.requestID = id
-}
-
 // tryUntilDone runs an admitted call, again on another backend server as long
 // as the policy allows it. This is the only layer that retries.
 func (e *Entry) tryUntilDone(ctx context.Context, c *call, a *answer, choice peridotroute.Choice) (*peridotstream.End, *peridotverdict.Error) {
