--- a/peridot/path_bench_test.go
+++ b/peridot/path_bench_test.go
@@ -26,7 +26,11 @@
 	latencySamples = 2000
 	loadWorkers    = 64
 	loadRequests   = 50_000
+	streamCount    = 50
+	streamTokens   = 500
 	idleTime       = 10 * time.Second
+	// tokenIntervalMillis is the time between two tokens of a slow stream.
+	tokenIntervalMillis = 10
 	// ticksPerSecond is the unit of processor time in /proc.
 	ticksPerSecond = 100
 )
@@ -35,12 +39,15 @@
 type processes struct {
 	b       *testing.B
 	folder  string
+	started int
 	program string
 	engine  string
 	caller  string
 	key     string
 	entry   *exec.Cmd
 	agent   *exec.Cmd
+	// slowAgent stands beside an engine that takes its time for each token.
+	slowAgent *exec.Cmd
 }
 
 // BenchmarkPath compares a request through an entry and an agent with one that
@@ -50,6 +57,7 @@
 	for b.Loop() {
 		p.measureLatency()
 		p.measureLoad()
+		p.measureTokens()
 	}
 	b.ReportMetric(p.residentMB(p.entry), "entry-MB")
 	b.ReportMetric(p.residentMB(p.agent), "agent-MB")
@@ -61,26 +69,34 @@
 	p.program = filepath.Join(p.folder, "peridot")
 	p.check(os.Symlink(os.Args[0], p.program))
 	platform, engine, peer := p.address(), p.address(), p.address()
-	caller, operator, agentPages := p.address(), p.address(), p.address()
+	slowEngine, slowPeer := p.address(), p.address()
+	caller, operator := p.address(), p.address()
 	p.engine, p.caller = engine, caller
-	p.start("standin-platform", fmt.Sprintf(`{"Address":%q,"Instances":[{"ID":"a","Role":"Agent","Domain":"d","Address":%q,"Model":"m"},{"ID":"e","Role":"Entry","Domain":"d","Address":%q}]}`, platform, peer, caller))
+	p.start("standin-platform", fmt.Sprintf(`{"Address":%q,"Instances":[{"ID":"a","Role":"Agent","Domain":"d","Address":%q,"Model":"m"},{"ID":"s","Role":"Agent","Domain":"d","Address":%q,"Model":"slow"},{"ID":"e","Role":"Entry","Domain":"d","Address":%q}]}`, platform, peer, slowPeer, caller))
 	p.start("standin-engine", fmt.Sprintf(`{"Address":%q,"Model":"m","Version":"v1"}`, engine))
+	p.start("standin-engine", fmt.Sprintf(`{"Address":%q,"Model":"slow","Version":"v1","TokenIntervalMillis":%d}`, slowEngine, tokenIntervalMillis))
 	p.await("http://"+platform+"/instances", "{}", "")
-	p.write("first.json", `[{"PutDomain":{"Domain":{"Name":"d"}}},{"PutModel":{"Model":{"Name":"m","PrefillTokensPerSecond":1e9,"DecodeTokensPerSecond":1e9}}},{"PutAccount":{"Account":{"Name":"c","Weight":1}}}]`)
+	p.write("first.json", `[{"PutDomain":{"Domain":{"Name":"d"}}},{"PutModel":{"Model":{"Name":"m","PrefillTokensPerSecond":1e9,"DecodeTokensPerSecond":1e9}}},{"PutModel":{"Model":{"Name":"slow","PrefillTokensPerSecond":1e9,"DecodeTokensPerSecond":1e9}}},{"PutAccount":{"Account":{"Name":"c","Weight":1}}}]`)
 	operatorKey := p.run("", "init", "--platform-at", platform, filepath.Join(p.folder, "first.json"))
-	p.agent = p.start("agent", fmt.Sprintf(`{"Instance":"a","Domain":"d","OperatorAddress":%q,"PlatformAddress":%q,"ShutdownGraceMillis":1000,"PeerAddress":%q,"EngineAddress":%q}`, agentPages, platform, peer, engine))
+	p.agent = p.startAgent("a", platform, peer, engine)
+	p.slowAgent = p.startAgent("s", platform, slowPeer, slowEngine)
 	p.entry = p.start("entry", fmt.Sprintf(`{"Instance":"e","Domain":"d","OperatorAddress":%q,"PlatformAddress":%q,"ShutdownGraceMillis":1000,"CallerAddress":%q,"MaxBodyBytes":1048576,"BodyTimeoutMillis":10000}`, operator, platform, caller))
 	p.await("http://"+operator+"/ready", "", "")
-	p.write("intent.json", `{"Serve":[{"Model":"m","Version":"v1","Accounts":["c"],"Domains":["d"],"Replicas":1,"Role":"Mixed"}],"CostCeilingPerHour":100}`)
+	p.write("intent.json", `{"Serve":[{"Model":"m","Version":"v1","Accounts":["c"],"Domains":["d"],"Replicas":1,"Role":"Mixed"},{"Model":"slow","Version":"v1","Accounts":["c"],"Domains":["d"],"Replicas":1,"Role":"Mixed"}],"CostCeilingPerHour":100}`)
 	plan := p.run(operatorKey, "--operator-at", operator, "--json", "plan", filepath.Join(p.folder, "intent.json"))
 	var stated struct{ ID string }
 	p.check(json.Unmarshal([]byte(plan), &stated))
 	p.run(operatorKey, "--operator-at", operator, "confirm", stated.ID)
 	p.key = p.run(operatorKey, "--operator-at", operator, "give-key", "c")
-	p.await("http://"+caller+"/v1/completions", completionBody(false), p.key)
+	p.await("http://"+caller+"/v1/completions", completionBody("m", 1, false), p.key)
+	p.await("http://"+caller+"/v1/completions", completionBody("slow", 1, false), p.key)
 	return p
 }
 
+func (p *processes) startAgent(instance, platform, peer, engine string) *exec.Cmd {
+	return p.start("agent", fmt.Sprintf(`{"Instance":%q,"Domain":"d","OperatorAddress":%q,"PlatformAddress":%q,"ShutdownGraceMillis":1000,"PeerAddress":%q,"EngineAddress":%q}`, instance, p.address(), platform, peer, engine))
+}
+
 func (p *processes) check(err error) {
 	p.b.Helper()
 	if err != nil {
@@ -100,8 +116,10 @@
 
 // start runs a role until the benchmark ends.
 func (p *processes) start(role, settings string) *exec.Cmd {
-	p.write(role+".json", settings)
-	command := exec.Command(p.program, role, "--settings", filepath.Join(p.folder, role+".json"))
+	p.started++
+	name := fmt.Sprintf("%s-%d.json", role, p.started)
+	p.write(name, settings)
+	command := exec.Command(p.program, role, "--settings", filepath.Join(p.folder, name))
 	if role == "entry" || role == "agent" {
 		command.Env = append(os.Environ(), coresPerRole)
 	}
@@ -156,8 +174,8 @@
 	return response.StatusCode, err
 }
 
-func completionBody(stream bool) string {
-	return fmt.Sprintf(`{"model":"m","prompt":"Next hymn?","max_tokens":1,"stream":%v}`, stream)
+func completionBody(model string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":"Next hymn?","max_tokens":%d,"stream":%v}`, model, tokens, stream)
 }
 
 // measureLatency alternates between both ways and compares the medians of the
@@ -177,7 +195,7 @@
 }
 
 func (p *processes) firstByte(address, key string) time.Duration {
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(completionBody(true)))
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(completionBody("m", 1, true)))
 	p.check(err)
 	request.Header.Set("Authorization", "Bearer "+key)
 	began := time.Now()
@@ -203,7 +221,7 @@
 	for range loadWorkers {
 		workers.Go(func() {
 			for sent.Add(1) <= loadRequests {
-				status, err := p.post(client, "http://"+p.caller+"/v1/completions", completionBody(false), p.key)
+				status, err := p.post(client, "http://"+p.caller+"/v1/completions", completionBody("m", 1, false), p.key)
 				if err != nil || status != http.StatusOK {
 					failed.Add(1)
 				}
@@ -218,6 +236,27 @@
 	p.b.ReportMetric((p.processorSeconds(p.agent)-agentBefore)/loadRequests*1e6, "agent-cpu-µs/request")
 }
 
+// measureTokens runs streams side by side whose tokens come one by one.
+func (p *processes) measureTokens() {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streamCount}}
+	var streams sync.WaitGroup
+	var failed atomic.Int64
+	entryBefore, agentBefore := p.processorSeconds(p.entry), p.processorSeconds(p.slowAgent)
+	for range streamCount {
+		streams.Go(func() {
+			status, err := p.post(client, "http://"+p.caller+"/v1/completions", completionBody("slow", streamTokens, true), p.key)
+			if err != nil || status != http.StatusOK {
+				failed.Add(1)
+			}
+		})
+	}
+	streams.Wait()
+	const tokens = streamCount * streamTokens
+	p.b.ReportMetric(float64(failed.Load()), "failed-streams")
+	p.b.ReportMetric((p.processorSeconds(p.entry)-entryBefore)/tokens*1e6, "entry-cpu-µs/token")
+	p.b.ReportMetric((p.processorSeconds(p.slowAgent)-agentBefore)/tokens*1e6, "agent-cpu-µs/token")
+}
+
 // measureIdle reports the share of a core that each role spends on control
 // alone.
 func (p *processes) measureIdle() {
