Collect and report usage in the entry instance that holds the lease

A holder that stops commits what is not sealed. Counter.Announce tells a source of a new collector even if its figures have not grown since. The test's own lease in path_test.go has a token that no entry instance gets, since their collectors now take figures too.

--- a/peridotagent/agent.go
+++ b/peridotagent/agent.go
@@ -143,6 +143,7 @@
 	case <-ended:
 	case <-ctx.Done():
 	}
+	a.awaitCollected(ctx)
 	if err := server.AwaitAnswers(ctx); err != nil {
 		log.Warn(logPrefix + "shutdown grace passed with requests still running")
 		return
@@ -179,6 +180,12 @@
 		return a.node.Since(f.After), nil
 	case peridotwire.MethodOrder:
 		return a.order(ctx, params)
+	case peridotwire.MethodCollect:
+		var c peridotwire.Collect
+		if err := decode(params, &c); err != nil {
+			return nil, err
+		}
+		return peridotwire.Collected{}, a.collect(ctx, p, c)
 	case peridotwire.MethodDescribe:
 		return a.describe(ctx, params)
 	default:
--- a/peridotagent/versions.go
+++ b/peridotagent/versions.go
@@ -41,6 +41,12 @@
 	}
 }
 
+func (e *entries) connected() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.peers) > 0
+}
+
 // Fetch asks an entry instance for the commits behind a number.
 func (e *entries) Fetch(ctx context.Context, instance string, after int64) (peridotconfig.Update, error) {
 	e.mu.Lock()
--- a/peridotentry/control.go
+++ b/peridotentry/control.go
@@ -122,6 +122,8 @@
 		s := c.newShard(shard)
 		c.shards = append(c.shards, s)
 		ordering.Go(func() { s.serve(ctx) })
+		u := c.newUsage(shard)
+		ordering.Go(func() { u.serve(ctx) })
 	}
 }
 
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -41,6 +41,8 @@
 	traffic  *traffic
 	callers  callers
 	usage    *peridotusage.Counter
+	// usageNow is the wall clock by which windows are sealed.
+	usageNow func() time.Time
 	stopping atomic.Bool
 	// created is when the instance was made; proven is set once callers need not
 	// wait for its first configuration.
@@ -60,7 +62,7 @@
 
 // New returns an entry instance that has not started.
 func New(s peridotsettings.Entry, platform *peridotplatform.Client, options ...Option) *Entry {
-	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}, created: time.Now()}
+	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}, created: time.Now(), usageNow: time.Now}
 	e.usage = peridotusage.NewCounter(peridotusage.Process{Instance: s.Instance, Incarnation: rand.Text()}, 0)
 	for _, option := range options {
 		option(e)
--- a/peridotentry/path_test.go
+++ b/peridotentry/path_test.go
@@ -41,9 +41,12 @@
 	agents   []*peridotagent.Agent
 	entries  []*Entry
 	callers  []string
+	// stopAgents and stopEntries stop a process and wait for its end.
+	stopAgents  []func()
+	stopEntries []func()
 }
 
-func newPath(t *testing.T) *path {
+func newPath(t *testing.T, options ...Option) *path {
 	t.Helper()
 	p := &path{
 		t:        t,
@@ -59,7 +62,7 @@
 		p.addAgent("engine-1", "", p.serveHTTP(p.engine.Handler())),
 	)
 	for i := range 2 {
-		p.addEntry(fmt.Sprint("entry-", i))
+		p.addEntry(fmt.Sprint("entry-", i), options...)
 	}
 	for i := range p.callers {
 		p.until(func() bool { return p.board(i) == http.StatusOK && p.complete(i, account+"-warm") == http.StatusOK })
@@ -111,14 +114,20 @@
 	}
 }
 
-func (p *path) serve(run func(context.Context) error) {
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- run(ctx) }()
-	p.t.Cleanup(func() {
-		stop()
+// serve runs a process and returns what stops it and waits for its end.
+func (p *path) serve(run func(context.Context) error) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = run(ctx)
+	}()
+	stop := func() {
+		cancel()
 		<-done
-	})
+	}
+	p.t.Cleanup(stop)
+	return stop
 }
 
 func (p *path) addAgent(instance, serviceName, backend string) peridotplatform.Instance {
@@ -131,15 +140,15 @@
 	}
 	agent := peridotagent.New(settings, peridotplatform.NewClient(p.address))
 	p.agents = append(p.agents, agent)
-	p.serve(agent.Serve)
+	p.stopAgents = append(p.stopAgents, p.serve(agent.Serve))
 	return listed
 }
 
-func (p *path) addEntry(instance string) {
+func (p *path) addEntry(instance string, options ...Option) {
 	settings := peridotsettings.Entry{Process: p.process(instance), CallerAddress: p.free(), MaxBodyBytes: 1 << 20}
-	entry := New(settings, peridotplatform.NewClient(p.address))
+	entry := New(settings, peridotplatform.NewClient(p.address), options...)
 	p.entries = append(p.entries, entry)
-	p.serve(entry.Serve)
+	p.stopEntries = append(p.stopEntries, p.serve(entry.Serve))
 	// Under -race, nbhttp reports races of its own on fresh connections, so the
 	// callers of this test reach the handler through net/http.
 	p.callers = append(p.callers, p.serveHTTP(http.HandlerFunc(entry.serveCaller)))
@@ -233,11 +242,14 @@
 	}
 }
 
+// holderToken is no token of the entry instances' own collectors.
+const holderToken = 1 << 40
+
 // holder is a lease that the test holds.
 type holder struct{}
 
 func (holder) Hold(string) (peridotusage.Hold, bool) {
-	return peridotusage.Hold{Token: 1, Quiet: true}, true
+	return peridotusage.Hold{Token: holderToken, Quiet: true}, true
 }
 
 func (holder) Fence(context.Context, string, int64) (peridottable.Check, error) {
@@ -297,7 +309,7 @@
 
 func total(c *peridotusage.Counter) peridotusage.Figure {
 	var sum peridotusage.Figure
-	for _, part := range c.Parts(domain, 1, 1000) {
+	for _, part := range c.Parts(domain, holderToken, 1000) {
 		sum = sum.Add(part.Figure)
 	}
 	return sum
@@ -337,7 +349,7 @@
 		}
 	}
 	for _, counter := range counters {
-		if _, err := c.Take(counter.Parts(domain, 1, 1000)); err != nil {
+		if _, err := c.Take(counter.Parts(domain, holderToken, 1000)); err != nil {
 			p.t.Fatal(err)
 		}
 	}
--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -55,6 +55,8 @@
 	node *peridotsync.Node
 	// observe is told the load of an agent that answered a heartbeat.
 	observe func(instance string, l peridotwire.Load)
+	// collectors take the figures that agents hand over.
+	collectors collectors
 
 	mu        sync.Mutex
 	view      peridotmember.View
@@ -285,9 +287,13 @@
 	return nil
 }
 
-// Call serves an agent that is behind; agents ask for nothing else.
+// Call serves an agent that is behind or hands figures of use over; agents ask
+// for nothing else.
 func (p *pool) Call(_ context.Context, _ *peridotwire.Peer, method string, params json.RawMessage) (any, error) {
 	var f peridotwire.Fetch
+	if method == peridotwire.MethodUsage {
+		return p.collectors.receive(params)
+	}
 	if method == peridotwire.MethodCommits && json.Unmarshal(params, &f) == nil {
 		return p.node.Since(f.After), nil
 	}
--- a/peridotusage/collector.go
+++ b/peridotusage/collector.go
@@ -148,6 +148,24 @@
 	return c.report(ctx, hold)
 }
 
+// Save commits the figures not yet sealed ahead of time, for a process that is
+// about to give its lease back.
+func (c *Collector) Save(ctx context.Context, now time.Time) error {
+	c.stepping.Lock()
+	defer c.stepping.Unlock()
+	hold, ok := c.Authority.Hold(c.Shard)
+	if !ok || !c.loaded || hold.Token != c.token {
+		return leaseLost()
+	}
+	fence, err := c.Authority.Fence(ctx, c.Shard, hold.Token)
+	if err != nil {
+		return err
+	}
+	c.fence = fence
+	c.checkpointAt = now
+	return c.checkpoint(ctx, hold, now)
+}
+
 // drop forgets the figures of a shard that is held no more.
 func (c *Collector) drop() {
 	c.mu.Lock()
--- a/peridotusage/handover.go
+++ b/peridotusage/handover.go
@@ -35,6 +35,25 @@
 	}
 }
 
+// Announce says which collector the next HandOver speaks to, by its fencing token.
+// Without it a new collector is noticed only once figures have grown.
+func (c *Counter) Announce(shard string, token int64) {
+	c.setToken(shard, token)
+}
+
+// Unhanded returns the number of figures that no collector has in full.
+func (c *Counter) Unhanded() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unhanded := 0
+	for _, n := range c.cells {
+		if n.handed != n.figure {
+			unhanded++
+		}
+	}
+	return unhanded
+}
+
 // TakeEncoded is Take for parts that EncodeParts encoded.
 func (c *Collector) TakeEncoded(data []byte) (Receipt, error) {
 	parts, err := DecodeParts(data)
--- a/peridotwire/usage.go
+++ b/peridotwire/usage.go
@@ -18,3 +18,17 @@
 	// Floor is the first window whose figures the sender must keep.
 	Floor int64
 }
+
+// MethodCollect asks a process to hand its figures of a shard over, by calls of
+// MethodUsage on the same connection. Its answer comes once that is done.
+const MethodCollect = "Collect"
+
+// Collect names the shard and the collector, which is the sender.
+type Collect struct {
+	Shard string
+	// Token is the fencing token of the collector.
+	Token int64
+}
+
+// Collected answers Collect.
+type Collected struct{}
