Test the collection of usage at each of its guards

Cause: the wiring came with one test; its guards need each a failure seen.

Ruled out: that the tests pass without the wiring.

Figures of an entry instance for shards that another one holds are not handed over.

--- a/peridotagent/usage_test.go
+++ b/peridotagent/usage_test.go
@@ -1,8 +1,12 @@
 package peridotagent
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
+	"peridotstack/peridotmetric"
 	"peridotstack/peridotstream"
 	"peridotstack/peridotusage"
 	"peridotstack/peridotverdict"
@@ -41,3 +45,26 @@
 		}
 	}
 }
+
+// TestUncollectedFiguresAreCounted stops an agent that no entry instance is
+// connected to: it must not wait, and it must say so only if figures are left.
+func TestUncollectedFiguresAreCounted(t *testing.T) {
+	for _, requests := range []int64{0, 1} {
+		s := newSite(t)
+		a := s.start("agent-1", s.address).agent
+		metrics, closer := peridotmetric.New("agent")
+		a.metrics = metrics
+		if requests > 0 {
+			a.usage.Add("kin-a", peridotusage.Cell{Agent: a.process(), Account: "port-royal"}, peridotusage.Figure{Requests: requests})
+		}
+		a.awaitCollected(t.Context())
+		if err := closer.Close(); err != nil { // It writes the counters.
+			t.Fatal(err)
+		}
+		answer := httptest.NewRecorder()
+		a.metrics.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		if got, want := strings.Contains(answer.Body.String(), "usage_not_collected"), requests > 0; got != want {
+			t.Errorf("%d requests not collected: got the counter %v, want %v", requests, got, want)
+		}
+	}
+}
--- a/peridotentry/usagecontrol_test.go
+++ b/peridotentry/usagecontrol_test.go
@@ -1,19 +1,24 @@
 package peridotentry
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"peridotstack/peridotconfig"
 	"peridotstack/peridotkey"
 	"peridotstack/peridotlease"
+	"peridotstack/peridotonce"
 	"peridotstack/peridotplatform"
 	"peridotstack/peridottable"
 	"peridotstack/peridotusage"
+	"peridotstack/peridotverdict"
 )
 
 const secondAccount = "spanish-town"
@@ -190,3 +195,80 @@
 	}
 	p.t.Fatal("waited in vain")
 }
+
+// TestFenceNeedsTheTokenInTheRow asks for the check of a lease that another
+// process has taken over.
+func TestFenceNeedsTheTokenInTheRow(t *testing.T) {
+	var table peridottable.Memory
+	row, err := json.Marshal(peridotlease.Row{Holder: "entry-1", Token: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	version, err := table.Commit(t.Context(), peridottable.Txn{ID: "1", Puts: []peridottable.Put{{Key: peridotlease.Key(domain), Value: row}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := usageAuthority{store: &table}
+	if check, err := a.Fence(t.Context(), domain, 1); !peridotverdict.Is(err, peridotverdict.LeaseLost) {
+		t.Errorf("token 1: got %v and the error %v, want the code LeaseLost", check, err)
+	}
+	check, err := a.Fence(t.Context(), domain, 2)
+	if want := (peridottable.Check{Key: peridotlease.Key(domain), Version: version}); err != nil || check != want {
+		t.Errorf("token 2: got %v and the error %v, want %v", check, err, want)
+	}
+}
+
+// TestHoldIsQuietAfterTheReceiveTimeout takes a lease and lets time pass.
+func TestHoldIsQuietAfterTheReceiveTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		manager := peridotlease.NewManager(&peridottable.Memory{}, "entry-1", "n")
+		manager.SetInstances([]string{"entry-1"})
+		manager.SetShards([]string{domain})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go manager.Serve(ctx)
+		a := usageAuthority{manager: manager}
+		hold, ok := a.Hold(domain)
+		for !ok {
+			time.Sleep(time.Second)
+			hold, ok = a.Hold(domain)
+		}
+		grant, _ := manager.Grant(domain)
+		if hold.Quiet || hold.Token != grant.Token {
+			t.Errorf("at once: got %+v, want the token %d and not quiet", hold, grant.Token)
+		}
+		quietAt := grant.Since.Add(manager.Terms().Longer(reportReceiveTimeout))
+		time.Sleep(time.Until(quietAt))
+		if hold, ok = a.Hold(domain); !ok || hold.Quiet {
+			t.Errorf("at the timeout: got %+v (held %v), want not quiet", hold, ok)
+		}
+		time.Sleep(1)
+		if hold, ok = a.Hold(domain); !ok || !hold.Quiet {
+			t.Errorf("after the timeout: got %+v (held %v), want quiet", hold, ok)
+		}
+	})
+}
+
+// TestHolderSweepsOldRecords leaves the record of a request that is long over.
+func TestHolderSweepsOldRecords(t *testing.T) {
+	p := newPath(t)
+	store := peridotplatform.NewClient(p.address)
+	ledger := peridotonce.NewLedger(peridotonce.Process{Instance: "agent-0"}, peridotonce.Options{})
+	request := peridotonce.Request{RequestID: "r", Account: account, Service: service, Key: "k", Timeout: time.Second}
+	claimed := 0
+	for _, action := range ledger.Step(time.Now().Add(-48*time.Hour), peridotonce.Asked{Request: request}) {
+		if c, ok := action.(peridotonce.Commit); ok {
+			claimed++
+			if _, err := store.Commit(t.Context(), c.Txn); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if claimed != 1 {
+		t.Fatalf("got %d commits of the claim, want 1", claimed)
+	}
+	p.untilBy(reportPatience, func() bool {
+		row, err := store.Get(t.Context(), request.RowKey())
+		return err == nil && row.Version == 0
+	})
+}
