Dial agents of other shards with this process's certificate

Cause: orders to an agent without a link went over a connection without TLS, and one that the agent had closed for silence was used once more and failed. Found by reading; not measured, and no test with certificates covers it yet.

--- a/peridotentry/peers.go
+++ b/peridotentry/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 
 	"peridotstack/peridotverdict"
@@ -53,6 +52,17 @@
 	return err
 }
 
+// isClosed reports whether a connection has closed; an agent closes one that
+// brings nothing for a while.
+func isClosed(peer *peridotwire.Peer) bool {
+	select {
+	case <-peer.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *peers) peer(ctx context.Context, instance, address string) (*peridotwire.Peer, error) {
 	if peer := p.pool.peerOf(instance); peer != nil {
 		return peer, nil
@@ -60,11 +70,10 @@
 	p.mu.Lock()
 	peer := p.dialed[instance]
 	p.mu.Unlock()
-	if peer != nil {
+	if peer != nil && !isClosed(peer) {
 		return peer, nil
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.pool.identity.Dial(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, peridotverdict.New(peridotverdict.PeerLost, peridotverdict.NotRun, "the agent is out of reach", peridotverdict.Cause(err))
 	}
