--- a/peridot/path_bench_test.go
+++ b/peridot/path_bench_test.go
@@ -33,7 +33,7 @@
 // BenchmarkPath compares a request through an entry and an agent with one that
 // goes to the engine's stand-in directly, in one run.
 func BenchmarkPath(b *testing.B) {
-	p := startProcesses(b, 1)
+	p := startProcesses(b, 1, false)
 	for b.Loop() {
 		p.measureLatency(b)
 		p.measureLoad(b)
--- a/peridot/processes_test.go
+++ b/peridot/processes_test.go
@@ -32,7 +32,9 @@
 	slowAgent   *exec.Cmd
 	entries     []entryProcess
 	operatorKey string
-	key         string
+	// authority signs the processes' certificates; nil leaves them without.
+	authority *peridotstandin.Authority
+	key       string
 }
 
 // entryProcess is one entry instance.
@@ -57,8 +59,14 @@
 {"PutModel":{"Model":{"Name":"slow","PrefillTokensPerSecond":1e9,"DecodeTokensPerSecond":1e9}}},
 {"PutAccount":{"Account":{"Name":"c","Weight":1}}}]`
 
-func startProcesses(tb testing.TB, entries int) *processes {
+// startProcesses starts the processes, with certificates if secure is set.
+func startProcesses(tb testing.TB, entries int, secure bool) *processes {
 	p := &processes{TB: tb, folder: tb.TempDir()}
+	if secure {
+		authority, err := peridotstandin.NewAuthority(p.folder)
+		p.check(err)
+		p.authority = authority
+	}
 	p.program = filepath.Join(p.folder, "peridot")
 	p.check(os.Symlink(os.Args[0], p.program))
 	platform, peer, slowPeer, slowEngine := p.address(), p.address(), p.address(), p.address()
@@ -94,7 +102,7 @@
 }
 
 func (p *processes) startEntry(e *entryProcess) {
-	e.Cmd = p.start("entry", fmt.Sprintf(`{"Instance":%q,"Domain":"d","OperatorAddress":%q,"PlatformAddress":%q,"ShutdownGraceMillis":1000,"CallerAddress":%q,"MaxBodyBytes":1048576,"BodyTimeoutMillis":10000}`, e.instance, e.operator, p.platform, e.caller))
+	e.Cmd = p.start("entry", fmt.Sprintf(`{%s"Instance":%q,"Domain":"d","OperatorAddress":%q,"PlatformAddress":%q,"ShutdownGraceMillis":1000,"CallerAddress":%q,"MaxBodyBytes":1048576,"BodyTimeoutMillis":10000}`, p.certificate(e.instance), e.instance, e.operator, p.platform, e.caller))
 	p.await("http://"+e.operator+"/ready", "", "")
 }
 
@@ -109,8 +117,18 @@
 	p.run("--operator-at", operator, "confirm", stated.ID)
 }
 
+// certificate returns the settings of a process's certificate, or nothing.
+func (p *processes) certificate(instance string) string {
+	if p.authority == nil {
+		return ""
+	}
+	i, err := p.authority.Identity(instance)
+	p.check(err)
+	return fmt.Sprintf(`"TLS":{"CertificateFile":%q,"KeyFile":%q,"AuthorityFile":%q},`, i.CertificateFile, i.KeyFile, i.AuthorityFile)
+}
+
 func (p *processes) startAgent(instance, platform, peer, engine string) *exec.Cmd {
-	return p.start("agent", fmt.Sprintf(`{"Instance":%q,"Domain":"d","OperatorAddress":%q,"PlatformAddress":%q,"ShutdownGraceMillis":1000,"PeerAddress":%q,"EngineAddress":%q}`, instance, p.address(), platform, peer, engine))
+	return p.start("agent", fmt.Sprintf(`{%s"Instance":%q,"Domain":"d","OperatorAddress":%q,"PlatformAddress":%q,"ShutdownGraceMillis":1000,"PeerAddress":%q,"EngineAddress":%q}`, p.certificate(instance), instance, p.address(), platform, peer, engine))
 }
 
 func (p *processes) check(err error) {
--- a/peridot/stopped_test.go
+++ b/peridot/stopped_test.go
@@ -43,9 +43,10 @@
 
 // TestStoppedHolder stops each entry instance in turn, also the one that holds
 // the lease, past the end of the lease, and continues it. Meanwhile the other
-// one takes over and loads another version; the engine must keep it.
+// one takes over and loads another version; the engine must keep it. The
+// processes prove themselves to each other by certificates.
 func TestStoppedHolder(t *testing.T) {
-	p := startProcesses(t, 2)
+	p := startProcesses(t, 2, true)
 	versions := []string{"v2", "v3"}
 	for i, version := range versions {
 		stopped, other := p.entries[i], 1-i
