Run the parts of each process under a supervisor

Cause: entry and agent started their parts as bare goroutines, against the house style's supervisor tree; a panic in one ended the process. The supervisor prints a part in full when it has no name, which raced with the part's own fields (seen under -race in TestEntriesReportWhatTheEngineRan, and at times in peridotdemo before); each part now has a name. TestFailedPartStartsAnew.

--- a/peridotagent/agent.go
+++ b/peridotagent/agent.go
@@ -18,6 +18,7 @@
 	"peridotstack/peridotsettings"
 	"peridotstack/peridotsync"
 	"peridotstack/peridottable"
+	"peridotstack/peridottree"
 	"peridotstack/peridotusage"
 	"peridotstack/peridotverdict"
 	"peridotstack/peridotwire"
@@ -104,8 +105,10 @@
 	server := &peridotwire.Server{Listener: listener, Handler: a, Identity: a.identity, Refused: a.refusedPeer}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(serving) }()
-	go a.node.Serve(serving)
-	go a.once.Serve(serving)
+	tree := peridottree.New("agent")
+	tree.Add(peridottree.Part{Name: "configuration", Run: a.node.Serve})
+	tree.Add(peridottree.Part{Name: "records", Run: a.once.Serve})
+	tree.ServeBackground(serving)
 	log.Info(logPrefix + "serving on " + listener.Addr().String())
 	select {
 	case <-ctx.Done():
--- a/peridotdemo/demo.go
+++ b/peridotdemo/demo.go
@@ -18,13 +18,13 @@
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridotstandin"
+	"peridotstack/peridottree"
 )
 
 const (
 	graceMillis       = 10_000
 	maxBodyBytes      = 4 << 20
 	bodyTimeoutMillis = 10_000
-	stopTimeout       = 15 * time.Second
 	tokenInterval     = 10 * time.Millisecond
 	orderTime         = 2 * time.Second
 	prefillRate       = 20_000
@@ -64,7 +64,7 @@
 		CallerAddresses:   callerAddresses,
 		OperatorAddresses: operatorAddresses,
 		out:               out,
-		supervisor:        suture.New("demo", suture.Spec{Timeout: stopTimeout}),
+		supervisor:        peridottree.New("demo"),
 		platform:          peridotstandin.NewPlatform(),
 	}
 	address, err := d.serveHTTP(d.platform.Handler())
@@ -148,7 +148,8 @@
 		PlatformAddress:     d.address,
 		ShutdownGraceMillis: graceMillis,
 	}
-	d.supervisor.Add(peridotagent.New(s, peridotplatform.NewClient(d.address)))
+	agent := peridotagent.New(s, peridotplatform.NewClient(d.address))
+	d.supervisor.Add(peridottree.Part{Name: instance, Run: agent.Serve})
 	d.instances = append(d.instances, peridotplatform.Instance{
 		ID:      instance,
 		Role:    peridotplatform.RoleAgent,
@@ -162,7 +163,7 @@
 
 func (d *Demo) addEntries() {
 	for i, caller := range d.CallerAddresses {
-		d.supervisor.Add(peridotentry.New(peridotsettings.Entry{
+		entry := peridotentry.New(peridotsettings.Entry{
 			Process: peridotsettings.Process{
 				Instance:            fmt.Sprintf("entry-%d", i+1),
 				Domain:              "recife-a",
@@ -173,7 +174,8 @@
 			CallerAddress:     caller,
 			MaxBodyBytes:      maxBodyBytes,
 			BodyTimeoutMillis: bodyTimeoutMillis,
-		}, peridotplatform.NewClient(d.address)))
+		}, peridotplatform.NewClient(d.address))
+		d.supervisor.Add(peridottree.Part{Name: fmt.Sprintf("entry-%d", i+1), Run: entry.Serve})
 	}
 }
 
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -18,6 +18,7 @@
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridotsync"
+	"peridotstack/peridottree"
 	"peridotstack/peridotusage"
 	"peridotstack/peridotwire"
 )
@@ -97,9 +98,11 @@
 func (e *Entry) Serve(ctx context.Context) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go e.node.Serve(serving)
-	go e.pool.Serve(serving)
-	go e.keepPanels(serving)
+	tree := peridottree.New("entry")
+	tree.Add(peridottree.Part{Name: "configuration", Run: e.node.Serve})
+	tree.Add(peridottree.Part{Name: "pool", Run: e.pool.Serve})
+	tree.Add(peridottree.Part{Name: "panels", Run: e.keepPanels})
+	tree.ServeBackground(serving)
 	operator := e.operatorServer()
 	if err := operator.Start(); err != nil {
 		return errors.Wrap(err, "listen for operators")
--- a/peridotentry/versions.go
+++ b/peridotentry/versions.go
@@ -191,13 +191,14 @@
 }
 
 // keepPanels appoints witnesses in place of those that are gone.
-func (e *Entry) keepPanels(ctx context.Context) {
+func (e *Entry) keepPanels(ctx context.Context) error {
 	for ctx.Err() == nil {
 		wait(ctx, panelInterval)
 		if err := e.node.Succeed(ctx, e.settings.Instance, e.pool.candidates()); err != nil {
 			e.metrics.Count("config_panel_failures")
 		}
 	}
+	return ctx.Err()
 }
 
 // stale refuses a request that needs a key while the configuration in force
--- /dev/null
+++ b/peridottree/tree_test.go
@@ -0,0 +1,38 @@
+package peridottree
+
+import (
+	"context"
+	"testing"
+)
+
+// TestFailedPartStartsAnew lets a part panic; the others go on.
+func TestFailedPartStartsAnew(t *testing.T) {
+	tree := New("test")
+	starts := make(chan int, 2)
+	other := make(chan struct{})
+	n := 0
+	tree.Add(Part{"failing", func(ctx context.Context) error {
+		n++
+		starts <- n
+		if n == 1 {
+			panic("first start")
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	}})
+	tree.Add(Part{"other", func(ctx context.Context) error {
+		<-ctx.Done()
+		close(other)
+		return ctx.Err()
+	}})
+	ctx, stop := context.WithCancel(context.Background())
+	done := tree.ServeBackground(ctx)
+	for want := 1; want <= 2; want++ {
+		if got := <-starts; got != want {
+			t.Errorf("start: got %d, want %d", got, want)
+		}
+	}
+	stop()
+	<-other
+	<-done
+}
