--- a/peridotentry/fleet_test.go
+++ b/peridotentry/fleet_test.go
@@ -22,9 +22,8 @@
 )
 
 const (
-	fleetModel   = "m"
-	fleetService = "api"
-	fleetGrace   = 60_000 // milliseconds
+	fleetModel = "m"
+	fleetGrace = 60_000 // milliseconds
 )
 
 // process is one process of the system that a test can stop.
