Let a pool that is started anew open its links again

Cause: read while looking at what the supervisor restarts: links live by the context of the Serve that opened them, and the next Serve left them alone. Red without the end of the links (waits in vain), green with it.

--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -78,8 +78,10 @@
 	}
 }
 
-// Serve follows the platform's list of instances until ctx is done.
+// Serve follows the platform's list of instances until ctx is done. Its links end
+// with it, so that a supervisor can start it anew.
 func (p *pool) Serve(ctx context.Context) error {
+	defer p.closeLinks()
 	ticker := time.NewTicker(discoverInterval)
 	defer ticker.Stop()
 	for {
@@ -95,6 +97,16 @@
 	}
 }
 
+func (p *pool) closeLinks() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, l := range p.links {
+		l.stop()
+		delete(p.links, id)
+	}
+	p.changes++
+}
+
 // update opens links to new agents and closes those to agents that are gone.
 func (p *pool) update(ctx context.Context, instances []peridotplatform.Instance, asked time.Time) {
 	p.mu.Lock()
--- /dev/null
+++ b/peridotentry/pool_test.go
@@ -0,0 +1,31 @@
+package peridotentry
+
+import (
+	"context"
+	"testing"
+
+	"peridotstack/peridotsettings"
+)
+
+// TestPoolStartsAnew ends a pool's Serve and starts it again, as a supervisor
+// does after a panic.
+func TestPoolStartsAnew(t *testing.T) {
+	agent := &scripted{instance: "agent-1", model: testModel}
+	other, _ := entryWith(t, agent)
+	e := New(peridotsettings.Entry{Process: peridotsettings.Process{Instance: "entry-2"}}, other.platform)
+	for range 2 {
+		ctx, stop := context.WithCancel(context.Background())
+		served := make(chan error, 1)
+		go func() { served <- e.pool.Serve(ctx) }()
+		for e.pool.peerOf(agent.instance) == nil {
+			wait(ctx, pollInterval)
+		}
+		stop()
+		if err := <-served; err != nil {
+			t.Errorf("Serve: got %v, want nil", err)
+		}
+		for e.pool.peerOf(agent.instance) != nil {
+			wait(t.Context(), pollInterval)
+		}
+	}
+}
