Make one piece of what stood twice

Found by reading the whole change: the verdict of a call that could not be dialed stood in both adapters; health, readiness and metrics in both roles; serving a checked request once for models and once for services. callerConn made a channel for each piece written, also when nobody waited; it makes one for a waiter, as Timeline does. Behaviour and tests are as before. Not measured.

--- a/peridotbackend/backend.go
+++ b/peridotbackend/backend.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"peridotstack/peridotstream"
 	"peridotstack/peridotverdict"
 )
@@ -92,10 +90,5 @@
 // failed turns an error of the HTTP client into one with a verdict: a server
 // that could not be dialed has run nothing.
 func failed(err error) *peridotverdict.Error {
-	verdict := peridotverdict.MayHaveRun
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		verdict = peridotverdict.NotRun
-	}
-	return peridotverdict.New(peridotverdict.EngineFailed, verdict, "the backend server failed", peridotverdict.Cause(err))
+	return peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.OfTransport(err), "the backend server failed", peridotverdict.Cause(err))
 }
--- a/peridotentry/caller.go
+++ b/peridotentry/caller.go
@@ -44,9 +44,9 @@
 	}
 	switch path := r.URL.Path; {
 	case path == "/v1/completions" || path == "/v1/chat/completions":
-		e.serveModel(ctx, w, r)
+		e.serveChecked(ctx, w, r, e.modelRun)
 	case strings.HasPrefix(path, servicePrefix):
-		e.serveService(ctx, w, r)
+		e.serveChecked(ctx, w, r, e.serviceRun)
 	case strings.HasPrefix(path, requestPrefix):
 		e.serveResume(ctx, w, r)
 	default:
@@ -62,8 +62,9 @@
 	Stream    bool   `json:"stream"`
 }
 
-func (e *Entry) serveModel(ctx context.Context, w http.ResponseWriter, r *http.Request) {
-	run, err := e.modelRun(r)
+// serveChecked serves a request once check has turned it into a message.
+func (e *Entry) serveChecked(ctx context.Context, w http.ResponseWriter, r *http.Request, check func(*http.Request) (peridotwire.Run, *peridotverdict.Error)) {
+	run, err := check(r)
 	if err != nil {
 		e.refuse(w, err, "")
 		return
@@ -123,15 +124,6 @@
 	}, nil
 }
 
-func (e *Entry) serveService(ctx context.Context, w http.ResponseWriter, r *http.Request) {
-	run, err := e.serviceRun(r)
-	if err != nil {
-		e.refuse(w, err, "")
-		return
-	}
-	e.serveRun(ctx, w, run)
-}
-
 // serviceRun checks a call of a plain service and turns it into a message.
 func (e *Entry) serviceRun(r *http.Request) (peridotwire.Run, *peridotverdict.Error) {
 	config := e.Config()
--- a/peridotentry/callerconn.go
+++ b/peridotentry/callerconn.go
@@ -39,7 +39,7 @@
 	remote string
 
 	mu sync.Mutex
-	// changed is closed and replaced whenever a field below changes.
+	// changed is closed whenever a field below changes; nil while nobody waits.
 	changed chan struct{}
 	// unsent counts the bytes written and not yet gone to the network.
 	unsent int
@@ -53,13 +53,23 @@
 }
 
 func newCallerConn(conn net.Conn) *callerConn {
-	return &callerConn{Conn: conn, remote: conn.RemoteAddr().String(), changed: make(chan struct{})}
+	return &callerConn{Conn: conn, remote: conn.RemoteAddr().String()}
 }
 
 // wake lets every waiter look again; the mutex is held.
 func (c *callerConn) wake() {
-	close(c.changed)
-	c.changed = make(chan struct{})
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+}
+
+// change returns what is closed at the next change; the mutex is held.
+func (c *callerConn) change() <-chan struct{} {
+	if c.changed == nil {
+		c.changed = make(chan struct{})
+	}
+	return c.changed
 }
 
 // Write queues bytes of an answer. It waits while too many are unsent, and
@@ -123,14 +133,16 @@
 func (c *callerConn) awaitUnsent(limit int) error {
 	for {
 		c.mu.Lock()
-		unsent, closed, changed := c.unsent, c.closed, c.changed
-		c.mu.Unlock()
-		switch {
-		case closed:
+		if c.closed {
+			c.mu.Unlock()
 			return net.ErrClosed
-		case unsent <= limit:
+		}
+		if c.unsent <= limit {
+			c.mu.Unlock()
 			return nil
 		}
+		changed := c.change()
+		c.mu.Unlock()
 		timer := time.NewTimer(sendTimeout)
 		select {
 		case <-changed:
@@ -145,12 +157,12 @@
 func (c *callerConn) awaitIdle(ctx context.Context) error {
 	for {
 		c.mu.Lock()
-		idle := c.closed || (c.answers == 0 && c.unsent == 0)
-		changed := c.changed
-		c.mu.Unlock()
-		if idle {
+		if c.closed || (c.answers == 0 && c.unsent == 0) {
+			c.mu.Unlock()
 			return nil
 		}
+		changed := c.change()
+		c.mu.Unlock()
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -156,11 +156,8 @@
 		Await:   e.awaitAccepted,
 		Version: e.versions,
 	}
-	mux := http.NewServeMux()
+	mux := e.metrics.Pages(e.ready)
 	mux.Handle("/operator/", operator.Handler())
-	mux.Handle("GET /metrics", e.metrics.Handler())
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /ready", e.serveReady)
 	return nbhttp.NewServer(nbhttp.Config{
 		Network: "tcp",
 		Addrs:   []string{e.settings.OperatorAddress},
@@ -168,13 +165,9 @@
 	})
 }
 
-// serveReady tells the balancer whether to send callers here.
-func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.unready.Load() || e.Config().Seq == 0 {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
+// ready tells the balancer whether to send callers here.
+func (e *Entry) ready() bool {
+	return !e.unready.Load() && e.Config().Seq > 0
 }
 
 // drain first only tells the balancer to send callers elsewhere, then takes no
--- a/peridotmetric/metric.go
+++ b/peridotmetric/metric.go
@@ -35,6 +35,22 @@
 	return &Metrics{scope: scope, handler: reporter.HTTPHandler()}, closer
 }
 
+// Pages serves the values for scraping, the health of the process, and whether
+// it is ready for work.
+func (m *Metrics) Pages(ready func() bool) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler())
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if ready() {
+			w.WriteHeader(http.StatusOK)
+		} else {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
 // Handler serves the values for scraping.
 func (m *Metrics) Handler() http.Handler {
 	if m.handler == nil {
--- a/peridotplatform/client.go
+++ b/peridotplatform/client.go
@@ -141,10 +141,5 @@
 }
 
 func unavailable(err error) error {
-	verdict := peridotverdict.MayHaveRun
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		verdict = peridotverdict.NotRun
-	}
-	return peridotverdict.New(peridotverdict.StoreUnavailable, verdict, "the platform did not answer", peridotverdict.Cause(err))
+	return peridotverdict.New(peridotverdict.StoreUnavailable, peridotverdict.OfTransport(err), "the platform did not answer", peridotverdict.Cause(err))
 }
