Draw among backend servers that tie, so that none stays idle

Cause: TestPlannedStopCutsNothing and TestBadInput waited without an end for a call at the second engine. All estimates of two idle engines are equal, a group of two is not drawn from but listed in a fixed order, and the strict comparison kept the first. Ruled out: affinity to a cached prefix; the prompt of the test is shorter than one block and has no prefix hash. Change: equal finishes are drawn from at random, also between pairs of prefill and decode servers; each wait of the tests of peridotentry ends after 30 s and names what was awaited.

--- a/peridotentry/agent_test.go
+++ b/peridotentry/agent_test.go
@@ -157,9 +157,7 @@
 	})
 	serving.Go(func() { _ = e.node.Serve(ctx) })
 	serving.Go(func() { _ = e.pool.Serve(ctx) })
-	for !e.node.Fresh() || !allUp(e, len(places)) {
-		wait(ctx, pollInterval)
-	}
+	await(t, "fresh configuration and link to each agent", func() bool { return e.node.Fresh() && allUp(e, len(places)) })
 	return e, key
 }
 
--- a/peridotentry/fleet_test.go
+++ b/peridotentry/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"peridotstack/peridotagent"
 	"peridotstack/peridotconfig"
@@ -24,6 +25,8 @@
 const (
 	fleetModel = "m"
 	fleetGrace = 60_000 // milliseconds
+	// awaitTimeout bounds each wait of a test for something that surely comes.
+	awaitTimeout = 30 * time.Second
 )
 
 // process is one process of the system that a test can stop.
@@ -158,17 +161,43 @@
 func (f *fleet) awaitServing(t *testing.T, entry int) {
 	t.Helper()
 	before := [2]int{len(f.engines[0].Calls()), len(f.engines[1].Calls())}
-	for len(f.engines[0].Calls()) == before[0] || len(f.engines[1].Calls()) == before[1] {
+	await(t, fmt.Sprintf("call at each engine through entry %d", entry), func() bool {
 		response, err := f.ask(entry, 1, nil)
 		if err != nil {
-			continue // The entry does not listen yet.
+			return false // The entry does not listen yet.
 		}
 		_, err = io.Copy(io.Discard, response.Body)
 		response.Body.Close()
 		if err != nil {
 			t.Fatal(err)
 		}
+		return len(f.engines[0].Calls()) > before[0] && len(f.engines[1].Calls()) > before[1]
+	})
+}
+
+// await polls until done, and fails the test with what was awaited otherwise.
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	end := time.Now().Add(awaitTimeout)
+	for !done() {
+		if time.Now().After(end) {
+			t.Fatalf("got no %s within %v, want it", what, awaitTimeout)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// receive takes from either channel, and fails the test when nothing comes.
+func receive(t *testing.T, what string, a, b <-chan string) (value string, second bool) {
+	t.Helper()
+	select {
+	case value = <-a:
+	case value = <-b:
+		second = true
+	case <-time.After(awaitTimeout):
+		t.Fatalf("got no %s within %v, want it", what, awaitTimeout)
 	}
+	return value, second
 }
 
 // ask sends a stream request for some tokens and returns once it has begun.
--- a/peridotentry/lifecycle_test.go
+++ b/peridotentry/lifecycle_test.go
@@ -5,7 +5,6 @@
 	"math"
 	"net/http"
 	"testing"
-	"time"
 
 	"peridotstack/peridotconfig"
 )
@@ -42,10 +41,7 @@
 		}()
 	}
 	for range n {
-		select {
-		case <-held[0]:
-		case <-held[1]:
-		}
+		receive(t, "held stream", held[0], held[1])
 	}
 	return answers
 }
@@ -120,23 +116,16 @@
 			answers := f.streams(t, n)
 			f.commit(t, peridotconfig.Changes{test.change(f)})
 			if test.name == tests[0].name {
-				f.awaitInForce(test.inForce)
+				await(t, "change in force", func() bool { return test.inForce(f) })
 			}
 			f.engines[0].Release()
 			f.engines[1].Release()
 			checkWhole(t, answers, n)
-			f.awaitInForce(test.inForce)
+			await(t, "change in force", func() bool { return test.inForce(f) })
 		})
 	}
 }
 
-// awaitInForce waits until a change has come into force.
-func (f *fleet) awaitInForce(inForce func(f *fleet) bool) {
-	for !inForce(f) {
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
 // TestStopIsBounded stops processes whose streams never end.
 func TestStopIsBounded(t *testing.T) {
 	const n = 4
@@ -191,10 +180,7 @@
 	requestID := response.Header.Get("X-Request-Id")
 	const read = 3
 	first, _ := readTokens(response.Body, read)
-	select {
-	case <-held[0]:
-	case <-held[1]:
-	}
+	receive(t, "held stream", held[0], held[1])
 	response.Body.Close() // The caller's connection is gone.
 
 	request, err := http.NewRequest(http.MethodGet, "http://"+f.callers[1]+"/v1/requests/"+requestID, nil)
@@ -223,17 +209,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := ""
+	want, second := receive(t, "held stream", held[0], held[1])
 	engine := 0
-	select {
-	case want = <-held[0]:
-	case want = <-held[1]:
+	if second {
 		engine = 1
 	}
 	response.Body.Close()
-	for len(f.engines[engine].Canceled()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	await(t, "cancel at the engine", func() bool { return len(f.engines[engine].Canceled()) > 0 })
 	if got := f.engines[engine].Canceled()[0]; got != want {
 		t.Errorf("canceled: got %q, want %q", got, want)
 	}
--- a/peridotentry/pool_test.go
+++ b/peridotentry/pool_test.go
@@ -17,15 +17,11 @@
 		ctx, stop := context.WithCancel(context.Background())
 		served := make(chan error, 1)
 		go func() { served <- e.pool.Serve(ctx) }()
-		for e.pool.peerOf(agent.instance) == nil {
-			wait(ctx, pollInterval)
-		}
+		await(t, "link to the agent", func() bool { return e.pool.peerOf(agent.instance) != nil })
 		stop()
 		if err := <-served; err != nil {
 			t.Errorf("Serve: got %v, want nil", err)
 		}
-		for e.pool.peerOf(agent.instance) != nil {
-			wait(t.Context(), pollInterval)
-		}
+		await(t, "end of the link to the agent", func() bool { return e.pool.peerOf(agent.instance) == nil })
 	}
 }
--- a/peridotentry/usagecontrol_test.go
+++ b/peridotentry/usagecontrol_test.go
@@ -229,7 +229,10 @@
 		go manager.Serve(ctx)
 		a := usageAuthority{manager: manager}
 		hold, ok := a.Hold(domain)
-		for !ok {
+		for tries := 0; !ok; tries++ {
+			if tries == 60 {
+				t.Fatal("got no lease within a minute, want it")
+			}
 			time.Sleep(time.Second)
 			hold, ok = a.Hold(domain)
 		}
--- a/peridotroute/choose.go
+++ b/peridotroute/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -20,19 +21,37 @@
 		return Choice{}, noBackend(key)
 	}
 	r.candidates(now, g, &request)
-	best := Choice{Finish: math.MaxInt64}
+	p := pick{best: Choice{Finish: math.MaxInt64}, random: r.random}
 	for _, s := range r.whole {
-		if c := r.alone(now, &request, s); c.Finish < best.Finish {
-			best = c
-		}
+		p.offer(r.alone(now, &request, s))
 	}
 	if r.options.kvBytesPerSecond > 0 && request.Role == "" {
-		best = r.split(now, &request, best)
+		r.split(now, &request, &p)
 	}
-	if best.Instance == "" {
+	if p.best.Instance == "" {
 		return Choice{}, noBackend(key)
 	}
-	return best, nil
+	return p.best, nil
+}
+
+// pick keeps the choice that ends first. Choices that end at the same time are
+// drawn from at random: a fixed order would leave idle servers without work.
+type pick struct {
+	best   Choice
+	ties   int
+	random *rand.Rand
+}
+
+func (p *pick) offer(c Choice) {
+	switch {
+	case c.Finish < p.best.Finish:
+		p.best, p.ties = c, 1
+	case c.Finish == p.best.Finish:
+		p.ties++
+		if p.random.IntN(p.ties) == 0 {
+			p.best = c
+		}
+	}
 }
 
 // candidates fills whole, prefill and decode with the servers to compare.
@@ -121,18 +140,17 @@
 	}
 }
 
-// split compares best with pairs of servers between which the KV cache is moved.
-func (r *Router) split(now time.Duration, request *Request, best Choice) Choice {
+// split offers pairs of servers between which the KV cache is moved.
+func (r *Router) split(now time.Duration, request *Request, offers *pick) {
 	for _, p := range r.prefill {
-		best = r.splitFrom(now, request, p, best)
+		r.splitFrom(now, request, p, offers)
 	}
 	for _, p := range r.whole {
-		best = r.splitFrom(now, request, p, best)
+		r.splitFrom(now, request, p, offers)
 	}
-	return best
 }
 
-func (r *Router) splitFrom(now time.Duration, request *Request, p *server, best Choice) Choice {
+func (r *Router) splitFrom(now time.Duration, request *Request, p *server, offers *pick) {
 	cached := r.cachedTokens(now, request, p)
 	uncached := float64(request.PromptTokens - cached)
 	move := r.moveTime(request.PromptTokens)
@@ -144,20 +162,16 @@
 			}
 			l := d.estimate(now)
 			wait := read + d.RoundTrip + d.slotWait(l)
-			finish := wait + d.decodeTime(l, expected(*request))
-			if finish < best.Finish {
-				best = Choice{
-					Instance:        d.Instance,
-					PrefillInstance: p.Instance,
-					CachedTokens:    cached,
-					Wait:            wait,
-					Alone:           p.aloneFor(uncached) + move + d.RoundTrip,
-					Finish:          finish,
-				}
-			}
+			offers.offer(Choice{
+				Instance:        d.Instance,
+				PrefillInstance: p.Instance,
+				CachedTokens:    cached,
+				Wait:            wait,
+				Alone:           p.aloneFor(uncached) + move + d.RoundTrip,
+				Finish:          wait + d.decodeTime(l, expected(*request)),
+			})
 		}
 	}
-	return best
 }
 
 // moveTime estimates the export and import of the KV cache of tokens.
--- a/peridotroute/router_test.go
+++ b/peridotroute/router_test.go
@@ -262,3 +262,74 @@
 	fmt.Println(choice.Instance, choice.Wait)
 	// Output: engine-2 100ms
 }
+
+// TestIdleServersShareWork sends requests one after the other, each ended before
+// the next begins, so that all servers look the same to the router.
+func TestIdleServersShareWork(t *testing.T) {
+	const requests = 64
+	tests := []struct {
+		name    string
+		servers int
+		role    string
+		options []Option
+	}{
+		{name: "two", servers: 2, role: Mixed},
+		{name: "nine", servers: 9, role: Mixed},
+		{name: "split, two decode servers", servers: 2, role: Decode, options: []Option{MoveKV(1000, 1e7, time.Millisecond)}},
+	}
+	for _, test := range tests {
+		for seed := range peridotseed.Count(t, 20) {
+			r := New(seed, test.options...)
+			var list []Server
+			for i := range test.servers {
+				list = append(list, engine(fmt.Sprint("engine-", i), test.role))
+			}
+			if test.role == Decode {
+				list = append(list, engine("reader", Prefill))
+			}
+			r.SetServers(0, list)
+			got := make(map[string]int)
+			for i := range requests {
+				now := time.Duration(i) * time.Second
+				request := Request{ID: fmt.Sprint(i), Model: "m", PromptTokens: 1, ExpectedOutput: 1}
+				c, err := r.Choose(now, request)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got[c.Instance]++
+				r.Sent(now, request, c)
+				r.Done(now+time.Millisecond, request.ID, 1)
+				r.Observe(now+time.Millisecond, Report{Instance: c.Instance, At: now + time.Millisecond})
+			}
+			if len(got) != test.servers {
+				t.Errorf("%s, seed %d: got work for %v, want %d servers with work", test.name, seed, got, test.servers)
+			}
+		}
+	}
+}
+
+// TestNewServerRelievesHolder adds an empty server while another holds the
+// prefix of all requests and is busy.
+func TestNewServerRelievesHolder(t *testing.T) {
+	r := New(1)
+	holder := engine("holder", Mixed)
+	r.SetServers(0, []Server{holder})
+	prefix := []uint64{1, 2, 3}
+	got := make(map[string]int)
+	for i := range 200 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		if i == 100 {
+			r.SetServers(now, []Server{holder, engine("new", Mixed)})
+		}
+		request := Request{ID: fmt.Sprint(i), Model: "m", PromptTokens: 300, ExpectedOutput: 50, PrefixHash: prefix}
+		c, err := r.Choose(now, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Sent(now, request, c)
+		got[c.Instance]++
+	}
+	if got["new"] < 20 {
+		t.Errorf("got %v, want a fifth or more of the later requests at the new server", got)
+	}
+}
