Serve the users' platform: the path, thin

Change: platform/ translates settings, store, registrations, headers and duties; peridotfront forwards; peridotplace chooses by exact knowledge of the work that fronts tell each other by datagrams; peridotlink keeps connections and never repeats by itself; a lease in the store guards the duties; usage is tallied by all fronts and sealed before it is reported.

--- a/peridot/main.go
+++ b/peridot/main.go
@@ -26,7 +26,7 @@
 	log.SetHandler(json.New(os.Stderr))
 	logging.SetLevel(logging.LevelError)
 	app := kingpin.New("peridot", "Serves language models and plain services on a limited fleet.").Version(version)
-	commands := []command{demoCommand(app), entryCommand(app), agentCommand(app)}
+	commands := []command{demoCommand(app), entryCommand(app), agentCommand(app), frontCommand(app)}
 	commands = append(commands, standinCommands(app)...)
 	commands = append(commands, operatorCommands(app)...)
 	commands = append(commands, measureCommand(app))
--- /dev/null
+++ b/peridotfront/duties.go
@@ -0,0 +1,178 @@
+package peridotfront
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"peridotstack/peridotclock"
+	"peridotstack/peridotlease"
+	"peridotstack/peridottable"
+	"peridotstack/peridotusage"
+)
+
+const (
+	// dutyShard names the one lease under which all duties are done.
+	dutyShard = "duties"
+	// dutyInterval is the time between two looks at what is due.
+	dutyInterval = 250 * time.Millisecond
+	// leaseRatio is the lease's length in terms of the time that two holders must
+	// lie apart, renewRatio the time between renewals in terms of its length.
+	leaseRatio = 1.4
+	renewRatio = 0.3
+	// clockDrift bounds the difference in speed of two steady clocks.
+	clockDrift = 0.01
+	// sendMargin is what must be left of the lease for a call to be sent: the
+	// longest time that a call takes.
+	sendMargin = 1600 * time.Millisecond
+	// settle is how long after its end a usage window waits for late figures; the
+	// figures of all fronts come every 200 ms.
+	settle = 900 * time.Millisecond
+	// usagePrefix starts the keys of sealed usage windows.
+	usagePrefix = "usage/"
+)
+
+// duties does what one front at a time may do.
+type duties struct {
+	front  *Front
+	lease  *peridotlease.Manager
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	// reported are the windows that the platform has confirmed under the grant.
+	token    int64
+	reported map[peridotusage.Window]bool
+	// first is the first window that this holder answers for.
+	first peridotusage.Window
+	roles roleControl
+}
+
+func (f *Front) startDuties(ctx context.Context) *duties {
+	ctx, cancel := context.WithCancel(ctx)
+	ttl := time.Duration(leaseRatio * float64(f.settings.LeaseTTL))
+	terms := peridotlease.Terms{TTL: ttl, Renew: time.Duration(renewRatio * float64(ttl)), Drift: clockDrift}
+	d := &duties{front: f, cancel: cancel, lease: peridotlease.NewManager(f.platform, f.settings.Instance, f.self.Incarnation,
+		peridotlease.WithTerms(terms), peridotlease.WithClock(peridotclock.Boot), peridotlease.WithCounter(f.metrics.Count))}
+	d.lease.SetShards([]string{dutyShard})
+	d.lease.SetInstances([]string{f.settings.Instance})
+	d.done.Go(func() { _ = d.lease.Serve(ctx) }) // It returns nil.
+	d.done.Go(func() { d.serve(ctx) })
+	return d
+}
+
+// stop ends the duties and gives the lease back.
+func (d *duties) stop() {
+	d.cancel()
+	d.done.Wait()
+}
+
+func (d *duties) serve(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.lease.SetInstances(append(d.front.peers.instances(), d.front.settings.Instance))
+		if duty, ok := d.duty(); ok {
+			d.turn(ctx, duty)
+		}
+		wait(ctx, dutyInterval)
+	}
+}
+
+// duty returns the authority to send a call now. A new holder waits until no
+// call of the one before can be closer than the holders must lie apart.
+func (d *duties) duty() (Duty, bool) {
+	now := peridotclock.Boot()
+	grant, ok := d.lease.Grant(dutyShard)
+	if !ok || grant.Left(now) < sendMargin || now.Sub(grant.Since) < d.front.settings.LeaseTTL {
+		return Duty{}, false
+	}
+	if grant.Token != d.token {
+		d.take(grant.Token)
+	}
+	return Duty{Holder: d.front.settings.Instance, Token: grant.Token}, true
+}
+
+// take starts a term as the holder.
+func (d *duties) take(token int64) {
+	f := d.front
+	d.token, d.reported = token, make(map[peridotusage.Window]bool)
+	f.mu.Lock()
+	d.first = f.tally.At(f.trueTime().Add(-f.settings.UsageLate - f.settings.UsageWindow))
+	f.mu.Unlock()
+	d.roles = roleControl{}
+	log.WithField("token", token).Info(logPrefix + "does the duties now")
+}
+
+func (d *duties) turn(ctx context.Context, duty Duty) {
+	d.reportUsage(ctx, duty)
+	d.orderRoles(ctx, duty)
+}
+
+// reportUsage seals and sends the windows that are over.
+func (d *duties) reportUsage(ctx context.Context, duty Duty) {
+	f := d.front
+	now, ok := f.clock.Now(peridotclock.Boot())
+	if !ok {
+		return
+	}
+	f.mu.Lock()
+	current := f.tally.At(now)
+	over := f.tally.At(now.Add(-settle)) - 1
+	f.tally.Forget(current)
+	f.mu.Unlock()
+	for w := max(d.first, over-usageWindows); w <= over; w++ {
+		if d.reported[w] {
+			continue
+		}
+		counts, err := d.seal(ctx, w)
+		if err != nil {
+			log.WithError(err).WithField("window", int64(w)).Warn(logPrefix + "usage window is not sealed")
+			return
+		}
+		if _, ok := d.duty(); !ok || len(counts) == 0 {
+			continue
+		}
+		if err := f.platform.ReportUsage(ctx, duty, int64(w), counts); err != nil {
+			f.metrics.Count("usage_report_failures")
+			log.WithError(err).WithField("window", int64(w)).Warn(logPrefix + "usage report is not confirmed")
+			return
+		}
+		d.reported[w] = true
+		f.metrics.Count("usage_reports")
+		log.WithFields(log.Fields{"window": int64(w), "counts": counts, "token": duty.Token}).Info(logPrefix + "reported usage")
+	}
+}
+
+// seal makes the figures of a window final in the table service and returns
+// them. Whoever reports the window reports exactly these.
+func (d *duties) seal(ctx context.Context, w peridotusage.Window) (map[string]int64, error) {
+	f := d.front
+	f.mu.Lock()
+	counts := f.tally.Sum(w)
+	f.mu.Unlock()
+	key := usagePrefix + w.String()
+	data, err := json.Marshal(counts)
+	if err != nil {
+		return nil, err
+	}
+	_, err = f.platform.Commit(ctx, peridottable.Txn{
+		ID:      f.self.Incarnation,
+		Checks:  []peridottable.Check{{Key: key}},
+		Puts:    []peridottable.Put{{Key: key, Value: data}},
+		Deletes: []string{usagePrefix + (w - 100).String()},
+	})
+	if err == nil {
+		return counts, nil
+	}
+	// The window may be sealed already, also by a commit whose answer was lost.
+	row, readErr := f.platform.Get(ctx, key)
+	if readErr != nil {
+		return nil, readErr
+	}
+	if row.Version == 0 {
+		return nil, err
+	}
+	var sealed map[string]int64
+	return sealed, json.Unmarshal(row.Value, &sealed)
+}
--- /dev/null
+++ b/peridotfront/prompt.go
@@ -0,0 +1,228 @@
+package peridotfront
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"peridotstack/peridotlink"
+	"peridotstack/peridotplace"
+	"peridotstack/peridotsite"
+	"peridotstack/peridotverdict"
+)
+
+const (
+	// prefillSlack is how much longer than expected a prefill may take before the
+	// prompt is placed elsewhere, and prefillFactor multiplies what is expected.
+	prefillSlack  = 150 * time.Millisecond
+	prefillFactor = 3
+	// maxHandleBytes bounds the answer to a prefill.
+	maxHandleBytes = 64 << 10
+	// freeTimeout bounds the call that frees KV cache which nobody will fetch.
+	freeTimeout = 500 * time.Millisecond
+	// onTimeMargin is what must be left of the objective, after the prompt has been
+	// read, for the first token and its way to the caller.
+	onTimeMargin = 25 * time.Millisecond
+)
+
+// servePrompt serves a request of a model engine.
+func (x *exchange) servePrompt() {
+	for {
+		choice, ok := x.place()
+		if !ok {
+			x.giveUpPrompt(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetry)))
+			return
+		}
+		if x.sends == 0 {
+			if err := x.admit(choice); err != nil {
+				x.refuse(err)
+				return
+			}
+		}
+		if !x.may() {
+			x.giveUpPrompt(x.last)
+			return
+		}
+		source, err := x.prefill(choice)
+		if err == nil {
+			err = x.generate(choice, source)
+			if err == nil {
+				return
+			}
+			x.failed(choice.Backend, err)
+		} else {
+			x.failed(choice.Reader, err)
+		}
+		if x.over() {
+			x.giveUpPrompt(err)
+			return
+		}
+	}
+}
+
+func (x *exchange) giveUpPrompt(err *peridotverdict.Error) {
+	if x.last != nil && err.Code == peridotverdict.NoBackend {
+		err = x.last
+	}
+	x.giveUp(err)
+}
+
+// place chooses the engines.
+func (x *exchange) place() (peridotplace.Choice, bool) {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placer.Place(f.now(), peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), Exclude: x.tried})
+}
+
+func (x *exchange) promptTokens() int {
+	if x.call.PromptTokens > 0 {
+		return x.call.PromptTokens
+	}
+	tokens := 0
+	for _, part := range x.call.Parts {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// admit refuses at once what cannot have its first token in time because others
+// wait before it. The refusal says when they will be done.
+func (x *exchange) admit(c peridotplace.Choice) *peridotverdict.Error {
+	x.note["wait_ms"] = c.Wait
+	x.note["uncached"] = c.Uncached
+	if x.route.Objective <= 0 {
+		return nil
+	}
+	late := c.Wait + onTimeMargin - x.route.Objective
+	// A prompt that is late even on an idle engine is not helped by coming back.
+	if late <= 0 || c.Wait-c.Read <= late {
+		return nil
+	}
+	return peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "the first token would be late", peridotverdict.RetryAfter(late))
+}
+
+// prefill has the prompt read by the reader of a choice, if it has one, and
+// returns the source of the KV cache.
+func (x *exchange) prefill(c peridotplace.Choice) (source *kvSource, failure *peridotverdict.Error) {
+	if c.Reader == "" {
+		return nil, nil
+	}
+	f := x.front
+	to, ok := f.backend(c.Reader)
+	if !ok {
+		return nil, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine is not registered any more")
+	}
+	f.mu.Lock()
+	flight := f.placer.Read(f.now(), c.Reader, x.call.Parts, c.Uncached)
+	f.mu.Unlock()
+	x.note["reader"] = c.Reader
+	x.sends++
+	ctx, cancel := context.WithTimeout(x.ctx, prefillFactor*c.Wait+prefillSlack)
+	defer cancel()
+	handle, err := x.callPrefill(ctx, to)
+	if err != nil {
+		f.done(flight, x.endOf(err))
+		return nil, err
+	}
+	f.mu.Lock()
+	f.placer.HasRead(f.now(), flight)
+	f.placer.Done(f.now(), flight, peridotplace.Answered)
+	f.mu.Unlock()
+	return &kvSource{from: to, handle: handle}, nil
+}
+
+// kvSource is KV cache that a reader keeps until it is fetched or freed.
+type kvSource struct {
+	from   peridotsite.Backend
+	handle string
+}
+
+// callPrefill returns the handle of the KV cache. A prefill never runs the
+// request, so that every error is NotRun.
+func (x *exchange) callPrefill(ctx context.Context, to peridotsite.Backend) (string, *peridotverdict.Error) {
+	answer, head, err := x.send(ctx, to, Outgoing{Prefill: true})
+	if err != nil {
+		return "", peridotverdict.New(err.Code, peridotverdict.NotRun, "prefill: "+err.Message, peridotverdict.Cause(err))
+	}
+	body, readErr := answer.ReadAll(maxHandleBytes)
+	if readErr != nil {
+		return "", peridotverdict.New(peridotverdict.PeerLost, peridotverdict.NotRun, "prefill: the answer broke off", peridotverdict.Cause(readErr))
+	}
+	if answer.StatusCode != http.StatusOK {
+		code := peridotverdict.EngineFailed
+		if head.NotRun {
+			code = peridotverdict.Overloaded
+		}
+		return "", peridotverdict.New(code, peridotverdict.NotRun, "prefill: engine answered "+strconv.Itoa(answer.StatusCode))
+	}
+	handle, decodeErr := x.front.protocol.Prefilled(body)
+	if decodeErr != nil {
+		return "", peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.NotRun, "prefill", peridotverdict.Cause(decodeErr))
+	}
+	return handle, nil
+}
+
+// free drops KV cache that nobody will fetch.
+func (x *exchange) free(source *kvSource) {
+	if source == nil {
+		return
+	}
+	f := x.front
+	method, path := f.protocol.FreeKV(source.handle)
+	limit := f.connLimit(x.service)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		conn, err := f.pool.Get(ctx, source.from.Address, limit)
+		if err != nil {
+			f.metrics.Count("kv_free_failures")
+			return
+		}
+		answer, err := conn.Do(ctx, peridotlink.Request{Method: method, Target: path, Host: source.from.Address, Header: http.Header{}})
+		if err == nil {
+			_, err = answer.ReadAll(maxHandleBytes)
+		}
+		if err != nil {
+			f.metrics.Count("kv_free_failures")
+		}
+	}()
+}
+
+// generate has the answer generated and passes it on. It returns nil once the
+// caller has got a whole answer.
+func (x *exchange) generate(c peridotplace.Choice, source *kvSource) *peridotverdict.Error {
+	f := x.front
+	to, ok := f.backend(c.Backend)
+	if !ok {
+		x.free(source)
+		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine is not registered any more")
+	}
+	o := Outgoing{}
+	f.mu.Lock()
+	var flight *peridotplace.Flight
+	if source == nil {
+		flight = f.placer.Read(f.now(), c.Backend, x.call.Parts, c.Uncached)
+		x.sends++
+	} else {
+		flight = f.placer.Moved(f.now(), c.Backend, x.call.Parts)
+		o.KVSource = f.protocol.KVSource(source.from.Address, source.handle)
+	}
+	f.mu.Unlock()
+	x.note["backend"] = c.Backend
+	s := &stream{exchange: x, flight: flight}
+	err := s.run(to, o)
+	if err == nil {
+		f.done(flight, peridotplace.Answered)
+		x.log(log.DebugLevel, "answered", http.StatusOK)
+		return nil
+	}
+	f.done(flight, x.endOf(err))
+	if err.Verdict == peridotverdict.NotRun {
+		x.free(source)
+	}
+	return err
+}
--- /dev/null
+++ b/peridotfront/settings.go
@@ -0,0 +1,36 @@
+package peridotfront
+
+import "time"
+
+// Settings are what a front is started with. Addresses are IP numbers and ports.
+type Settings struct {
+	// Instance is unique; Domain is its failure domain.
+	Instance string
+	Domain   string
+	// CallerAddress takes callers, ReadyAddress the balancer's readiness probes.
+	CallerAddress string
+	ReadyAddress  string
+	// PeerAddress takes datagrams of the other fronts.
+	PeerAddress string
+	// MetricsAddress serves counters and histograms.
+	MetricsAddress string
+	// StoreAddress and CloudAddress are the platform's.
+	StoreAddress string
+	CloudAddress string
+	// MemoryBytes and MaxDescriptors are the limits of the process.
+	MemoryBytes    int64
+	MaxDescriptors int
+	// ShutdownGrace is the time from the signal to stop to the kill.
+	ShutdownGrace time.Duration
+	// RepeatRatio, RepeatWindow and RepeatSlack bound the repeats of all fronts
+	// together: ratio x requests + slack in any window.
+	RepeatRatio  float64
+	RepeatWindow time.Duration
+	RepeatSlack  float64
+	// LeaseTTL is how long two holders of a duty must lie apart.
+	LeaseTTL time.Duration
+	// UsageWindow is the length of a usage window; its report is due UsageLate
+	// after its end.
+	UsageWindow time.Duration
+	UsageLate   time.Duration
+}
--- /dev/null
+++ b/peridotfront/state.go
@@ -0,0 +1,162 @@
+package peridotfront
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"peridotstack/peridotsite"
+)
+
+const (
+	// returnTime is how long a backend server that is missing after an outage of
+	// the table service may take to register again.
+	returnTime = 2 * time.Second
+	// outageEvidence is how recent an outage must be for a missing backend server
+	// to be waited for; registrations lapse after some heartbeats.
+	outageEvidence = 3 * time.Second
+)
+
+// backends merges the registered backend servers with those that may only be
+// missing because the table service was away.
+type backends struct {
+	known map[string]peridotsite.Backend
+	// missing tells until when an unregistered one is still used.
+	missing map[string]time.Duration
+	// reached is when the feed last came back, lost whether it is away.
+	reached time.Duration
+	lost    bool
+	outage  bool
+}
+
+// register takes the registered backend servers.
+func (b *backends) register(now time.Duration, list []peridotsite.Backend) {
+	registered := make(map[string]peridotsite.Backend, len(list))
+	for _, s := range list {
+		registered[s.ID] = s
+	}
+	missing := make(map[string]time.Duration)
+	if b.outage && now-b.reached < outageEvidence {
+		for id, s := range b.known {
+			if _, ok := registered[id]; ok || s.Leaving {
+				continue
+			}
+			until, ok := b.missing[id]
+			if !ok {
+				until = now + returnTime
+			}
+			if now < until {
+				registered[id], missing[id] = s, until
+			}
+		}
+	}
+	b.known, b.missing = registered, missing
+}
+
+// expire drops backend servers that did not register again in time.
+func (b *backends) expire(now time.Duration) {
+	for id, until := range b.missing {
+		if now >= until {
+			delete(b.missing, id)
+			delete(b.known, id)
+		}
+	}
+}
+
+func (b *backends) addresses() map[string]bool {
+	addresses := make(map[string]bool, len(b.known))
+	for _, s := range b.known {
+		addresses[s.Address] = true
+	}
+	return addresses
+}
+
+// Configured implements Watcher. An older version than the one in force is
+// ignored, so that the configuration never goes back.
+func (f *Front) Configured(c *peridotsite.Config) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.config.Load()
+	if old != nil && c.Version <= old.Version {
+		return
+	}
+	f.config.Store(c)
+	f.placeBackends()
+	f.metrics.Gauge("config_version", float64(c.Version))
+	log.WithFields(log.Fields{"version": c.Version, "routes": len(c.Routes), "accounts": len(c.Accounts)}).Info(logPrefix + "configuration in force")
+}
+
+// Registered implements Watcher.
+func (f *Front) Registered(list []peridotsite.Backend) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.logBackends(list)
+	f.backends.register(f.now(), list)
+	f.placeBackends()
+}
+
+// logBackends writes a line for each backend server that came, left or changed.
+// The mutex is held.
+func (f *Front) logBackends(list []peridotsite.Backend) {
+	registered := make(map[string]bool, len(list))
+	for _, s := range list {
+		registered[s.ID] = true
+		if old, ok := f.backends.known[s.ID]; ok && old == s {
+			continue
+		}
+		log.WithFields(log.Fields{"backend": s.ID, "address": s.Address, "service": s.Service, "leaving": s.Leaving, "role": int(s.Role), "born": s.Born}).Info(logPrefix + "backend server registered")
+	}
+	for id := range f.backends.known {
+		if !registered[id] {
+			log.WithField("backend", id).Info(logPrefix + "backend server is not registered any more")
+		}
+	}
+}
+
+// placeBackends tells the placer which backend servers there are. The mutex is
+// held.
+func (f *Front) placeBackends() {
+	config := f.config.Load()
+	if config == nil {
+		return
+	}
+	list := make([]peridotsite.Backend, 0, len(f.backends.known))
+	for _, s := range f.backends.known {
+		list = append(list, s)
+	}
+	f.placer.SetBackends(f.now(), list, config)
+}
+
+// Unreadable implements Watcher.
+func (f *Front) Unreadable(key string, err error) {
+	f.metrics.Count("unreadable_rows")
+	log.WithError(err).WithField("row", key).Warn(logPrefix + "row cannot be read and is not used")
+}
+
+// Reached implements Watcher.
+func (f *Front) Reached(feed string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	away := f.feeds[feed]
+	f.feeds[feed] = false
+	if !away {
+		return
+	}
+	if f.backends.lost {
+		f.backends.lost, f.backends.outage, f.backends.reached = false, true, f.now()
+	}
+	log.WithField("feed", feed).Info(logPrefix + "table service answers again")
+}
+
+// Lost implements Watcher.
+func (f *Front) Lost(feed string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.metrics.Count("feed_failures")
+	f.backends.lost = true
+	if f.feeds[feed] {
+		return
+	}
+	f.feeds[feed] = true
+	log.WithError(err).WithField("feed", feed).Warn(logPrefix + "table service does not answer")
+}
--- /dev/null
+++ b/peridotplace/prompt.go
@@ -0,0 +1,145 @@
+package peridotplace
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"peridotstack/peridotsite"
+)
+
+const (
+	// workWeight is how much the reading time that a choice costs the engines
+	// counts beside the time that the request takes.
+	workWeight = 1.0
+	// hopCost is the extra cost in ms of sending a prompt to another failure
+	// domain, whose traffic is paid for.
+	hopCost = 3.0
+	// moveCost is the extra cost in ms of moving KV cache, which is paid for.
+	moveCost = 2.0
+	// moveSetup is the time in ms that a move takes besides its bytes, with the
+	// second request that it needs.
+	moveSetup = 2.0
+	// runCost is the cost in ms of one more request beside which tokens are made.
+	runCost = 0.15
+	// fullCost is the cost in ms of each request beyond the slots of an engine.
+	fullCost = 20.0
+)
+
+// Prompt is a request for a model engine.
+type Prompt struct {
+	Service string
+	Parts   []Part
+	// Tokens is the length of the prompt.
+	Tokens int
+	// Exclude names servers that must not be chosen.
+	Exclude []string
+	// Whole forbids that another engine reads the prompt.
+	Whole bool
+}
+
+// Choice is where a prompt goes.
+type Choice struct {
+	// Backend generates the answer.
+	Backend string
+	// Reader reads the prompt before; empty if Backend does it.
+	Reader string
+	// Wait is the estimated time until the prompt has been read.
+	Wait time.Duration
+	// Read is the part of Wait in which this prompt is read.
+	Read time.Duration
+	// Uncached is how many tokens must be read.
+	Uncached int
+}
+
+// Place returns the engines that are expected to have a prompt read first, and
+// to spend the least work on it. It returns false if no engine takes requests.
+func (p *Placer) Place(now time.Duration, prompt Prompt) (Choice, bool) {
+	group := p.groups[prompt.Service]
+	for pass := range 2 {
+		best, ok := p.place(now, prompt, group, pass == 1)
+		if ok {
+			return best, true
+		}
+	}
+	return Choice{}, false
+}
+
+// candidate is an engine with the estimates for one prompt.
+type candidate struct {
+	*server
+	// wait is the time in ms before it could begin to read, read the reading time.
+	wait     float64
+	read     float64
+	uncached int
+	// generate is the cost in ms of generating the answer there.
+	generate float64
+	hop      float64
+}
+
+func (p *Placer) place(now time.Duration, prompt Prompt, group []*server, desperate bool) (Choice, bool) {
+	var readers, writers []candidate
+	for _, s := range group {
+		if s.Leaving || s.engine == nil || slices.Contains(prompt.Exclude, s.ID) || !desperate && !s.usable(now) {
+			continue
+		}
+		c := p.estimate(now, s, prompt)
+		if s.Role == peridotsite.Prefill {
+			readers = append(readers, c)
+		} else {
+			writers = append(writers, c)
+		}
+	}
+	best, least, found := Choice{}, math.Inf(1), false
+	for i := range writers {
+		w := &writers[i]
+		cost := w.wait + w.read*(1+workWeight) + w.generate + w.hop
+		if cost < least {
+			best, least, found = w.alone(), cost, true
+		}
+		if prompt.Whole {
+			continue
+		}
+		for j := range readers {
+			r := &readers[j]
+			move := moveTime(prompt.Tokens, r.server, w.server)
+			cost := r.wait + r.read*(1+workWeight) + move + moveCost + w.generate + r.hop + w.hop
+			if cost < least {
+				best, least, found = w.behind(r, move), cost, true
+			}
+		}
+	}
+	return best, found
+}
+
+func (p *Placer) estimate(now time.Duration, s *server, prompt Prompt) candidate {
+	reading, running := p.others(now, s.ID)
+	uncached := max(0, prompt.Tokens-s.cache.cached(prompt.Parts))
+	c := candidate{server: s, wait: s.backlog(now) + reading, read: s.readTime(uncached), uncached: uncached}
+	running += s.running
+	c.generate = runCost*float64(running) + fullCost*float64(max(0, running-s.engine.Slots+1)) + failureCost*s.failures
+	if s.Domain != p.domain {
+		c.hop = hopCost
+	}
+	return c
+}
+
+func (c *candidate) alone() Choice {
+	return Choice{Backend: c.ID, Wait: milliseconds(c.wait + c.read), Read: milliseconds(c.read), Uncached: c.uncached}
+}
+
+func (c *candidate) behind(r *candidate, move float64) Choice {
+	return Choice{Backend: c.ID, Reader: r.ID, Wait: milliseconds(r.wait + r.read + move), Read: milliseconds(r.read), Uncached: r.uncached}
+}
+
+// moveTime returns the time in ms to move the KV cache of tokens.
+func moveTime(tokens int, from, to *server) float64 {
+	if to.engine.LinkBytesPerSecond <= 0 {
+		return moveSetup
+	}
+	ms := float64(tokens) * float64(to.engine.TokenBytes) / to.engine.LinkBytesPerSecond * 1000
+	if from.Domain != to.Domain {
+		ms *= 2
+	}
+	return ms + moveSetup
+}
--- a/peridotusage/figure.go
+++ b/peridotusage/figure.go
@@ -21,6 +21,11 @@
 	return time.Unix(int64(w+1)*int64(WindowLength/time.Second), 0)
 }
 
+// String returns the number of w with leading zeros, so that it sorts by time.
+func (w Window) String() string {
+	return w.key()
+}
+
 // key returns w as it stands in row keys, where it sorts by time.
 func (w Window) key() string {
 	return fmt.Sprintf("%012d", int64(w))
