--- a/peridotfront/duties.go
+++ b/peridotfront/duties.go
@@ -19,15 +19,18 @@
 	dutyShard = "duties"
 	// dutyInterval is the time between two looks at what is due.
 	dutyInterval = 250 * time.Millisecond
-	// leaseRatio is the lease's length in terms of the time that two holders must
-	// lie apart, renewRatio the time between renewals in terms of its length.
-	leaseRatio = 1.4
-	renewRatio = 0.3
+	// leaseRatio is the lease's length in terms of the time in which holders must
+	// not take turns, renewRatio the time between renewals in terms of its length.
+	// A holder sends its last call a sendMargin before its lease ends, and the next
+	// one holds for a whole lease, so that leaseRatio x LeaseTTL + sendMargin lie
+	// between two terms of the same holder.
+	leaseRatio = 0.8
+	renewRatio = 0.25
 	// clockDrift bounds the difference in speed of two steady clocks.
 	clockDrift = 0.01
 	// sendMargin is what must be left of the lease for a call to be sent: the
 	// longest time that a call takes.
-	sendMargin = 1600 * time.Millisecond
+	sendMargin = 1300 * time.Millisecond
 	// settle is how long after its end a usage window waits for late figures; the
 	// figures of all fronts come every 200 ms.
 	settle = 900 * time.Millisecond
@@ -55,7 +58,7 @@
 	ttl := time.Duration(leaseRatio * float64(f.settings.LeaseTTL))
 	terms := peridotlease.Terms{TTL: ttl, Renew: time.Duration(renewRatio * float64(ttl)), Drift: clockDrift}
 	d := &duties{front: f, cancel: cancel, lease: peridotlease.NewManager(f.platform, f.settings.Instance, f.self.Incarnation,
-		peridotlease.WithTerms(terms), peridotlease.WithClock(peridotclock.Boot), peridotlease.WithCounter(f.metrics.Count))}
+		peridotlease.WithTerms(terms), peridotlease.WithClock(peridotclock.Boot), peridotlease.WithCounter(f.metrics.Count), peridotlease.WithLapse())}
 	d.lease.SetShards([]string{dutyShard})
 	d.lease.SetInstances([]string{f.settings.Instance})
 	d.done.Go(func() { _ = d.lease.Serve(ctx) }) // It returns nil.
@@ -63,7 +66,7 @@
 	return d
 }
 
-// stop ends the duties and gives the lease back.
+// stop ends the duties; the lease runs out by itself.
 func (d *duties) stop() {
 	d.cancel()
 	d.done.Wait()
@@ -79,12 +82,11 @@
 	}
 }
 
-// duty returns the authority to send a call now. A new holder waits until no
-// call of the one before can be closer than the holders must lie apart.
+// duty returns the authority to send a call now.
 func (d *duties) duty() (Duty, bool) {
 	now := peridotclock.Boot()
 	grant, ok := d.lease.Grant(dutyShard)
-	if !ok || grant.Left(now) < sendMargin || now.Sub(grant.Since) < d.front.settings.LeaseTTL {
+	if !ok || grant.Left(now) < sendMargin {
 		return Duty{}, false
 	}
 	if grant.Token != d.token {
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	// gossipInterval is the time between two datagrams to each other front. Loads
-	// are that old, which is about the time that a long prompt takes to read.
+	// gossipInterval is the least time between two datagrams to each other front.
+	// Loads are that old, which is about the time that a long prompt takes to read.
 	gossipInterval = 40 * time.Millisecond
+	// gossipPerPeer is the time between two datagrams for each other front, which
+	// bounds the processor time that they take.
+	gossipPerPeer = 5 * time.Millisecond
 	// announceEvery is how many datagrams carry one with usage and addresses.
 	announceEvery = 5
 	// maxDatagram is the largest datagram; more would be cut into packets of which
@@ -89,16 +92,11 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	go p.receive(ctx, conn)
 	go p.followRoster(ctx)
-	ticker := time.NewTicker(gossipInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			p.send(conn)
-		case <-ctx.Done():
-			return nil
-		}
+	for ctx.Err() == nil {
+		wait(ctx, max(gossipInterval, time.Duration(p.size())*gossipPerPeer))
+		p.send(conn)
 	}
+	return nil
 }
 
 // send tells every other front of this one's work.
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -75,7 +75,12 @@
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.placer.Place(f.now(), peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), Exclude: x.tried})
+	return f.placer.Place(f.now(), peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), Exclude: x.tried, Sending: x.sendingTime()})
+}
+
+// sendingTime is how long this instance's link takes to send the body.
+func (x *exchange) sendingTime() time.Duration {
+	return time.Duration(float64(len(x.body)) / x.front.settings.LinkBytesPerSecond * float64(time.Second))
 }
 
 func (x *exchange) promptTokens() int {
--- a/peridotfront/settings.go
+++ b/peridotfront/settings.go
@@ -20,6 +20,10 @@
 	// MemoryBytes and MaxDescriptors are the limits of the process.
 	MemoryBytes    int64
 	MaxDescriptors int
+	// LinkBytesPerSecond is the rate of the instance's network link.
+	LinkBytesPerSecond float64
+	// CatchUp is the time after an outage in which the instance must be up to date.
+	CatchUp time.Duration
 	// ShutdownGrace is the time from the signal to stop to the kill.
 	ShutdownGrace time.Duration
 	// RepeatRatio, RepeatWindow and RepeatSlack bound the repeats of all fronts
--- a/peridotlease/manager.go
+++ b/peridotlease/manager.go
@@ -27,6 +27,7 @@
 	terms  Terms
 	now    func() time.Time
 	count  func(name string)
+	lapse  bool
 
 	mu        sync.Mutex
 	instances []string
@@ -54,6 +55,12 @@
 	return func(m *Manager) { m.now = now }
 }
 
+// WithLapse lets the leases run out at the end of Serve instead of releasing
+// them, where two changes of holder in a row must lie a lease apart.
+func WithLapse() Option {
+	return func(m *Manager) { m.lapse = true }
+}
+
 // WithCounter has events counted by name.
 func WithCounter(count func(name string)) Option {
 	return func(m *Manager) { m.count = count }
@@ -153,7 +160,9 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			m.release(context.WithoutCancel(ctx))
+			if !m.lapse {
+				m.release(context.WithoutCancel(ctx))
+			}
 			return nil
 		}
 	}
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -20,6 +20,9 @@
 	// moveSetup is the time in ms that a move takes besides its bytes, with the
 	// second request that it needs.
 	moveSetup = 2.0
+	// linkWeight is how much the time that a second sending keeps this instance's
+	// link busy counts beside the time that the request takes.
+	linkWeight = 3.0
 	// runCost is the cost in ms of one more request beside which tokens are made.
 	runCost = 0.15
 	// fullCost is the cost in ms of each request beyond the slots of an engine.
@@ -34,8 +37,9 @@
 	Tokens int
 	// Exclude names servers that must not be chosen.
 	Exclude []string
-	// Whole forbids that another engine reads the prompt.
-	Whole bool
+	// Sending is the time that this instance's link takes to send the request
+	// once; a prompt that is read at another engine is sent twice.
+	Sending time.Duration
 }
 
 // Choice is where a prompt goes.
@@ -91,19 +95,17 @@
 		}
 	}
 	best, least, found := Choice{}, math.Inf(1), false
+	sending := inMilliseconds(prompt.Sending) * (1 + linkWeight)
 	for i := range writers {
 		w := &writers[i]
 		cost := w.wait + w.read*(1+workWeight) + w.generate + w.hop
 		if cost < least {
 			best, least, found = w.alone(), cost, true
 		}
-		if prompt.Whole {
-			continue
-		}
 		for j := range readers {
 			r := &readers[j]
 			move := moveTime(prompt.Tokens, r.server, w.server)
-			cost := r.wait + r.read*(1+workWeight) + move + moveCost + w.generate + r.hop + w.hop
+			cost := r.wait + r.read*(1+workWeight) + move + moveCost + w.generate + r.hop + w.hop + sending
 			if cost < least {
 				best, least, found = w.behind(r, move), cost, true
 			}
