--- a/peridotfront/duties.go
+++ b/peridotfront/duties.go
@@ -26,6 +26,8 @@
 	// between two terms of the same holder.
 	leaseRatio = 0.8
 	renewRatio = 0.25
+	// minLease leaves time for a call between two renewals.
+	minLease = 2400 * time.Millisecond
 	// clockDrift bounds the difference in speed of two steady clocks.
 	clockDrift = 0.01
 	// sendMargin is what must be left of the lease for a call to be sent: the
@@ -55,7 +57,7 @@
 
 func (f *Front) startDuties(ctx context.Context) *duties {
 	ctx, cancel := context.WithCancel(ctx)
-	ttl := time.Duration(leaseRatio * float64(f.settings.LeaseTTL))
+	ttl := max(minLease, time.Duration(leaseRatio*float64(f.settings.LeaseTTL)))
 	terms := peridotlease.Terms{TTL: ttl, Renew: time.Duration(renewRatio * float64(ttl)), Drift: clockDrift}
 	d := &duties{front: f, cancel: cancel, lease: peridotlease.NewManager(f.platform, f.settings.Instance, f.self.Incarnation,
 		peridotlease.WithTerms(terms), peridotlease.WithClock(peridotclock.Boot), peridotlease.WithCounter(f.metrics.Count), peridotlease.WithLapse())}
--- a/peridotfront/refuse.go
+++ b/peridotfront/refuse.go
@@ -56,6 +56,7 @@
 	x.note["verdict"] = err.Verdict.String()
 	x.note["reason"] = err.Error()
 	if x.begun {
+		x.flush() // What came whole is delivered.
 		x.log(log.WarnLevel, "broke off the answer", 0)
 		panic(http.ErrAbortHandler)
 	}
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -17,6 +17,8 @@
 	decodeReadFactor = 2.0
 	// peerLife is how long another instance's figures count without news.
 	peerLife = time.Second
+	// sumLife is how long the sum of their figures is used; they come less often.
+	sumLife = 10 * time.Millisecond
 )
 
 // Part is a part of a prompt, in order. Parts with equal hashes are the same
@@ -35,6 +37,9 @@
 	// groups holds the servers of a service in the order of their IDs.
 	groups map[string][]*server
 	peers  map[string]*peer
+	// summed is the sum of the peers\' loads at a time, nil after news.
+	summed   map[string]Load
+	summedAt time.Duration
 	// placed are the parts given to servers since the last Report.
 	placed []Placement
 }
@@ -137,6 +142,7 @@
 		loads[l.Backend] = l
 	}
 	p.peers[instance] = &peer{at: now, loads: loads}
+	p.summed = nil
 	for _, placed := range r.Placed {
 		if s := p.servers[placed.Backend]; s != nil && s.cache != nil {
 			s.cache.add(placed.Parts)
@@ -146,20 +152,29 @@
 
 // others returns the work of the other instances at a server.
 func (p *Placer) others(now time.Duration, id string) (reading float64, running int) {
+	if p.summed == nil || now-p.summedAt > sumLife || now < p.summedAt {
+		p.sum(now)
+	}
+	l := p.summed[id]
+	return max(0, inMilliseconds(l.Reading-(now-p.summedAt))), l.Running
+}
+
+// sum adds up what the other instances told.
+func (p *Placer) sum(now time.Duration) {
+	p.summed, p.summedAt = make(map[string]Load), now
 	for name, peer := range p.peers {
 		age := now - peer.at
 		if age > peerLife {
 			delete(p.peers, name)
 			continue
 		}
-		l, ok := peer.loads[id]
-		if !ok {
-			continue
+		for id, l := range peer.loads {
+			total := p.summed[id]
+			total.Reading += max(0, l.Reading-age)
+			total.Running += l.Running
+			p.summed[id] = total
 		}
-		reading += max(0, inMilliseconds(l.Reading-age))
-		running += l.Running
 	}
-	return reading, running
 }
 
 func milliseconds(ms float64) time.Duration {
--- /dev/null
+++ b/peridotretry/fleet_test.go
@@ -0,0 +1,55 @@
+package peridotretry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestFleetKeepsItsBudget sends requests and repeats at random times and checks
+// every window that slides over them.
+func TestFleetKeepsItsBudget(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		f := &Fleet{Ratio: 0.2, Slack: float64(rapid.IntRange(0, 5).Draw(t, "slack")), Window: window}
+		var requests, repeats []time.Duration
+		now := time.Duration(rapid.IntRange(0, 1000).Draw(t, "start")) * time.Millisecond
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond
+			if rapid.Bool().Draw(t, "request") {
+				f.Requested(now, "s")
+				requests = append(requests, now)
+			} else if f.Repeat(now, "s") {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			got := float64(within(repeats, end, window))
+			// The requests are counted over the window and the one before it.
+			if most := f.Ratio*float64(within(requests, end, 2*window)) + f.Slack; got > most {
+				t.Fatalf("got %v repeats in the window up to %v, want %v at most", got, end, most)
+			}
+		}
+	})
+}
+
+func within(times []time.Duration, end, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at <= end && at > end-window*9/10 {
+			n++
+		}
+	}
+	return n
+}
+
+func TestFleetSeparatesServices(t *testing.T) {
+	f := &Fleet{Slack: 1, Window: time.Second}
+	if !f.Repeat(0, "a") || f.Repeat(0, "a") || !f.Repeat(0, "b") {
+		t.Error("got a budget in common, want one for each service")
+	}
+	if !f.Repeat(2*time.Second, "a") {
+		t.Error("got no repeat in a new window, want one")
+	}
+}
