--- a/peridotlog/handler_test.go
+++ b/peridotlog/handler_test.go
@@ -88,6 +88,7 @@
 func TestStuckOutputBlocksNobody(t *testing.T) {
 	h := NewHandler()
 	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
@@ -100,24 +101,23 @@
 			_ = h.HandleLog(entry(log.InfoLevel, "x", nil))
 		}
 	}()
-	for name, done := range map[string]chan struct{}{"writing lines": written, "stopping": served} {
-		if name == "stopping" {
-			stop()
-		}
-		select {
-		case <-done:
-		case <-time.After(10 * time.Second):
-			t.Errorf("%s: got no end, want one in spite of a stuck output", name)
-		}
-		if name == "writing lines" {
-			stop()
-		}
-	}
+	awaitEnd(t, "writing lines", written)
+	stop()
+	awaitEnd(t, "stopping", served)
 	if h.dropped.Load() == 0 {
 		t.Error("got no dropped lines, want some")
 	}
 }
 
+func awaitEnd(t *testing.T, what string, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Errorf("%s: got no end, want one in spite of a stuck output", what)
+	}
+}
+
 func BenchmarkLine(b *testing.B) {
 	fields := log.Fields{"request": "9c41d07be2a35f68", "route": "r-ieispux", "backend": "i-7f3a91c2", "ms": time.Second, "status": 200}
 	for name, w := range map[string]io.Writer{"read": io.Discard, "stuck": stuck{}} {
