Resume streams elsewhere when an engine falls silent

Change: a run of an idempotent stream ends after 600 ms, or four times the pause that is on time, without an event, if there is an attempt left; it goes on elsewhere behind the last event. A silent stream that must not be repeated is still waited for.

--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -218,7 +218,7 @@
 	}
 	f.mu.Unlock()
 	x.note["backend"] = c.Backend
-	s := &stream{exchange: x, flight: flight}
+	s := &stream{exchange: x, flight: flight, wait: c.Wait}
 	err := s.run(to, o)
 	if err == nil {
 		f.done(flight, peridotplace.Answered)
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"peridotstack/peridotlink"
 	"peridotstack/peridotplace"
@@ -26,6 +28,39 @@
 	flight   *peridotplace.Flight
 	// counted is set once the run has begun to answer.
 	counted bool
+	// wait is how long the prompt was expected to take.
+	wait time.Duration
+	// stall ends the run when it has been silent for too long; nil where the
+	// request cannot go on elsewhere.
+	stall *time.Timer
+}
+
+const (
+	// minStall is the least silence for which a stream is resumed elsewhere; it is
+	// well above what a busy engine pauses.
+	minStall = 600 * time.Millisecond
+	// stallFactor multiplies the pauses that are on time.
+	stallFactor = 4
+	// stallWait multiplies the expected time to the first event.
+	stallWait = 3
+)
+
+// watch returns a context that ends when a stream which may be resumed elsewhere
+// falls silent.
+func (s *stream) watch() (context.Context, context.CancelFunc) {
+	x := s.exchange
+	ctx, cancel := context.WithCancel(x.ctx)
+	if x.route.Idempotent() && x.runs+1 < x.route.Attempts {
+		s.stall = time.AfterFunc(minStall+stallWait*s.wait, cancel)
+	}
+	return ctx, cancel
+}
+
+// moving puts the end of a silent run off.
+func (s *stream) moving() {
+	if s.stall != nil {
+		s.stall.Reset(max(minStall, stallFactor*s.exchange.route.Gap))
+	}
 }
 
 // run sends the request to an engine and passes its answer on. Its error is
@@ -33,7 +68,9 @@
 func (s *stream) run(to peridotsite.Backend, o Outgoing) *peridotverdict.Error {
 	x := s.exchange
 	o.LastEvent = x.resumeAt()
-	answer, head, err := x.send(x.ctx, to, o)
+	ctx, cancel := s.watch()
+	defer cancel()
+	answer, head, err := x.send(ctx, to, o)
 	if err != nil {
 		if err.Verdict != peridotverdict.NotRun {
 			x.runs++
@@ -98,6 +135,7 @@
 
 // note records that the run makes progress.
 func (s *stream) note() {
+	s.moving()
 	x := s.exchange
 	f := x.front
 	f.mu.Lock()
--- a/peridotsite/config.go
+++ b/peridotsite/config.go
@@ -36,6 +36,9 @@
 	// Objective is the time to the answer, or to the first event of a stream,
 	// within which a request earns its full worth; 0 means none.
 	Objective time.Duration
+	// Gap is the longest pause between the events of a stream that is on time; 0
+	// means that none is set.
+	Gap time.Duration
 	// Rank orders routes by urgency; 0 is the most urgent.
 	Rank int
 	// Attempts bounds the backend servers on which one request may run; at least 1.
