--- a/peridotfront/duties.go
+++ b/peridotfront/duties.go
@@ -104,7 +104,7 @@
 	f.mu.Lock()
 	d.first = f.tally.At(f.trueTime().Add(-f.settings.UsageLate - f.settings.UsageWindow))
 	f.mu.Unlock()
-	d.roles = roleControl{}
+	d.roles = make(roleControl)
 	log.WithField("token", token).Info(logPrefix + "does the duties now")
 }
 
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -90,8 +90,6 @@
 type RoleOrder struct {
 	Backend string
 	Address string
-	// Orders is the number of orders that the engine must have accepted so far.
-	Orders  int64
 	Prefill bool
 }
 
--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -139,6 +139,7 @@
 		s.outcome(false)
 	case Refused:
 		s.answered(now)
+		s.until = now + refusedPause
 	case Failed:
 		s.answered(now)
 		s.outcome(true)
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -17,6 +17,9 @@
 	// reached gets no requests.
 	firstBackoff = 150 * time.Millisecond
 	maxBackoff   = 1500 * time.Millisecond
+	// refusedPause is how long a server that turned a request away gets no more,
+	// be it full, leaving or changing its role.
+	refusedPause = 100 * time.Millisecond
 	// silence is how long requests may wait at a server that answers none of
 	// them before it gets no more.
 	silence = 600 * time.Millisecond
--- a/peridotsite/backend.go
+++ b/peridotsite/backend.go
@@ -29,8 +29,6 @@
 	// Leaving backend servers get no new requests.
 	Leaving bool
 	Role    Role
-	// Orders counts the orders that this incarnation has accepted.
-	Orders int64
 }
 
 // Incarnation names one start of a backend server.
