--- a/peridotplace/roles.go
+++ b/peridotplace/roles.go
@@ -17,9 +17,9 @@
 	// which a writer can be spared; fullWriting is the share above which they need
 	// help from a reader.
 	spareWriting = 0.3
-	fullWriting  = 0.7
+	fullWriting  = 1.5
 	// minWriterShare and minWriters keep writers for failures and for moves.
-	minWriterShare = 0.3
+	minWriterShare = 0.55
 	minWriters     = 2
 	// changePause is the time between two orders, within which the first shows.
 	changePause = 600 * time.Millisecond
@@ -43,7 +43,22 @@
 	seen     bool
 	ordered  time.Duration
 	// pending holds the engines that were ordered, and when.
-	pending map[peridotsite.Incarnation]time.Duration
+	pending map[peridotsite.Incarnation]order
+}
+
+// order is a role change that was sent.
+type order struct {
+	at time.Duration
+	to peridotsite.Role
+}
+
+// role returns the role that a server has, or will have once the order that it
+// was sent shows. Without the latter, the same lack would be met again and again.
+func (r *Roles) role(now time.Duration, s *server) peridotsite.Role {
+	if o, ok := r.pending[s.Incarnation()]; ok && now-o.at < changeLife {
+		return o.to
+	}
+	return s.Role
 }
 
 // Next returns the role change that is due now, if any. Ordered must be called
@@ -54,7 +69,7 @@
 		if s.Leaving || s.engine == nil {
 			continue
 		}
-		if s.Role == peridotsite.Prefill {
+		if r.role(now, s) == peridotsite.Prefill {
 			readers = append(readers, s)
 		} else {
 			writers = append(writers, s)
@@ -110,7 +125,7 @@
 	var best *server
 	least := 0.0
 	for _, s := range from {
-		if at, ok := r.pending[s.Incarnation()]; ok && now-at < changeLife {
+		if o, ok := r.pending[s.Incarnation()]; ok && now-o.at < changeLife {
 			continue
 		}
 		reading, running := p.others(now, s.ID)
@@ -131,8 +146,8 @@
 // Ordered notes that a role change has been sent, with or without an answer.
 func (r *Roles) Ordered(now time.Duration, c RoleChange) {
 	if r.pending == nil {
-		r.pending = make(map[peridotsite.Incarnation]time.Duration)
+		r.pending = make(map[peridotsite.Incarnation]order)
 	}
-	r.pending[c.Backend.Incarnation()] = now
+	r.pending[c.Backend.Incarnation()] = order{at: now, to: c.To}
 	r.ordered = now
 }
