--- a/peridotfront/duties.go
+++ b/peridotfront/duties.go
@@ -52,7 +52,6 @@
 	reported map[peridotusage.Window]bool
 	// first is the first window that this holder answers for.
 	first peridotusage.Window
-	roles roleControl
 }
 
 func (f *Front) startDuties(ctx context.Context) *duties {
@@ -78,7 +77,7 @@
 	for ctx.Err() == nil {
 		d.lease.SetInstances(append(d.front.peers.instances(), d.front.settings.Instance))
 		if duty, ok := d.duty(); ok {
-			d.turn(ctx, duty)
+			d.reportUsage(ctx, duty)
 		}
 		wait(ctx, dutyInterval)
 	}
@@ -104,15 +103,9 @@
 	f.mu.Lock()
 	d.first = f.tally.At(f.trueTime().Add(-f.settings.UsageLate - f.settings.UsageWindow))
 	f.mu.Unlock()
-	d.roles = make(roleControl)
 	log.WithField("token", token).Info(logPrefix + "does the duties now")
 }
 
-func (d *duties) turn(ctx context.Context, duty Duty) {
-	d.reportUsage(ctx, duty)
-	d.orderRoles(ctx, duty)
-}
-
 // reportUsage seals and sends the windows that are over.
 func (d *duties) reportUsage(ctx context.Context, duty Duty) {
 	f := d.front
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -86,13 +86,6 @@
 	Token int64
 }
 
-// RoleOrder changes the role of a model engine.
-type RoleOrder struct {
-	Backend string
-	Address string
-	Prefill bool
-}
-
 // Platform is what the fronts use of the users' platform.
 type Platform interface {
 	peridottable.Store
@@ -101,8 +94,6 @@
 	WatchBackends(ctx context.Context, w Watcher) error
 	// ReportUsage sends the requests per account that began in a window.
 	ReportUsage(ctx context.Context, d Duty, window int64, requests map[string]int64) error
-	// OrderRole asks an engine to change its role.
-	OrderRole(ctx context.Context, d Duty, o RoleOrder) error
 }
 
 // Watcher receives what the platform's table service holds, as it changes.
--- a/peridotsite/backend.go
+++ b/peridotsite/backend.go
@@ -30,14 +30,3 @@
 	Leaving bool
 	Role    Role
 }
-
-// Incarnation names one start of a backend server.
-type Incarnation struct {
-	ID   string
-	Born int64
-}
-
-// Incarnation returns the name of this start of b.
-func (b *Backend) Incarnation() Incarnation {
-	return Incarnation{ID: b.ID, Born: b.Born}
-}
--- a/peridotsite/config.go
+++ b/peridotsite/config.go
@@ -94,8 +94,6 @@
 	TokenBytes int
 	// LinkBytesPerSecond is how fast an engine moves KV cache to another.
 	LinkBytesPerSecond float64
-	// RoleChange is how long an engine is away to change its role.
-	RoleChange time.Duration
 }
 
 // Account is a client account.
