Add histograms, the story of one request, and tests of the duties

peridot explain prints what became of a request from the logs of the processes, with what each believed before. Usage is tested at three fronts of which the holder is stopped twice, with lost answers: one set of figures per window, tokens that grow, figures within 5 in 100.

--- a/peridot/main.go
+++ b/peridot/main.go
@@ -29,7 +29,7 @@
 	commands := []command{demoCommand(app), entryCommand(app), agentCommand(app), frontCommand(app)}
 	commands = append(commands, standinCommands(app)...)
 	commands = append(commands, operatorCommands(app)...)
-	commands = append(commands, measureCommand(app))
+	commands = append(commands, measureCommand(app), explainCommand(app))
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/peridotfront/duties.go
+++ b/peridotfront/duties.go
@@ -76,9 +76,12 @@
 func (d *duties) serve(ctx context.Context) {
 	for ctx.Err() == nil {
 		d.lease.SetInstances(append(d.front.peers.instances(), d.front.settings.Instance))
+		held := 0.0
 		if duty, ok := d.duty(); ok {
+			held = 1
 			d.reportUsage(ctx, duty)
 		}
+		d.front.metrics.Gauge("duties_held", held)
 		wait(ctx, dutyInterval)
 	}
 }
--- /dev/null
+++ b/peridotfront/duties_test.go
@@ -0,0 +1,263 @@
+package peridotfront
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"peridotstack/peridotclock"
+	"peridotstack/peridotsite"
+	"peridotstack/peridottable"
+	"peridotstack/peridotverdict"
+)
+
+func TestMain(m *testing.M) {
+	log.SetHandler(discard.Default)
+	os.Exit(m.Run())
+}
+
+// cloud takes usage reports, as the platform does, from all fronts.
+type cloud struct {
+	peridottable.Faulty
+	mu      sync.Mutex
+	reports []usageReport
+	// loseAnswers makes the next reports take effect without an answer.
+	loseAnswers int
+}
+
+type usageReport struct {
+	duty   Duty
+	window int64
+	counts map[string]int64
+	at     time.Time
+}
+
+func (c *cloud) WatchConfig(ctx context.Context, _ Watcher) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (c *cloud) WatchBackends(ctx context.Context, _ Watcher) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (c *cloud) ReportUsage(_ context.Context, d Duty, window int64, counts map[string]int64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports = append(c.reports, usageReport{duty: d, window: window, counts: maps.Clone(counts), at: time.Now()})
+	if c.loseAnswers > 0 {
+		c.loseAnswers--
+		return peridotverdict.New(peridotverdict.StoreUnavailable, peridotverdict.MayHaveRun, "answer lost")
+	}
+	return nil
+}
+
+func (c *cloud) got() []usageReport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]usageReport(nil), c.reports...)
+}
+
+// holder returns who sent the last report.
+func (c *cloud) holder() string {
+	reports := c.got()
+	if len(reports) == 0 {
+		return ""
+	}
+	return reports[len(reports)-1].duty.Holder
+}
+
+const dutyWindow = 500 * time.Millisecond
+
+// newFront returns a front on loopback that shares the cloud.
+func newFront(t *testing.T, c *cloud, name string) *Front {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	clock := &peridotclock.True{}
+	now := peridotclock.Boot()
+	clock.Observe(time.Second, now, now)
+	return New(Settings{
+		Instance: name, PeerAddress: conn.LocalAddr().String(), LeaseTTL: 3 * time.Second,
+		UsageWindow: dutyWindow, UsageLate: 4 * time.Second, RepeatWindow: time.Second,
+	}, c, nil, clock)
+}
+
+// TestUsageIsReportedOnce counts at three fronts and stops the one that reports,
+// twice, in the middle of the windows. Answers of the table service and of the
+// platform are lost.
+func TestUsageIsReportedOnce(t *testing.T) {
+	const fronts = 3
+	c := &cloud{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}
+	stops := make(map[string]func())
+	counted := make(map[int64]int64)
+	cut := make(map[int64]bool)
+	var all []*Front
+	for i := range fronts {
+		f := newFront(t, c, fmt.Sprint("front-", i))
+		ctx, stop := context.WithCancel(t.Context())
+		var parts sync.WaitGroup
+		parts.Go(func() { _ = f.peers.serve(ctx) })
+		parts.Go(func() { _ = f.anchorClock(ctx) })
+		parts.Go(func() {
+			f.startDuties(ctx)
+			<-ctx.Done()
+		})
+		stops[f.settings.Instance] = func() {
+			stop()
+			parts.Wait()
+		}
+		defer stops[f.settings.Instance]()
+		all = append(all, f)
+	}
+	end := time.Now().Add(12 * time.Second)
+	for round := 0; time.Now().Before(end); round++ {
+		time.Sleep(20 * time.Millisecond)
+		f := all[round%len(all)]
+		at, ok := f.clock.Now(peridotclock.Boot())
+		if !ok {
+			continue
+		}
+		f.mu.Lock()
+		f.tally.Add("a", at)
+		counted[int64(f.tally.At(at))]++
+		f.mu.Unlock()
+		switch round {
+		case 150, 330:
+			c.LoseAnswers(1)
+			c.mu.Lock()
+			c.loseAnswers = 1
+			c.mu.Unlock()
+		case 200, 380:
+			// What the stopped front counted since its last datagram is lost, so that
+			// this window may be short.
+			cut[int64(f.tally.At(at))] = true
+			holder := c.holder()
+			stops[holder]()
+			all = slices.DeleteFunc(all, func(f *Front) bool { return f.settings.Instance == holder })
+		}
+	}
+	for window := range cut {
+		delete(counted, window)
+	}
+	checkReports(t, c.got(), counted)
+}
+
+func checkReports(t *testing.T, reports []usageReport, counted map[int64]int64) {
+	t.Helper()
+	holders := make(map[string]bool)
+	first := make(map[int64]usageReport)
+	var last usageReport
+	for _, r := range reports {
+		holders[r.duty.Holder] = true
+		if known, ok := first[r.window]; ok && !maps.Equal(known.counts, r.counts) {
+			t.Errorf("window %d: got %v and %v, want one set of figures", r.window, known.counts, r.counts)
+		} else if !ok {
+			first[r.window] = r
+		}
+		if r.duty.Token < last.duty.Token || r.duty.Token == last.duty.Token && r.duty.Holder != last.duty.Holder {
+			t.Errorf("got %+v behind %+v, want tokens that grow with each holder", r.duty, last.duty)
+		}
+		last = r
+	}
+	if len(holders) != 3 {
+		t.Errorf("got reports of %d holders, want 3", len(holders))
+	}
+	for window, r := range first {
+		want, whole := counted[window]
+		if !whole {
+			continue
+		}
+		if r.counts["a"] < want*95/100 || r.counts["a"] > want {
+			t.Errorf("window %d: got %d requests, want %d within 5 in 100", window, r.counts["a"], want)
+		}
+	}
+}
+
+// TestHoldersDoNotTakeTurns checks that a holder whose lease is about to end
+// sends nothing, and neither does one that lost it while it was frozen.
+func TestHoldersDoNotTakeTurns(t *testing.T) {
+	c := &cloud{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}
+	f := newFront(t, c, "front-0")
+	ctx, stop := context.WithCancel(t.Context())
+	d := f.startDuties(ctx)
+	end := time.Now().Add(10 * time.Second)
+	for {
+		if _, ok := d.duty(); ok {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("got no duty within 10 s, want it")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	grant, _ := d.lease.Grant(dutyShard)
+	c.SetDown(true) // No renewal takes effect from here on.
+	for peridotclock.Boot().Before(grant.Until) {
+		_, ok := d.duty()
+		newest, held := d.lease.Grant(dutyShard)
+		if ok && (!held || newest.Left(peridotclock.Boot()) < sendMargin-50*time.Millisecond) {
+			t.Fatalf("got a duty with %v left, want none below %v", newest.Left(peridotclock.Boot()), sendMargin)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	stop()
+	d.stop()
+	row, err := c.Store.Get(t.Context(), "lease/"+dutyShard)
+	if err != nil || len(row.Value) == 0 {
+		t.Fatalf("got row %q (%v), want the lease's", row.Value, err)
+	}
+}
+
+// TestBackendsAfterAnOutage checks which backend servers are used when some are
+// not registered.
+func TestBackendsAfterAnOutage(t *testing.T) {
+	a, b := peridotsite.Backend{ID: "a"}, peridotsite.Backend{ID: "b"}
+	leaving := b
+	leaving.Leaving = true
+	tests := []struct {
+		name string
+		// outage is set when the table service came back 100 ms before.
+		outage bool
+		known  []peridotsite.Backend
+		list   []peridotsite.Backend
+		// soon and late say whether b is used 1.5 s and 3 s later.
+		soon, late bool
+	}{
+		{name: "gone without an outage", known: []peridotsite.Backend{a, b}, list: []peridotsite.Backend{a}},
+		{name: "missing after an outage", outage: true, known: []peridotsite.Backend{a, b}, list: []peridotsite.Backend{a}, soon: true},
+		{name: "leaving before an outage", outage: true, known: []peridotsite.Backend{a, leaving}, list: []peridotsite.Backend{a}},
+		{name: "registered after an outage", outage: true, known: []peridotsite.Backend{a, b}, list: []peridotsite.Backend{a, b}, soon: true, late: true},
+	}
+	for _, test := range tests {
+		l := &backends{}
+		l.register(0, test.known)
+		if test.outage {
+			l.outage, l.reached = true, 10*time.Second
+		}
+		now := 10*time.Second + 100*time.Millisecond
+		l.register(now, test.list)
+		for _, later := range []struct {
+			after time.Duration
+			want  bool
+		}{{1500 * time.Millisecond, test.soon}, {3 * time.Second, test.late}} {
+			l.expire(now + later.after)
+			if _, got := l.known["b"]; got != later.want {
+				t.Errorf("%s: after %v: got b used %v, want %v", test.name, later.after, got, later.want)
+			}
+		}
+	}
+}
--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -66,7 +66,9 @@
 	tally    *peridotusage.Tally
 	backends backends
 	peers    *peers
-	feeds    map[string]bool
+	// feeds tells which feeds are away, reached when each answered last.
+	feeds   map[string]bool
+	reached map[string]time.Duration
 }
 
 // Option sets an optional part of a Front.
@@ -91,6 +93,7 @@
 		repeats: &peridotretry.Fleet{Ratio: s.RepeatRatio * repeatMargin, Slack: 0, Window: s.RepeatWindow},
 		tally:   peridotusage.NewTally(self, s.UsageWindow, usageKept),
 		feeds:   make(map[string]bool),
+		reached: make(map[string]time.Duration),
 	}
 	f.backends.known = make(map[string]peridotsite.Backend)
 	f.peers = newPeers(f)
@@ -203,6 +206,12 @@
 	f.backends.expire(f.now())
 	f.placeBackends()
 	addresses := f.backends.addresses()
+	for feed, at := range f.reached {
+		f.metrics.Gauge("feed_age_seconds_"+feed, (f.now() - at).Seconds())
+	}
+	f.metrics.Gauge("backends", float64(len(f.backends.known)))
+	f.metrics.Gauge("connections_dialed", float64(f.pool.Dialed()))
 	f.mu.Unlock()
+	f.metrics.Gauge("fronts", float64(f.peers.size()))
 	f.pool.Prune(time.Now(), func(address string) bool { return addresses[address] })
 }
--- a/peridotfront/refuse.go
+++ b/peridotfront/refuse.go
@@ -104,7 +104,9 @@
 // log writes the line that tells what became of the request and why.
 func (x *exchange) log(level log.Level, outcome string, status int) {
 	x.note["request"] = x.call.ID
-	x.note["ms"] = peridotclock.Boot().Sub(x.arrived)
+	took := peridotclock.Boot().Sub(x.arrived)
+	x.front.metrics.Timed("request", took)
+	x.note["ms"] = took
 	x.note["sends"] = x.sends
 	x.note["runs"] = x.runs
 	if status != 0 {
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -138,7 +138,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	away := f.feeds[feed]
-	f.feeds[feed] = false
+	f.feeds[feed], f.reached[feed] = false, f.now()
 	if !away {
 		return
 	}
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"peridotstack/peridotclock"
 	"peridotstack/peridotlink"
 	"peridotstack/peridotplace"
 	"peridotstack/peridotsite"
@@ -229,6 +230,7 @@
 	}
 	x.writer.WriteHeader(answer.StatusCode)
 	x.begun = true
+	x.front.metrics.Timed("first_event", peridotclock.Boot().Sub(x.arrived))
 }
 
 func (x *exchange) flush() {
--- a/peridotmetric/metric.go
+++ b/peridotmetric/metric.go
@@ -76,6 +76,20 @@
 	m.countBy("retries", "code", string(code))
 }
 
+// latencies are the upper bounds of the histograms' buckets.
+var latencies = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond,
+	500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 15 * time.Second,
+}
+
+// Timed adds a duration to the histogram with the given name.
+func (m *Metrics) Timed(name string, d time.Duration) {
+	if m.scope != nil {
+		m.scope.Histogram(name, latencies).RecordDuration(d)
+	}
+}
+
 // Gauge sets the gauge with the given name.
 func (m *Metrics) Gauge(name string, value float64) {
 	if m.scope != nil {
