--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -12,6 +12,9 @@
 	// workWeight is how much the reading time that a choice costs the engines
 	// counts beside the time that the request takes.
 	workWeight = 1.0
+	// disturbWeight is how much the time in which an engine reads a prompt counts
+	// for each request for which it generates tokens, since these wait meanwhile.
+	disturbWeight = 0.05
 	// hopCost is the extra cost in ms of sending a prompt to another failure
 	// domain, whose traffic is paid for.
 	hopCost = 3.0
@@ -76,6 +79,8 @@
 	wait     float64
 	read     float64
 	uncached int
+	// requests counts those under way at the engine.
+	requests int
 	// generate is the cost in ms of generating the answer there.
 	generate float64
 	hop      float64
@@ -98,7 +103,7 @@
 	sending := inMilliseconds(prompt.Sending) * (1 + linkWeight)
 	for i := range writers {
 		w := &writers[i]
-		cost := w.wait + w.read*(1+workWeight) + w.generate + w.hop
+		cost := w.wait + w.read*(1+workWeight+disturbWeight*float64(w.requests)) + w.generate + w.hop
 		if cost < least {
 			best, least, found = w.alone(), cost, true
 		}
@@ -119,6 +124,7 @@
 	uncached := max(0, prompt.Tokens-s.cache.cached(prompt.Parts))
 	c := candidate{server: s, wait: s.backlog(now) + reading, read: s.readTime(uncached), uncached: uncached}
 	running += s.running
+	c.requests = running
 	c.generate = runCost*float64(running) + fullCost*float64(max(0, running-s.engine.Slots+1)) + failureCost*s.failures
 	if s.Domain != p.domain {
 		c.hop = hopCost
