Treat a registration that is removed after an outage as gone at once

Ruled out: a late feed; the front logged the removal 3 ms after the store's ack. Change: only what is missing at the first look after an outage may come back, and until 2 s after the outage's end. The feed tells the watcher of its return even without a change. Red without it: TestBackendsAfterAnOutage, 'removed after an outage' and 'back and removed after an outage'.

--- a/peridotfront/duties_test.go
+++ b/peridotfront/duties_test.go
@@ -230,26 +230,34 @@
 	leaving.Leaving = true
 	tests := []struct {
 		name string
-		// outage is set when the table service came back 100 ms before.
+		// outage is set when the table service came back 100 ms before; before is
+		// what was registered then.
 		outage bool
 		known  []peridotsite.Backend
+		before []peridotsite.Backend
 		list   []peridotsite.Backend
 		// soon and late say whether b is used 1.5 s and 3 s later.
 		soon, late bool
 	}{
 		{name: "gone without an outage", known: []peridotsite.Backend{a, b}, list: []peridotsite.Backend{a}},
 		{name: "missing after an outage", outage: true, known: []peridotsite.Backend{a, b}, list: []peridotsite.Backend{a}, soon: true},
+		{name: "still missing later", outage: true, known: []peridotsite.Backend{a, b}, before: []peridotsite.Backend{a}, list: []peridotsite.Backend{a}, soon: true},
+		{name: "removed after an outage", outage: true, known: []peridotsite.Backend{a, b}, before: []peridotsite.Backend{a, b}, list: []peridotsite.Backend{a}},
+		{name: "back and removed after an outage", outage: true, known: []peridotsite.Backend{a, b}, before: []peridotsite.Backend{b}, list: []peridotsite.Backend{a}},
 		{name: "leaving before an outage", outage: true, known: []peridotsite.Backend{a, leaving}, list: []peridotsite.Backend{a}},
 		{name: "registered after an outage", outage: true, known: []peridotsite.Backend{a, b}, list: []peridotsite.Backend{a, b}, soon: true, late: true},
 	}
 	for _, test := range tests {
 		l := &backends{}
 		l.register(0, test.known)
+		now := 10 * time.Second
 		if test.outage {
-			l.outage, l.reached = true, 10*time.Second
+			l.returned(now)
 		}
-		now := 10*time.Second + 100*time.Millisecond
-		l.register(now, test.list)
+		if test.before != nil {
+			l.register(now, test.before)
+		}
+		l.register(now+100*time.Millisecond, test.list)
 		for _, later := range []struct {
 			after time.Duration
 			want  bool
--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -36,7 +36,7 @@
 	// callerHeaderTimeout bounds the time that a request's header takes.
 	callerHeaderTimeout = 5 * time.Second
 	// pruneInterval is the time between two searches for expired connections.
-	pruneInterval = time.Second
+	pruneInterval = 250 * time.Millisecond
 	// bodyShare is the part of the process's memory that request bodies may take.
 	bodyShare = 0.25
 	// usageKept is how many usage windows are remembered.
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -8,49 +8,51 @@
 	"peridotstack/peridotsite"
 )
 
+// Feeds of the platform, as a Watcher is told of them.
 const (
-	// returnTime is how long a backend server that is missing after an outage of
-	// the table service may take to register again.
-	returnTime = 2 * time.Second
-	// outageEvidence is how recent an outage must be for a missing backend server
-	// to be waited for; registrations lapse after some heartbeats.
-	outageEvidence = 3 * time.Second
+	FeedConfig   = "configuration"
+	FeedBackends = "backends"
 )
 
-// backends merges the registered backend servers with those that may only be
-// missing because the table service was away.
+// returnTime is how long after an outage of the table service a backend server
+// whose registration lapsed meanwhile may take to register again.
+const returnTime = 2 * time.Second
+
+// backends merges the registered backend servers with those whose registration
+// may only have lapsed because the table service was away.
 type backends struct {
 	known map[string]peridotsite.Backend
 	// missing tells until when an unregistered one is still used.
 	missing map[string]time.Duration
-	// reached is when the feed last came back, lost whether it is away.
+	// fresh is set from the end of an outage, at the time reached, to the first
+	// registrations behind it.
+	fresh   bool
 	reached time.Duration
-	lost    bool
-	outage  bool
 }
 
-// register takes the registered backend servers.
+// returned notes the end of an outage.
+func (b *backends) returned(now time.Duration) {
+	b.fresh, b.reached = true, now
+}
+
+// register takes the registered backend servers. Only one that is missing at the
+// first look after an outage may come back; one that is removed later has left.
 func (b *backends) register(now time.Duration, list []peridotsite.Backend) {
 	registered := make(map[string]peridotsite.Backend, len(list))
 	for _, s := range list {
 		registered[s.ID] = s
 	}
 	missing := make(map[string]time.Duration)
-	if b.outage && now-b.reached < outageEvidence {
-		for id, s := range b.known {
-			if _, ok := registered[id]; ok || s.Leaving {
-				continue
-			}
-			until, ok := b.missing[id]
-			if !ok {
-				until = now + returnTime
-			}
-			if now < until {
-				registered[id], missing[id] = s, until
-			}
+	for id, s := range b.known {
+		until, waited := b.missing[id]
+		if b.fresh {
+			until, waited = b.reached+returnTime, true
+		}
+		if _, ok := registered[id]; !ok && waited && now < until && !s.Leaving {
+			registered[id], missing[id] = s, until
 		}
 	}
-	b.known, b.missing = registered, missing
+	b.known, b.missing, b.fresh = registered, missing, false
 }
 
 // expire drops backend servers that did not register again in time.
@@ -142,8 +144,8 @@
 	if !away {
 		return
 	}
-	if f.backends.lost {
-		f.backends.lost, f.backends.outage, f.backends.reached = false, true, f.now()
+	if feed == FeedBackends {
+		f.backends.returned(f.now())
 	}
 	log.WithField("feed", feed).Info(logPrefix + "table service answers again")
 }
@@ -153,7 +155,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.metrics.Count("feed_failures")
-	f.backends.lost = true
 	if f.feeds[feed] {
 		return
 	}
