Take what can be answered before the end while stopping

Change: it listens until callers stay away or the end is near, and refuses with a time to come back what may take longer than is left.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -57,6 +57,11 @@
 	config atomic.Pointer[peridotsite.Config]
 	// stopping is set from the signal to stop on.
 	stopping atomic.Bool
+	// stopAt is the time since the start at which a stopping front closes its
+	// connections; active counts requests, lastCall is when the last one came.
+	stopAt   atomicDuration
+	active   atomic.Int64
+	lastCall atomicDuration
 	// bodies is the memory that request bodies take now, in bytes.
 	bodies atomic.Int64
 
@@ -71,6 +76,12 @@
 	reached map[string]time.Duration
 }
 
+// atomicDuration is a duration that goroutines share.
+type atomicDuration struct{ atomic.Int64 }
+
+// Store sets the duration.
+func (d *atomicDuration) Store(to time.Duration) { d.Int64.Store(int64(to)) }
+
 // Option sets an optional part of a Front.
 type Option func(*Front)
 
@@ -149,21 +160,36 @@
 }
 
 const (
-	// lameDuck is how long a stopping instance takes new connections, until the
-	// balancer has missed two probes, one a second, and sends no more.
+	// lameDuck is how long a stopping instance takes new connections at least:
+	// until the balancer has missed two probes, one a second.
 	lameDuck = 3 * time.Second
 	// drainShare is the part of the grace after which connections are closed.
 	drainShare = 0.9
+	// closeTime is what is left for closing idle connections at the end.
+	closeTime = 300 * time.Millisecond
+	// quietTime is how long no request must have come for an earlier end. The
+	// balancer still sends callers if no other instance is ready.
+	quietTime = 700 * time.Millisecond
+	// drainStep is the time between two looks at whether all is quiet.
+	drainStep = 50 * time.Millisecond
 )
 
-// drain says that the front is not ready, serves on until the balancer has
-// noticed, and waits for the requests under way.
+// drain says that the front is not ready and serves on what can be answered
+// before the end, until callers stay away, and waits for the requests under way.
 func (f *Front) drain(server *http.Server, duties *duties) {
 	log.Info(logPrefix + "stopping")
-	end := time.Now().Add(time.Duration(drainShare * float64(f.settings.ShutdownGrace)))
+	began := time.Now()
+	total := time.Duration(drainShare * float64(f.settings.ShutdownGrace))
+	end := began.Add(total)
+	f.stopAt.Store(f.now() + total)
 	f.stopping.Store(true)
 	duties.stop()
-	time.Sleep(min(lameDuck, f.settings.ShutdownGrace/2))
+	for time.Since(began) < total-closeTime {
+		if time.Since(began) >= min(lameDuck, total/2) && f.quiet() {
+			break
+		}
+		time.Sleep(drainStep)
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
@@ -173,6 +199,11 @@
 	log.Info(logPrefix + "stopped")
 }
 
+// quiet reports whether no request is under way and none has come lately.
+func (f *Front) quiet() bool {
+	return f.active.Load() == 0 && f.now()-time.Duration(f.lastCall.Load()) > min(quietTime, f.settings.ShutdownGrace/4)
+}
+
 // serveProbe tells the balancer whether to send callers here.
 func (f *Front) serveProbe(w http.ResponseWriter, _ *http.Request) {
 	if f.ready() {
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -21,6 +21,8 @@
 	// noConfigRetry is when a caller may come back to a front that has no
 	// configuration yet.
 	noConfigRetry = 500 * time.Millisecond
+	// stoppingRetry is when a caller may come back, to another instance.
+	stoppingRetry = 100 * time.Millisecond
 	// noBackendRetry is when a caller may come back if no backend server takes
 	// requests; faulty ones are tried again about that often.
 	noBackendRetry = 300 * time.Millisecond
@@ -71,6 +73,9 @@
 
 // ServeHTTP answers one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	f.lastCall.Store(f.now())
 	x := &exchange{front: f, writer: w, caller: r, arrived: peridotclock.Boot(), note: log.Fields{}}
 	x.call = f.protocol.Call(r)
 	if f.stopping.Load() {
@@ -118,6 +123,9 @@
 	if x.call.HasLeft {
 		x.limit = min(x.limit, x.call.Left)
 	}
+	if f.stopping.Load() && f.now()+x.limit > time.Duration(f.stopAt.Load()) {
+		return peridotverdict.New(peridotverdict.ShuttingDown, peridotverdict.NotRun, "this instance stops before the request could be answered", peridotverdict.RetryAfter(stoppingRetry))
+	}
 	return x.readBody()
 }
 
