--- a/peridotfront/duties.go
+++ b/peridotfront/duties.go
@@ -55,17 +55,22 @@
 	first peridotusage.Window
 }
 
-func (f *Front) startDuties(ctx context.Context) *duties {
-	ctx, cancel := context.WithCancel(ctx)
+// newDuties returns the duties of a front, which have not started.
+func newDuties(f *Front) *duties {
 	ttl := max(minLease, time.Duration(leaseRatio*float64(f.settings.LeaseTTL)))
 	terms := peridotlease.Terms{TTL: ttl, Renew: time.Duration(renewRatio * float64(ttl)), Drift: clockDrift}
-	d := &duties{front: f, cancel: cancel, lease: peridotlease.NewManager(f.platform, f.settings.Instance, f.self.Incarnation,
+	d := &duties{front: f, cancel: func() {}, lease: peridotlease.NewManager(f.platform, f.settings.Instance, f.self.Incarnation,
 		peridotlease.WithTerms(terms), peridotlease.WithClock(peridotclock.Boot), peridotlease.WithCounter(f.metrics.Count), peridotlease.WithLapse())}
 	d.lease.SetShards([]string{dutyShard})
 	d.lease.SetInstances([]string{f.settings.Instance})
+	return d
+}
+
+// start does the duties until ctx is done or stop is called.
+func (d *duties) start(ctx context.Context) {
+	ctx, d.cancel = context.WithCancel(ctx)
 	d.done.Go(func() { _ = d.lease.Serve(ctx) }) // It returns nil.
 	d.done.Go(func() { d.serve(ctx) })
-	return d
 }
 
 // stop ends the duties; the lease runs out by itself.
--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -139,7 +139,8 @@
 	tree.Add(peridottree.Part{Name: "clock", Run: f.anchorClock})
 	tree.Add(peridottree.Part{Name: "prune", Run: f.prune})
 	tree.ServeBackground(serving)
-	duties := f.startDuties(serving)
+	duties := newDuties(f)
+	duties.start(serving)
 	probeServer := &http.Server{Handler: http.HandlerFunc(f.serveProbe), ReadHeaderTimeout: callerHeaderTimeout}
 	go func() { _ = probeServer.Serve(probes) }() // Ends with Close.
 	defer probeServer.Close()
