Give operators' connections the callers' wrapper; leave closing to the peer

Cause of TestServesWithTheStoreDown: the operators' nbhttp server had no OnOpen and OnData of ours, so nothing ordered what the accepting goroutine wrote to a connection before what the poller read (engine.go:340, processor.go:230). TestFreshOperatorConnections fails with the race in one run of three without the change. It then showed connections that ended before any answer: the half-close of a callerConn raced with nbio closing the descriptor, whose number a new connection had got.

--- a/peridotentry/callerconn.go
+++ b/peridotentry/callerconn.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -90,10 +89,10 @@
 	return n, err
 }
 
-// Close ends the connection once all answers have been sent. It only closes the
-// sending side and leaves the rest to the caller, and to a timer: nbio takes an
-// event of a connection that another goroutine has just closed for one of the
-// new connection with the same file descriptor, and cuts that one.
+// Close ends the connection once all answers have been sent. The answer has told
+// the caller to close, so this leaves it to the caller, and to a timer: a
+// descriptor that is shut down or closed here may have become that of a new
+// connection meanwhile, for nbio closes it whenever the caller does.
 func (c *callerConn) Close() error {
 	err := c.awaitUnsent(0)
 	c.endAnswer()
@@ -101,25 +100,7 @@
 		return c.Conn.Close()
 	}
 	time.AfterFunc(lingerTimeout, func() { _ = c.Conn.Close() })
-	return closeSending(c.Conn)
-}
-
-// closeSending tells the caller that nothing more follows.
-func closeSending(conn net.Conn) error {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return conn.Close()
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var failed error
-	err = control.Control(func(fd uintptr) { failed = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
-	if err != nil {
-		return err
-	}
-	return failed
+	return nil
 }
 
 // SetReadDeadline is what nbhttp calls when an answer is complete and the next
--- a/peridotentry/callers.go
+++ b/peridotentry/callers.go
@@ -15,7 +15,7 @@
 	"peridotstack/peridotverdict"
 )
 
-// callers knows the callers' connections. It does what nbhttp leaves out: it
+// callers knows the connections of callers, or of operators. It does what nbhttp leaves out: it
 // cancels a request when its caller goes away, bounds the time a caller takes
 // to send a request, answers one that cannot be parsed, keeps the idle timeout
 // away from long streams, and knows when every answer has been sent.
@@ -32,6 +32,17 @@
 	remotes map[string]*callerConn
 }
 
+// server returns a server that has not started and whose connections c knows.
+func (c *callers) server(config nbhttp.Config) *nbhttp.Server {
+	config.OnRequest = c.received
+	server := nbhttp.NewServer(config)
+	server.OnOpen(c.opened)
+	server.OnClose(c.closed)
+	server.OnData(c.arrived)
+	server.OnWrittenSize(c.written)
+	return server
+}
+
 // get returns what belongs to nbio's connection, or nil.
 func (c *callers) get(conn net.Conn) *callerConn {
 	c.mu.Lock()
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -29,6 +29,9 @@
 	maxHeadBytes = 64 << 10
 	// controlStopTimeout bounds the wait for the release of leases.
 	controlStopTimeout = 5 * time.Second
+	// operatorBodyTimeout bounds the time that an operator's request takes to
+	// arrive; the largest hold some thousand accounts, a second on a slow link.
+	operatorBodyTimeout = 30 * time.Second
 )
 
 // Entry is an entry instance. Make one with New.
@@ -133,19 +136,13 @@
 func (e *Entry) callerServer() *nbhttp.Server {
 	e.callers.metrics = e.metrics
 	e.callers.bodyTimeout = time.Duration(e.settings.BodyTimeoutMillis) * time.Millisecond
-	server := nbhttp.NewServer(nbhttp.Config{
+	return e.callers.server(nbhttp.Config{
 		Network:         "tcp",
 		Addrs:           []string{e.settings.CallerAddress},
 		MaxHTTPBodySize: e.settings.MaxBodyBytes,
 		ReadLimit:       e.settings.MaxBodyBytes + maxHeadBytes,
 		Handler:         http.HandlerFunc(e.serveCaller),
-		OnRequest:       e.callers.received,
 	})
-	server.OnOpen(e.callers.opened)
-	server.OnClose(e.callers.closed)
-	server.OnData(e.callers.arrived)
-	server.OnWrittenSize(e.callers.written)
-	return server
 }
 
 func (e *Entry) operatorServer() *nbhttp.Server {
@@ -158,7 +155,8 @@
 	}
 	mux := e.metrics.Pages(e.ready)
 	mux.Handle("/operator/", operator.Handler())
-	return nbhttp.NewServer(nbhttp.Config{
+	operators := &callers{metrics: e.metrics, bodyTimeout: operatorBodyTimeout}
+	return operators.server(nbhttp.Config{
 		Network: "tcp",
 		Addrs:   []string{e.settings.OperatorAddress},
 		Handler: mux,
--- /dev/null
+++ b/peridotentry/operatorserver_test.go
@@ -0,0 +1,44 @@
+package peridotentry_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+
+	"peridotstack/peridotawait"
+	"peridotstack/peridotentry"
+	"peridotstack/peridotplatform"
+	"peridotstack/peridotsettings"
+	"peridotstack/peridotstandin"
+)
+
+// TestFreshOperatorConnections asks the operators' server for pages on connections
+// of their own. The race detector watches what nbio hands from the goroutine that
+// accepts a connection to the one that reads it.
+func TestFreshOperatorConnections(t *testing.T) {
+	platform := peridotstandin.NewPlatform()
+	s := peridotsettings.Entry{CallerAddress: freeAddress(t)}
+	s.Process = peridotsettings.Process{Instance: "entry-0", Domain: "domain-0", OperatorAddress: freeAddress(t), ShutdownGraceMillis: 1000}
+	start(t, peridotentry.New(s, peridotplatform.NewClient(serveStandIn(t, platform.Handler()))).Serve)
+	get := func() error {
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		response, err := client.Get("http://" + s.OperatorAddress + "/metrics")
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	}
+	peridotawait.Until(t, "page of the operators' server", func() bool { return get() == nil })
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 50 {
+				if err := get(); err != nil {
+					t.Errorf("got %v, want a page", err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/peridotentry/path_test.go
+++ b/peridotentry/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 	"peridotstack/peridotagent"
 	"peridotstack/peridotconfig"
 	"peridotstack/peridotkey"
+	"peridotstack/peridotlease"
 	"peridotstack/peridotplatform"
 	"peridotstack/peridotsettings"
 	"peridotstack/peridotstandin"
@@ -41,12 +43,19 @@
 	agents   []*peridotagent.Agent
 	entries  []*Entry
 	callers  []string
+	holder   holder
 	// stopAgents and stopEntries stop a process and wait for its end.
 	stopAgents  []func()
 	stopEntries []func()
 }
 
 func newPath(t *testing.T, options ...Option) *path {
+	t.Helper()
+	return newPathAfter(t, func(*path) {}, options...)
+}
+
+// newPathAfter is newPath with something done before any instance starts.
+func newPathAfter(t *testing.T, prepare func(*path), options ...Option) *path {
 	t.Helper()
 	p := &path{
 		t:        t,
@@ -56,6 +65,7 @@
 	}
 	p.address = p.serveHTTP(p.platform.Handler())
 	p.configure()
+	prepare(p)
 	p.platform.SetInstances(
 		p.addAgent("register-1", service, p.serveHTTP(p.service)),
 		p.addAgent("register-2", service, p.serveHTTP(p.service)),
@@ -245,15 +255,29 @@
 // holderToken is no token of the entry instances' own collectors.
 const holderToken = 1 << 40
 
-// holder is a lease that the test holds.
-type holder struct{}
+// holder is a lease that the test holds. version is that of its row.
+type holder struct{ version int64 }
+
+// holdLease takes the lease for the whole test, so that the entry instances do not
+// collect usage beside it.
+func (p *path) holdLease() {
+	p.t.Helper()
+	row, err := json.Marshal(peridotlease.Row{Holder: "test", Token: holderToken, TTLMillis: time.Hour.Milliseconds()})
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	txn := peridottable.Txn{ID: "test", Puts: []peridottable.Put{{Key: peridotlease.Key(domain), Value: row}}}
+	if p.holder.version, err = peridotplatform.NewClient(p.address).Commit(p.t.Context(), txn); err != nil {
+		p.t.Fatal(err)
+	}
+}
 
 func (holder) Hold(string) (peridotusage.Hold, bool) {
 	return peridotusage.Hold{Token: holderToken, Quiet: true}, true
 }
 
-func (holder) Fence(context.Context, string, int64) (peridottable.Check, error) {
-	return peridottable.Check{Key: "lease/" + domain}, nil
+func (h holder) Fence(context.Context, string, int64) (peridottable.Check, error) {
+	return peridottable.Check{Key: peridotlease.Key(domain), Version: h.version}, nil
 }
 
 // TestReportsMatchTheEngine compares what the platform took with what the engine
@@ -267,7 +291,7 @@
 		{"agents killed", false, true},
 		{"entry instances killed", true, false},
 	} {
-		p := newPath(t)
+		p := newPathAfter(t, (*path).holdLease)
 		p.platform.Usage.LoseAnswers(1)
 		const prompt, requests = "dossier of a lot of lotion", 6
 		for i := range requests {
@@ -330,7 +354,7 @@
 	c := &peridotusage.Collector{
 		Shard:     domain,
 		Store:     peridotplatform.NewClient(p.address),
-		Authority: holder{},
+		Authority: p.holder,
 		Reporter:  peridotplatform.NewUsageReporter(p.address),
 	}
 	now := time.Now()
@@ -353,10 +377,15 @@
 			p.t.Fatal(err)
 		}
 	}
-	for range 3 {
-		// The first report loses its answer, which is an error of that step.
-		_ = c.Step(p.t.Context(), now.Add(3*peridotusage.WindowLength))
-	}
+	// The first report loses its answer, which is an error of that step.
+	later := now.Add(3 * peridotusage.WindowLength)
+	p.until(func() bool {
+		err := c.Step(p.t.Context(), later)
+		if err != nil {
+			p.t.Logf("step of the collector: %v", err)
+		}
+		return err == nil
+	})
 	reports := make(map[string]peridotusage.Figure)
 	for _, r := range p.platform.Usage.Reports() {
 		var sum peridotusage.Figure
