--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"peridotstack/peridotclock"
 	"peridotstack/peridotlink"
 	"peridotstack/peridotplace"
 	"peridotstack/peridotsite"
@@ -128,7 +129,9 @@
 	x.sends++
 	ctx, cancel := context.WithTimeout(x.ctx, prefillFactor*c.Wait+prefillSlack)
 	defer cancel()
+	began := peridotclock.Boot()
 	handle, err := x.callPrefill(ctx, to)
+	x.note["read_ms"] = peridotclock.Boot().Sub(began)
 	if err != nil {
 		f.done(flight, x.endOf(err))
 		return nil, err
