Let prompts that cannot be on time wait behind those that can

On 16-slot engines a queue for slots was not counted at all: with the prompt read apart the first event still took 420 ms. Ruled out: narrow links (the same at wide ones), the order of fronts. Change: a prompt whose first token is expected too late is sent with a low urgency and counted apart, so that it delays no other; it is refused only if it would pass half of its time left. A moved prompt goes first, it needs no more than a slot. The wait for a slot is counted from the learned time that a request holds one.

--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -33,6 +33,7 @@
 	_             struct{} `cbor:",toarray"`
 	Server        uint32
 	ReadingMillis uint32
+	LateMillis    uint32
 	Running       uint32
 }
 
@@ -59,7 +60,7 @@
 // setReport puts a report into a message.
 func (m *message) setReport(r peridotplace.Report) {
 	for _, l := range r.Loads {
-		m.Loads = append(m.Loads, load{Server: serverHash(l.Backend), ReadingMillis: uint32(l.Reading.Milliseconds()), Running: uint32(l.Running)})
+		m.Loads = append(m.Loads, load{Server: serverHash(l.Backend), ReadingMillis: uint32(l.Reading.Milliseconds()), LateMillis: uint32(l.Late.Milliseconds()), Running: uint32(l.Running)})
 	}
 	for _, placed := range r.Placed {
 		entry := placement{Server: serverHash(placed.Backend)}
@@ -75,7 +76,7 @@
 	var r peridotplace.Report
 	for _, l := range m.Loads {
 		if id, ok := ids[l.Server]; ok {
-			r.Loads = append(r.Loads, peridotplace.Load{Backend: id, Reading: time.Duration(l.ReadingMillis) * time.Millisecond, Running: int(l.Running)})
+			r.Loads = append(r.Loads, peridotplace.Load{Backend: id, Reading: time.Duration(l.ReadingMillis) * time.Millisecond, Late: time.Duration(l.LateMillis) * time.Millisecond, Running: int(l.Running)})
 		}
 	}
 	for _, entry := range m.Placed {
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -65,6 +65,8 @@
 	// number of the last event of a stream that did.
 	begun     bool
 	lastEvent int64
+	// late is set while the request cannot be on time and waits behind all others.
+	late bool
 	// last is why the last try failed.
 	last *peridotverdict.Error
 	// note collects what the log line tells.
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -24,6 +24,12 @@
 	maxHandleBytes = 64 << 10
 	// freeTimeout bounds the call that frees KV cache which nobody will fetch.
 	freeTimeout = 500 * time.Millisecond
+	// waitShare is the part of the time left that a late request may be expected to
+	// wait; the rest is for its answer and for errors of the estimate.
+	waitShare = 0.5
+	// latePrefillShare is the part of the time left that the prefill of a late
+	// request may take.
+	latePrefillShare = 0.7
 	// onTimeMargin is what must be left of the objective, after the prompt has been
 	// read, for the first token and its way to the caller.
 	onTimeMargin = 25 * time.Millisecond
@@ -37,17 +43,17 @@
 			x.giveUpPrompt(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetry)))
 			return
 		}
-		if x.sends == 0 {
-			if err := x.admit(choice); err != nil {
-				x.refuse(err)
-				return
-			}
+		choice, err := x.admit(choice)
+		if err != nil {
+			x.refuse(err)
+			return
 		}
 		if !x.may() {
 			x.giveUpPrompt(x.last)
 			return
 		}
-		source, err := x.prefill(choice)
+		var source *kvSource
+		source, err = x.prefill(choice)
 		if err == nil {
 			err = x.generate(choice, source)
 			if err == nil {
@@ -76,7 +82,7 @@
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.placer.Place(f.now(), peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), Exclude: x.tried, Sending: x.sendingTime()})
+	return f.placer.Place(f.now(), peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), Exclude: x.tried, Late: x.late, Sending: x.sendingTime()})
 }
 
 // sendingTime is how long this instance's link takes to send the body.
@@ -95,20 +101,24 @@
 	return tokens
 }
 
-// admit refuses at once what cannot have its first token in time because others
-// wait before it. The refusal says when they will be done.
-func (x *exchange) admit(c peridotplace.Choice) *peridotverdict.Error {
-	x.note["wait_ms"] = c.Wait
+// admit decides how urgent a request is. What cannot have its first token in time
+// because of those before it waits behind all that can, so that these stay on time
+// under overload; what would then pass its deadline is refused at once, with the
+// time by which it is late.
+func (x *exchange) admit(c peridotplace.Choice) (peridotplace.Choice, *peridotverdict.Error) {
 	x.note["uncached"] = c.Uncached
-	if x.route.Objective <= 0 {
-		return nil
+	late := peridotclock.Boot().Sub(x.arrived) + c.Wait + onTimeMargin - x.route.Objective
+	x.late = x.route.Objective > 0 && late > 0 && !x.begun
+	if x.late {
+		if behind, ok := x.place(); ok {
+			c = behind
+		}
 	}
-	late := c.Wait + onTimeMargin - x.route.Objective
-	// A prompt that is late even on an idle engine is not helped by coming back.
-	if late <= 0 || c.Wait-c.Read <= late {
-		return nil
+	x.note["wait_ms"] = c.Wait
+	if x.late && x.sends == 0 && c.Wait > time.Duration(waitShare*float64(x.left())) {
+		return c, peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "the answer would come after the deadline", peridotverdict.RetryAfter(late))
 	}
-	return peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "the first token would be late", peridotverdict.RetryAfter(late))
+	return c, nil
 }
 
 // prefill has the prompt read by the reader of a choice, if it has one, and
@@ -124,10 +134,13 @@
 	}
 	f.mu.Lock()
 	flight := f.placer.Read(f.now(), c.Reader, x.call.Parts, c.Uncached)
+	if x.late {
+		f.placer.Demote(flight)
+	}
 	f.mu.Unlock()
 	x.note["reader"] = c.Reader
 	x.sends++
-	ctx, cancel := context.WithTimeout(x.ctx, prefillFactor*c.Wait+prefillSlack)
+	ctx, cancel := context.WithTimeout(x.ctx, x.prefillTimeout(c))
 	defer cancel()
 	began := peridotclock.Boot()
 	handle, err := x.callPrefill(ctx, to)
@@ -143,6 +156,24 @@
 	return &kvSource{from: to, handle: handle}, nil
 }
 
+// prefillTimeout is how long a prefill may take before the prompt is placed
+// elsewhere.
+func (x *exchange) prefillTimeout(c peridotplace.Choice) time.Duration {
+	usual := prefillFactor*c.Wait + prefillSlack
+	if x.late {
+		return max(usual, time.Duration(latePrefillShare*float64(x.left())))
+	}
+	return usual
+}
+
+// urgency is that of a request whose prompt is still to be read.
+func (x *exchange) urgency() Urgency {
+	if x.late {
+		return UrgencyLow
+	}
+	return UrgencyUsual
+}
+
 // kvSource is KV cache that a reader keeps until it is fetched or freed.
 type kvSource struct {
 	from   peridotsite.Backend
@@ -152,7 +183,7 @@
 // callPrefill returns the handle of the KV cache. A prefill never runs the
 // request, so that every error is NotRun.
 func (x *exchange) callPrefill(ctx context.Context, to peridotsite.Backend) (string, *peridotverdict.Error) {
-	answer, head, err := x.send(ctx, to, Outgoing{Prefill: true})
+	answer, head, err := x.send(ctx, to, Outgoing{Prefill: true, Urgency: x.urgency()})
 	if err != nil {
 		return "", peridotverdict.New(err.Code, peridotverdict.NotRun, "prefill: "+err.Message, peridotverdict.Cause(err))
 	}
@@ -208,7 +239,7 @@
 		x.free(source)
 		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine is not registered any more")
 	}
-	o := Outgoing{}
+	o := Outgoing{Urgency: x.urgency()}
 	f.mu.Lock()
 	var flight *peridotplace.Flight
 	if source == nil {
@@ -217,9 +248,14 @@
 	} else {
 		flight = f.placer.Moved(f.now(), c.Backend, x.call.Parts)
 		o.KVSource = f.protocol.KVSource(source.from.Address, source.handle)
+		o.Urgency = UrgencyHigh
+	}
+	if o.Urgency == UrgencyLow {
+		f.placer.Demote(flight)
 	}
 	f.mu.Unlock()
 	x.note["backend"] = c.Backend
+	x.note["late"] = x.late
 	s := &stream{exchange: x, flight: flight, wait: c.Wait}
 	err := s.run(to, o)
 	if err == nil {
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -64,9 +64,22 @@
 	// KVSource names the KV cache to go on from.
 	KVSource string
 	// Urgency orders requests at an engine.
-	Urgency string
+	Urgency Urgency
 }
 
+// Urgency orders the requests that wait at an engine.
+type Urgency int
+
+const (
+	// UrgencyUsual is for requests that can be on time.
+	UrgencyUsual Urgency = iota
+	// UrgencyHigh is for those whose prompt has been read elsewhere, which need no
+	// more than a slot.
+	UrgencyHigh
+	// UrgencyLow is for those that will be late anyway.
+	UrgencyLow
+)
+
 // AnswerHead is what the head of a backend server's answer says.
 type AnswerHead struct {
 	// ID is that of the request which is answered, or empty.
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -52,7 +52,11 @@
 	x := s.exchange
 	ctx, cancel := context.WithCancel(x.ctx)
 	if x.route.Idempotent() && x.runs+1 < x.route.Attempts {
-		s.stall = time.AfterFunc(minStall+stallWait*s.wait, cancel)
+		first := minStall + stallWait*s.wait
+		if x.late {
+			first = max(first, x.left()/2) // It may well wait that long behind others.
+		}
+		s.stall = time.AfterFunc(first, cancel)
 	}
 	return ctx, cancel
 }
--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"peridotstack/peridotsite"
 )
 
 // Flight is a request, or the reading of its prompt, under way at one server.
@@ -13,6 +15,10 @@
 	// alone is set when nothing else was being read when the flight began.
 	alone bool
 	began time.Duration
+	// started is when the first token came; zero before.
+	started time.Duration
+	// late flights were demoted.
+	late  bool
 	ended bool
 }
 
@@ -66,6 +72,31 @@
 	}
 }
 
+// Demote notes that a flight was sent with a low urgency, so that it waits behind
+// all others at its server.
+func (p *Placer) Demote(f *Flight) {
+	if f == nil || f.late || f.ended {
+		return
+	}
+	s := f.server
+	f.late = true
+	s.waiting++
+	s.unread = max(0, s.unread-f.read)
+	s.reading = min(s.reading, s.unread)
+	s.late += f.read
+}
+
+// begun notes the first token of a flight.
+func (f *Flight) begun(now time.Duration) {
+	if f.started > 0 {
+		return
+	}
+	f.started = now
+	if f.late {
+		f.server.waiting--
+	}
+}
+
 // minLearned is the fewest tokens from whose reading time a speed is learned.
 const minLearned = 1000
 
@@ -76,6 +107,7 @@
 	}
 	s := f.server
 	s.answered(now)
+	f.begun(now)
 	if f.read == 0 {
 		return
 	}
@@ -94,11 +126,37 @@
 // confirm takes a flight's reading off the server.
 func (s *server) confirm(now time.Duration, f *Flight) {
 	s.advance(now)
+	if f.late {
+		s.late = max(0, s.late-f.read)
+		f.read = 0
+		return
+	}
 	s.unread = max(0, s.unread-f.read)
 	f.read = 0
 	s.reading = min(s.reading, s.unread)
 }
 
+// holdShare is the part of a new observation in the mean time that a request holds
+// a slot; few requests hold one for most of the slots' time.
+const holdShare = 0.02
+
+// learnHold adapts the time in ms that a request holds a slot of an engine.
+func (p *Placer) learnHold(s *server, ms float64) {
+	if s.engine == nil || s.Role == peridotsite.Prefill {
+		return
+	}
+	p.holds[s.Service] += (ms - p.holds[s.Service]) * holdShare
+}
+
+// slotWait returns the time in ms until a server with a number of requests has a
+// slot for one more.
+func (p *Placer) slotWait(s *server, requests int) float64 {
+	if s.Role == peridotsite.Prefill || s.engine.Slots <= 0 {
+		return 0
+	}
+	return float64(max(0, requests+1-s.engine.Slots)) * p.holds[s.Service] / float64(s.engine.Slots)
+}
+
 // Progress notes that the server of a flight has sent a part of its answer.
 func (p *Placer) Progress(now time.Duration, f *Flight) {
 	if f != nil {
@@ -130,6 +188,10 @@
 	f.ended = true
 	s := f.server
 	s.running--
+	if f.started > 0 && end == Answered {
+		p.learnHold(s, inMilliseconds(now-f.started)+s.readTime(f.uncached))
+	}
+	f.begun(now)
 	if f.read > 0 {
 		s.confirm(now, f)
 	}
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -37,6 +37,8 @@
 	// groups holds the servers of a service in the order of their IDs.
 	groups map[string][]*server
 	peers  map[string]*peer
+	// holds is the mean time in ms that a request of a service holds a slot.
+	holds map[string]float64
 	// summed is the sum of the peers\' loads at a time, nil after news.
 	summed   map[string]Load
 	summedAt time.Duration
@@ -55,7 +57,10 @@
 	Backend string
 	// Reading is the time that the prompts sent there still take to read.
 	Reading time.Duration
-	// Running counts the requests sent there that have not ended.
+	// Late is the same for those that wait behind all others.
+	Late time.Duration
+	// Running counts the requests sent there that have not ended, without those
+	// that wait behind all others.
 	Running int
 }
 
@@ -80,6 +85,7 @@
 		servers: make(map[string]*server),
 		groups:  make(map[string][]*server),
 		peers:   make(map[string]*peer),
+		holds:   make(map[string]float64),
 	}
 }
 
@@ -115,7 +121,7 @@
 	for _, s := range p.servers {
 		reading := s.backlog(now)
 		if s.running > 0 || reading > 0 {
-			r.Loads = append(r.Loads, Load{Backend: s.ID, Reading: milliseconds(reading), Running: s.running})
+			r.Loads = append(r.Loads, Load{Backend: s.ID, Reading: milliseconds(reading), Late: milliseconds(s.late), Running: s.pressing()})
 		}
 	}
 	n := min(limit, len(p.placed))
@@ -140,12 +146,12 @@
 }
 
 // others returns the work of the other instances at a server.
-func (p *Placer) others(now time.Duration, id string) (reading float64, running int) {
+func (p *Placer) others(now time.Duration, id string) (reading, late float64, running int) {
 	if p.summed == nil || now-p.summedAt > sumLife || now < p.summedAt {
 		p.sum(now)
 	}
 	l := p.summed[id]
-	return max(0, inMilliseconds(l.Reading-(now-p.summedAt))), l.Running
+	return max(0, inMilliseconds(l.Reading-(now-p.summedAt))), inMilliseconds(l.Late), l.Running
 }
 
 // sum adds up what the other instances told.
@@ -160,6 +166,7 @@
 		for id, l := range peer.loads {
 			total := p.summed[id]
 			total.Reading += max(0, l.Reading-age)
+			total.Late += l.Late
 			total.Running += l.Running
 			p.summed[id] = total
 		}
--- a/peridotplace/plain.go
+++ b/peridotplace/plain.go
@@ -45,7 +45,7 @@
 
 // plainCost is the work at a server in requests, weighed by its size.
 func (p *Placer) plainCost(now time.Duration, s *server) float64 {
-	_, others := p.others(now, s.ID)
+	_, _, others := p.others(now, s.ID)
 	cost := float64(s.running+others+1) * 6 / float64(max(1, s.Slots)) * s.slow
 	cost += failureCost * s.failures
 	if s.Domain != p.domain {
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -28,8 +28,6 @@
 	linkWeight = 3.0
 	// runCost is the cost in ms of one more request beside which tokens are made.
 	runCost = 0.15
-	// fullCost is the cost in ms of each request beyond the slots of an engine.
-	fullCost = 20.0
 )
 
 // Prompt is a request for a model engine.
@@ -40,6 +38,8 @@
 	Tokens int
 	// Exclude names servers that must not be chosen.
 	Exclude []string
+	// Late prompts cannot be on time and wait behind all others.
+	Late bool
 	// Sending is the time that this instance's link takes to send the request
 	// once; a prompt that is read at another engine is sent twice.
 	Sending time.Duration
@@ -79,6 +79,8 @@
 	wait     float64
 	read     float64
 	uncached int
+	// slot is the time in ms until a slot is free for the answer.
+	slot float64
 	// requests counts those under way at the engine.
 	requests int
 	// generate is the cost in ms of generating the answer there.
@@ -103,14 +105,14 @@
 	sending := inMilliseconds(prompt.Sending) * (1 + linkWeight)
 	for i := range writers {
 		w := &writers[i]
-		cost := w.wait + w.read*(1+workWeight+disturbWeight*float64(w.requests)) + w.generate + w.hop
+		cost := max(w.wait, w.slot) + w.read*(1+workWeight+disturbWeight*float64(w.requests)) + w.generate + w.hop
 		if cost < least {
 			best, least, found = w.alone(), cost, true
 		}
 		for j := range readers {
 			r := &readers[j]
 			move := moveTime(prompt.Tokens, r.server, w.server)
-			cost := r.wait + r.read*(1+workWeight) + move + moveCost + w.generate + r.hop + w.hop + sending
+			cost := r.wait + r.read*(1+workWeight) + move + moveCost + w.slot + w.generate + r.hop + w.hop + sending
 			if cost < least {
 				best, least, found = w.behind(r, move), cost, true
 			}
@@ -120,12 +122,16 @@
 }
 
 func (p *Placer) estimate(now time.Duration, s *server, prompt Prompt) candidate {
-	reading, running := p.others(now, s.ID)
+	reading, late, running := p.others(now, s.ID)
 	uncached := max(0, prompt.Tokens-s.cache.cached(prompt.Parts))
 	c := candidate{server: s, wait: s.backlog(now) + reading, read: s.readTime(uncached), uncached: uncached}
-	running += s.running
+	if prompt.Late {
+		c.wait += s.late + late
+	}
+	running += s.pressing()
 	c.requests = running
-	c.generate = runCost*float64(running) + fullCost*float64(max(0, running-s.engine.Slots+1)) + failureCost*s.failures
+	c.slot = p.slotWait(s, running)
+	c.generate = runCost*float64(running) + failureCost*s.failures
 	if s.Domain != p.domain {
 		c.hop = hopCost
 	}
@@ -133,11 +139,11 @@
 }
 
 func (c *candidate) alone() Choice {
-	return Choice{Backend: c.ID, Wait: milliseconds(c.wait + c.read), Read: milliseconds(c.read), Uncached: c.uncached}
+	return Choice{Backend: c.ID, Wait: milliseconds(max(c.wait, c.slot) + c.read), Read: milliseconds(c.read), Uncached: c.uncached}
 }
 
 func (c *candidate) behind(r *candidate, move float64) Choice {
-	return Choice{Backend: c.ID, Reader: r.ID, Wait: milliseconds(r.wait + r.read + move), Read: milliseconds(r.read), Uncached: r.uncached}
+	return Choice{Backend: c.ID, Reader: r.ID, Wait: milliseconds(r.wait + r.read + move + c.slot), Read: milliseconds(r.read), Uncached: r.uncached}
 }
 
 // moveTime returns the time in ms to move the KV cache of tokens.
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -39,6 +39,10 @@
 	reading float64
 	unread  float64
 	at      time.Duration
+	// late is the unread time in ms of demoted flights, which wait behind all
+	// others; waiting counts those of them that have not got their first token.
+	late    float64
+	waiting int
 	// running counts this instance's requests here.
 	running int
 	// slow is how much longer than expected the server takes, 1 for as expected.
@@ -101,11 +105,17 @@
 
 // silent reports whether the server owes answers and has given none for long.
 func (s *server) silent(now time.Duration) bool {
-	return s.running > 0 && now-s.progress > silence
+	return s.pressing() > 0 && now-s.progress > silence
+}
+
+// pressing counts the requests that hold a slot or wait for one before those that
+// were demoted.
+func (s *server) pressing() int {
+	return s.running - s.waiting
 }
 
 func (s *server) begin(now time.Duration) {
-	if s.running == 0 {
+	if s.pressing() == 0 {
 		s.progress = now
 	}
 	s.running++
