Learn how much longer prompts wait than the known work says

Cause: with 25 fronts, what others sent in the last 125 ms is not known, so that first tokens in a burst took 180 to 330 ms where 45 to 110 were expected; too many prompts counted as on time and delayed each other.

--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -12,6 +12,8 @@
 	// read is the reading time in ms that is not confirmed yet.
 	read     float64
 	uncached int
+	// wait is the time in ms that the flight was estimated to wait.
+	wait float64
 	// alone is set when nothing else was being read when the flight began.
 	alone bool
 	began time.Duration
@@ -44,7 +46,8 @@
 		return nil
 	}
 	s := f.server
-	s.advance(now)
+	reading, _, _ := p.others(now, backend)
+	f.wait = s.backlog(now) + reading
 	f.alone = s.unread == 0
 	f.read, f.uncached = s.readTime(uncached), uncached
 	s.reading += f.read
@@ -108,6 +111,9 @@
 	s := f.server
 	s.answered(now)
 	f.begun(now)
+	if !f.late && f.uncached > 0 {
+		p.stretchAt(s).learn(f.wait, inMilliseconds(now-f.began)-s.readTime(f.uncached))
+	}
 	if f.read == 0 {
 		return
 	}
@@ -136,6 +142,14 @@
 	s.reading = min(s.reading, s.unread)
 }
 
+// stretchAt returns what was learned of waits at engines of a server's role.
+func (p *Placer) stretchAt(s *server) *stretch {
+	if s.Role == peridotsite.Prefill {
+		return &p.readers
+	}
+	return &p.writers
+}
+
 // holdShare is the part of a new observation in the mean time that a request holds
 // a slot; few requests hold one for most of the slots' time.
 const holdShare = 0.02
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -37,6 +37,9 @@
 	// groups holds the servers of a service in the order of their IDs.
 	groups map[string][]*server
 	peers  map[string]*peer
+	// readers and writers learn how long prompts wait at engines that only read and
+	// at the others.
+	readers, writers stretch
 	// holds is the mean time in ms that a request of a service holds a slot.
 	holds map[string]float64
 	// summed is the sum of the peers\' loads at a time, nil after news.
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -107,14 +107,14 @@
 		w := &writers[i]
 		cost := max(w.wait, w.slot) + w.read*(1+workWeight+disturbWeight*float64(w.requests)) + w.generate + w.hop
 		if cost < least {
-			best, least, found = w.alone(), cost, true
+			best, least, found = p.alone(w), cost, true
 		}
 		for j := range readers {
 			r := &readers[j]
 			move := moveTime(prompt.Tokens, r.server, w.server)
 			cost := r.wait + r.read*(1+workWeight) + move + moveCost + w.slot + w.generate + r.hop + w.hop + sending
 			if cost < least {
-				best, least, found = w.behind(r, move), cost, true
+				best, least, found = p.behind(w, r, move), cost, true
 			}
 		}
 	}
@@ -138,12 +138,16 @@
 	return c
 }
 
-func (c *candidate) alone() Choice {
-	return Choice{Backend: c.ID, Wait: milliseconds(max(c.wait, c.slot) + c.read), Read: milliseconds(c.read), Uncached: c.uncached}
+// alone is the choice of an engine that also reads the prompt.
+func (p *Placer) alone(w *candidate) Choice {
+	wait := max(w.wait*p.writers.factor(), w.slot)
+	return Choice{Backend: w.ID, Wait: milliseconds(wait + w.read), Read: milliseconds(w.read), Uncached: w.uncached}
 }
 
-func (c *candidate) behind(r *candidate, move float64) Choice {
-	return Choice{Backend: c.ID, Reader: r.ID, Wait: milliseconds(r.wait + r.read + move + c.slot), Read: milliseconds(r.read), Uncached: r.uncached}
+// behind is the choice of an engine to which the KV cache is moved from a reader.
+func (p *Placer) behind(w, r *candidate, move float64) Choice {
+	wait := r.wait*p.readers.factor() + r.read + move + w.slot
+	return Choice{Backend: w.ID, Reader: r.ID, Wait: milliseconds(wait), Read: milliseconds(r.read), Uncached: r.uncached}
 }
 
 // moveTime returns the time in ms to move the KV cache of tokens.
