--- a/peridotplace/late_test.go
+++ b/peridotplace/late_test.go
@@ -59,20 +59,20 @@
 	p, list, config := fleet(0, 1)
 	slots := config.Service(service).Engine.Slots
 	for range 1000 {
-		f := p.Read(0, list[0].ID, nil, 0)
-		p.HasRead(0, f)
-		p.Done(320*time.Millisecond, f, Answered)
+		f := p.Read(time.Second, list[0].ID, nil, 0)
+		p.HasRead(time.Second, f)
+		p.Done(time.Second+320*time.Millisecond, f, Answered)
 	}
 	for range slots - 1 {
-		p.Begin(time.Second, list[0].ID)
+		p.Begin(2*time.Second, list[0].ID)
 	}
 	prompt := Prompt{Service: service, Tokens: 0}
-	if got, _ := p.Place(time.Second, prompt); got.Wait != 0 {
+	if got, _ := p.Place(2*time.Second, prompt); got.Wait != 0 {
 		t.Errorf("a slot is free: got a wait of %v, want none", got.Wait)
 	}
-	p.Begin(time.Second, list[0].ID)
+	p.Begin(2*time.Second, list[0].ID)
 	want := 320 * time.Millisecond / time.Duration(slots)
-	if got, _ := p.Place(time.Second, prompt); math.Abs(float64(got.Wait-want)) > float64(want)/10 {
+	if got, _ := p.Place(2*time.Second, prompt); math.Abs(float64(got.Wait-want)) > float64(want)/10 {
 		t.Errorf("no slot is free: got a wait of %v, want about %v", got.Wait, want)
 	}
 }
