--- a/peridotentry/control_test.go
+++ b/peridotentry/control_test.go
@@ -16,6 +16,7 @@
 // TestControlLoadsConfirmedVersion runs two instances' controls against one
 // engine over loopback: the engine gets the confirmed version, once.
 func TestControlLoadsConfirmedVersion(t *testing.T) {
+	t.Parallel()
 	engine := peridotstandin.NewEngine(peridotstandin.EngineOptions{Model: "m", Version: "v1", Role: "Mixed"})
 	engineServer := httptest.NewServer(engine.Handler())
 	defer engineServer.Close()
--- a/peridotentry/keys_test.go
+++ b/peridotentry/keys_test.go
@@ -293,6 +293,7 @@
 // connections to both entry instances open and one of them cut off from the
 // platform, and then takes the table service away altogether.
 func TestWithdrawnKeyStops(t *testing.T) {
+	t.Parallel()
 	f := startKeyFleet(t)
 	read := [2]call{{entry: 0, path: "/services/api/read"}, {entry: 1, path: "/services/api/read"}}
 	f.until(t, http.StatusOK, read[0])
@@ -324,6 +325,7 @@
 // TestServesWithTheStoreDown waits for many failed checks, more than a proof from
 // before the outage can outlive.
 func TestServesWithTheStoreDown(t *testing.T) {
+	t.Parallel()
 	f := startKeyFleet(t)
 	read := call{path: "/services/api/read"}
 	f.until(t, http.StatusOK, read)
--- a/peridotentry/lifecycle_test.go
+++ b/peridotentry/lifecycle_test.go
@@ -86,6 +86,7 @@
 
 // TestPlannedChangeCutsNothing commits changes while streams are under way.
 func TestPlannedChangeCutsNothing(t *testing.T) {
+	t.Parallel()
 	const n = 16
 	tests := []struct {
 		name   string
@@ -129,6 +130,7 @@
 
 // TestStopIsBounded stops processes whose streams never end.
 func TestStopIsBounded(t *testing.T) {
+	t.Parallel()
 	const n = 4
 	f := startFleet(t, fleetOptions{graceMillis: 100})
 	f.streams(t, n)
--- a/peridotentry/silent_test.go
+++ b/peridotentry/silent_test.go
@@ -80,6 +80,7 @@
 // TestSilentConnectionsCutNothing lets all connections between entries and
 // agents go silent while streams are under way.
 func TestSilentConnectionsCutNothing(t *testing.T) {
+	t.Parallel()
 	const n = 16
 	box := &middlebox{lost: make(chan struct{})}
 	f := startFleet(t, fleetOptions{through: func(address string) string { return box.serve(t, address) }})
--- a/peridotentry/usagecontrol_test.go
+++ b/peridotentry/usagecontrol_test.go
@@ -254,6 +254,7 @@
 
 // TestHolderSweepsOldRecords leaves the record of a request that is long over.
 func TestHolderSweepsOldRecords(t *testing.T) {
+	t.Parallel()
 	p := newPath(t)
 	store := peridotplatform.NewClient(p.address)
 	ledger := peridotonce.NewLedger(peridotonce.Process{Instance: "agent-0"}, peridotonce.Options{})
