Take a missing server for gone when others were answered all the time

And after the outage the missing server counted as lapsed for 2 s, though the store had answered all other fronts and removed it in order. Fronts now tell each other for how long the store has answered them.

--- a/peridotfront/duties_test.go
+++ b/peridotfront/duties_test.go
@@ -272,3 +272,32 @@
 		}
 	}
 }
+
+// TestLocalOutageIsNoLapse cuts one front from the table service while a backend
+// server leaves. It may only be taken for lapsed if no other front was answered.
+func TestLocalOutageIsNoLapse(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// steady is for how long another front says it has been answered.
+		steady time.Duration
+		used   bool
+	}{
+		{name: "others were answered", steady: time.Hour},
+		{name: "others were cut, too", steady: time.Millisecond, used: true},
+		{name: "others are cut", used: true},
+	} {
+		f := newFront(t, &cloud{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-0")
+		a, b := peridotsite.Backend{ID: "a", Service: "s"}, peridotsite.Backend{ID: "b", Service: "s"}
+		f.Configured(&peridotsite.Config{Version: 1})
+		f.Reached(FeedBackends)
+		f.Registered([]peridotsite.Backend{a, b})
+		time.Sleep(5 * time.Millisecond)
+		f.Lost(FeedBackends, nil)
+		f.peers.take(&message{From: "front-1", Address: "10.0.0.9:7660", StoreMillis: uint32(c.steady.Milliseconds())})
+		f.Reached(FeedBackends)
+		f.Registered([]peridotsite.Backend{a})
+		if _, got := f.backends.known["b"]; got != c.used {
+			t.Errorf("%s: got b used %v, want %v", c.name, got, c.used)
+		}
+	}
+}
--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -71,9 +71,11 @@
 	tally    *peridotusage.Tally
 	backends backends
 	peers    *peers
-	// feeds tells which feeds are away, reached when each answered last.
+	// feeds tells which feeds are away, reached when each answered last, and since
+	// from when on it has answered without a break.
 	feeds   map[string]bool
 	reached map[string]time.Duration
+	since   map[string]time.Duration
 }
 
 // atomicDuration is a duration that goroutines share.
@@ -105,6 +107,7 @@
 		tally:   peridotusage.NewTally(self, s.UsageWindow, usageKept),
 		feeds:   make(map[string]bool),
 		reached: make(map[string]time.Duration),
+		since:   make(map[string]time.Duration),
 	}
 	f.backends.known = make(map[string]peridotsite.Backend)
 	f.peers = newPeers(f)
--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -26,6 +26,9 @@
 	Usage *usage `cbor:"5,keyasint,omitempty"`
 	// Peers are the addresses of the other fronts that the sender hears.
 	Peers []string `cbor:"6,keyasint,omitempty"`
+	// StoreMillis is for how long the table service has answered the sender without
+	// a break; 0 while it does not.
+	StoreMillis uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // load is a peridotplace.Load.
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -59,6 +59,10 @@
 	heard time.Duration
 	// added is when its address became known.
 	added time.Duration
+	// steady is from when on the table service has answered it without a break, if
+	// answered.
+	steady   time.Duration
+	answered bool
 }
 
 func newPeers(f *Front) *peers {
@@ -122,6 +126,7 @@
 	first := p.newMessage()
 	f.mu.Lock()
 	first.setReport(f.placer.Report(f.now(), maxPlacements))
+	first.StoreMillis = uint32(f.storeSteady().Milliseconds())
 	var windows map[peridotusage.Window]map[string]int64
 	if announce {
 		windows = f.tally.Own(f.tally.At(f.trueTime()), usageWindows)
@@ -174,6 +179,20 @@
 	return list
 }
 
+// storeAnswered reports whether the table service has answered another front, heard
+// lately, without a break since a time.
+func (p *peers) storeAnswered(since time.Duration) bool {
+	now := p.front.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, state := range p.known {
+		if state.answered && now-state.heard < peerAlive && state.steady <= since {
+			return true
+		}
+	}
+	return false
+}
+
 // instances returns the names of the fronts that were heard lately.
 func (p *peers) instances() []string {
 	now := p.front.now()
@@ -220,7 +239,7 @@
 	if err != nil || m.From == f.settings.Instance {
 		return
 	}
-	p.heard(address, m.From)
+	p.heard(address, m)
 	for _, text := range m.Peers {
 		if other, err := netip.ParseAddrPort(text); err == nil {
 			p.add(other)
@@ -236,7 +255,7 @@
 	f.placer.Observe(f.now(), m.From, m.report(f.backends.byHash))
 }
 
-func (p *peers) heard(address netip.AddrPort, instance string) {
+func (p *peers) heard(address netip.AddrPort, m *message) {
 	now := p.front.now()
 	p.mu.Lock()
 	state := p.known[address]
@@ -245,10 +264,14 @@
 		p.known[address] = state
 	}
 	fresh := state.heard == 0
-	state.heard, state.instance = now, instance
+	state.heard, state.instance = now, m.From
+	if m.Usage == nil {
+		state.answered = m.StoreMillis > 0
+		state.steady = now - time.Duration(m.StoreMillis)*time.Millisecond
+	}
 	p.mu.Unlock()
 	if fresh {
-		log.WithFields(log.Fields{"instance": instance, "address": address.String()}).Info(logPrefix + "heard of another front")
+		log.WithFields(log.Fields{"instance": m.From, "address": address.String()}).Info(logPrefix + "heard of another front")
 		p.front.shareRepeats()
 	}
 }
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -147,15 +147,33 @@
 func (f *Front) Reached(feed string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.now()
+	last, known := f.reached[feed]
 	away := f.feeds[feed]
-	f.feeds[feed], f.reached[feed] = false, f.now()
+	f.feeds[feed], f.reached[feed] = false, now
+	if away || !known {
+		f.since[feed] = now
+	}
 	if !away {
 		return
 	}
-	if feed == FeedBackends {
-		f.backends.returned(f.now())
+	// While others were answered all the time, no registration lapsed: what is
+	// missing has left.
+	local := known && f.peers.storeAnswered(last)
+	if feed == FeedBackends && !local {
+		f.backends.returned(now)
+	}
+	log.WithFields(log.Fields{"feed": feed, "others_answered": local}).Info(logPrefix + "table service answers again")
+}
+
+// storeSteady is for how long the registrations' feed has answered without a
+// break. The mutex is held.
+func (f *Front) storeSteady() time.Duration {
+	since, ok := f.since[FeedBackends]
+	if !ok || f.feeds[FeedBackends] {
+		return 0
 	}
-	log.WithField("feed", feed).Info(logPrefix + "table service answers again")
+	return f.now() - since
 }
 
 // Lost implements Watcher.
