Allow heartbeats the time of the requests they wait behind

Cause of TestFloodIsRefused (second of the flood refused with no_backend): a request of 1.6 MB and the heartbeats share a connection, so that on a narrow link or a busy machine the pong comes later than pingTimeout and SuspectAfter, and the link is given up while the agent is at work. Change: a ping, and the judgment of an agent's silence, allow for the bytes of the requests that have not arrived, at 250,000 bytes a second; a first chunk counts as hearing of the agent.

--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -25,8 +25,10 @@
 	// firstPingInterval is the time between pings of an agent that has no
 	// configuration yet.
 	firstPingInterval = 50 * time.Millisecond
-	// pingTimeout unmasks a connection that has gone silent.
+	// pingTimeout unmasks a connection that has gone silent. A ping waits behind the
+	// requests that are being sent, which narrowLink bytes a second allow for.
 	pingTimeout = 3 * time.Second
+	narrowLink  = 250_000
 	dialTimeout = 2 * time.Second
 	// redialPause is the first pause before an agent is dialed again; it doubles
 	// up to pingInterval until a connection has lasted for steadyTime.
@@ -40,8 +42,10 @@
 	// peer is nil while there is no connection.
 	peer *peridotwire.Peer
 	pong peridotwire.Pong
-	// outstanding counts the requests sent and not yet answered.
+	// outstanding counts the requests sent and not yet answered, bytes is the size of
+	// those that have not surely arrived.
 	outstanding int
+	bytes       int
 	stop        context.CancelFunc
 }
 
@@ -202,11 +206,12 @@
 }
 
 func (p *pool) ping(ctx context.Context, l *link, peer *peridotwire.Peer) error {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
 	p.mu.Lock()
 	instance := l.instance
+	timeout := pingTimeout + l.sending()
 	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	pong, err := p.exchangeVersions(ctx, peer, instance)
 	if err != nil {
 		return err
@@ -235,9 +240,15 @@
 	l.peer = peer
 }
 
-// acquire returns the connection to an agent. release must be called once the
-// request has ended.
-func (p *pool) acquire(instance string) (*link, *peridotwire.Peer, *peridotverdict.Error) {
+// sending is how long the requests on the way may keep others waiting. The pool is
+// locked.
+func (l *link) sending() time.Duration {
+	return time.Duration(l.bytes) * time.Second / narrowLink
+}
+
+// acquire returns the connection to an agent for a request of some bytes. arrived
+// must be called once the agent has got it, release once it has ended.
+func (p *pool) acquire(instance string, bytes int) (*link, *peridotwire.Peer, *peridotverdict.Error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l, ok := p.links[instance]
@@ -245,6 +256,7 @@
 		return nil, nil, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the backend server "+instance+" is out of reach", peridotverdict.RetryAfter(time.Second))
 	}
 	l.outstanding++
+	l.bytes += bytes
 	return l, l.peer, nil
 }
 
@@ -283,6 +295,20 @@
 	return max(1, p.entries)
 }
 
+// arrived notes that an agent has got a request of some bytes, or never will.
+func (p *pool) arrived(l *link, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.bytes -= bytes
+}
+
+// heard notes that an agent has begun to answer a request.
+func (p *pool) heard(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Hear(peridotmember.Answer{Instance: l.instance.ID, Incarnation: l.pong.Incarnation, Leaving: l.pong.Leaving, Sent: time.Now()})
+}
+
 // release ends a request on a link.
 func (p *pool) release(l *link) {
 	p.mu.Lock()
--- a/peridotentry/retry.go
+++ b/peridotentry/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"peridotstack/peridotretry"
@@ -71,16 +72,23 @@
 	a.setID(c.run.RequestID)
 	e.traffic.sent(c, choice)
 	defer e.traffic.over(c.run.RequestID)
-	l, peer, err := e.pool.acquire(choice.Instance)
+	l, peer, err := e.pool.acquire(choice.Instance, len(c.run.Body))
 	if err != nil {
 		return nil, 0, err
 	}
 	defer e.pool.release(l)
+	arrived := sync.OnceFunc(func() { e.pool.arrived(l, len(c.run.Body)) })
+	defer arrived()
+	begun := sync.OnceFunc(func() {
+		e.pool.heard(l)
+		arrived()
+	})
 	use := e.useOf(l, c.run.Account)
 	c.run.UsageWindow = int64(use.cell.Window)
 	x := newExchange(c.run, 0, &a.timeline)
 	x.use = use
 	x.progress = func(chunks int) {
+		begun()
 		if chunks == 1 || chunks%progressChunks == 0 {
 			e.traffic.progress(c.id, &x.request, chunks)
 		}
--- a/peridotentry/versions.go
+++ b/peridotentry/versions.go
@@ -63,9 +63,10 @@
 	return l.peer != nil && !l.pong.Quiet && p.usable(l)
 }
 
-// usable reports whether new work may go over the link. The pool is locked.
+// usable reports whether new work may go over the link. An agent is not silent
+// because its answers wait behind a large request. The pool is locked.
 func (p *pool) usable(l *link) bool {
-	return l.pong.Version.Seq > 0 && p.view.Usable(l.instance.ID, time.Now())
+	return l.pong.Version.Seq > 0 && p.view.Usable(l.instance.ID, time.Now().Add(-l.sending()))
 }
 
 // listed takes the platform's list. The pool is locked.
