Tidy what the last read of the platform's path found

An engine's own failure that is passed on counts as one for the placer and writes its end line once; the last failure stands in for no_backend in one place; the event that a run goes on behind is decided in one place; one loop over the fronts that are alive.

--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -136,7 +136,7 @@
 	if !announce {
 		return list
 	}
-	for _, address := range p.alive() {
+	for address := range p.alive() {
 		first.Peers = append(first.Peers, address.String())
 	}
 	for _, u := range usageMessages(f.self.Incarnation, windows) {
@@ -165,15 +165,15 @@
 	return to
 }
 
-// alive returns the addresses of the fronts that were heard lately.
-func (p *peers) alive() []netip.AddrPort {
+// alive returns the fronts that were heard lately, by address.
+func (p *peers) alive() map[netip.AddrPort]peerState {
 	now := p.front.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []netip.AddrPort
+	list := make(map[netip.AddrPort]peerState)
 	for address, state := range p.known {
 		if state.heard > 0 && now-state.heard < peerAlive {
-			list = append(list, address)
+			list[address] = *state
 		}
 	}
 	return list
@@ -182,11 +182,8 @@
 // storeAnswered reports whether the table service has answered another front, heard
 // lately, without a break since a time.
 func (p *peers) storeAnswered(since time.Duration) bool {
-	now := p.front.now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, state := range p.known {
-		if state.answered && now-state.heard < peerAlive && state.steady <= since {
+	for _, state := range p.alive() {
+		if state.answered && state.steady <= since {
 			return true
 		}
 	}
@@ -195,14 +192,9 @@
 
 // instances returns the names of the fronts that were heard lately.
 func (p *peers) instances() []string {
-	now := p.front.now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	var names []string
-	for _, state := range p.known {
-		if state.heard > 0 && now-state.heard < peerAlive {
-			names = append(names, state.instance)
-		}
+	for _, state := range p.alive() {
+		names = append(names, state.instance)
 	}
 	return names
 }
--- a/peridotfront/plain.go
+++ b/peridotfront/plain.go
@@ -70,9 +70,6 @@
 		x.deliver(best)
 		return
 	}
-	if x.last != nil && err.Code == peridotverdict.NoBackend {
-		err = x.last
-	}
 	x.giveUp(err)
 }
 
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -40,7 +40,7 @@
 	for {
 		choice, ok := x.place()
 		if !ok {
-			x.giveUpPrompt(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetry)))
+			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetry)))
 			return
 		}
 		choice, err := x.admit(choice)
@@ -49,7 +49,7 @@
 			return
 		}
 		if !x.may() {
-			x.giveUpPrompt(x.last)
+			x.giveUp(x.last)
 			return
 		}
 		var source *kvSource
@@ -64,19 +64,12 @@
 			x.failed(choice.Reader, err)
 		}
 		if x.over() {
-			x.giveUpPrompt(err)
+			x.giveUp(err)
 			return
 		}
 	}
 }
 
-func (x *exchange) giveUpPrompt(err *peridotverdict.Error) {
-	if x.last != nil && err.Code == peridotverdict.NoBackend {
-		err = x.last
-	}
-	x.giveUp(err)
-}
-
 // place chooses the engines.
 func (x *exchange) place() (peridotplace.Choice, bool) {
 	f := x.front
@@ -258,6 +251,10 @@
 	x.note["late"] = x.late
 	s := &stream{exchange: x, flight: flight, wait: c.Wait}
 	err := s.run(to, o)
+	if err == nil && s.failed {
+		f.done(flight, peridotplace.Failed)
+		return nil
+	}
 	if err == nil {
 		f.done(flight, peridotplace.Answered)
 		x.log(log.DebugLevel, "answered", http.StatusOK)
--- a/peridotfront/refuse.go
+++ b/peridotfront/refuse.go
@@ -90,6 +90,9 @@
 		x.log(log.InfoLevel, "caller left", 0)
 		panic(http.ErrAbortHandler)
 	}
+	if x.last != nil && err.Code == peridotverdict.NoBackend {
+		err = x.last // Why the servers that were there have failed.
+	}
 	verdict := peridotverdict.NotRun
 	if x.runs > 0 {
 		verdict = peridotverdict.MayHaveRun
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -27,8 +27,10 @@
 type stream struct {
 	exchange *exchange
 	flight   *peridotplace.Flight
-	// counted is set once the run has begun to answer.
+	// counted is set once the run has begun to answer, failed once the engine's own
+	// failure has been passed on as the answer.
 	counted bool
+	failed  bool
 	// wait is how long the prompt was expected to take.
 	wait time.Duration
 	// stall ends the run when it has been silent for too long; nil where the
@@ -72,7 +74,6 @@
 // NotRun only if the request did not run there and never will.
 func (s *stream) run(to peridotsite.Backend, o Outgoing) *peridotverdict.Error {
 	x := s.exchange
-	o.LastEvent = x.resumeAt()
 	ctx, cancel := s.watch()
 	defer cancel()
 	answer, head, err := x.send(ctx, to, o)
@@ -109,6 +110,7 @@
 		return peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.Ran, "engine answered "+strconv.Itoa(answer.StatusCode))
 	}
 	x.began()
+	s.failed = true
 	x.deliver(&wholeAnswer{status: answer.StatusCode, header: x.front.protocol.Return(answer.Header), body: body})
 	return nil
 }
@@ -200,7 +202,8 @@
 	return 0, false
 }
 
-// resumeAt returns the event behind which the next run goes on.
+// resumeAt returns the event behind which the next run goes on; the caller may
+// have named one.
 func (x *exchange) resumeAt() string {
 	if x.begun && x.lastEvent > 0 {
 		return strconv.FormatInt(x.lastEvent, 10)
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -39,10 +39,7 @@
 // replaced. The error has the verdict NotRun if nothing was sent.
 func (x *exchange) send(ctx context.Context, to peridotsite.Backend, o Outgoing) (*peridotlink.Answer, AnswerHead, *peridotverdict.Error) {
 	f := x.front
-	o.Backend, o.Account = to.ID, x.account
-	if o.LastEvent == "" {
-		o.LastEvent = x.call.LastEvent
-	}
+	o.Backend, o.Account, o.LastEvent = to.ID, x.account, x.resumeAt()
 	for {
 		conn, err := f.pool.Get(ctx, to.Address, f.connLimit(x.service))
 		if err != nil {
--- a/peridotplace/late_test.go
+++ b/peridotplace/late_test.go
@@ -102,3 +102,18 @@
 		}
 	}
 }
+
+// TestStreamsAreNotDisturbed has an engine that answers many requests and one that
+// answers few; reading a prompt holds up all of them.
+func TestStreamsAreNotDisturbed(t *testing.T) {
+	p, list, _ := fleet(0, 2)
+	for range 20 {
+		p.Begin(0, list[0].ID)
+	}
+	// The busy engine keeps some of the prompt, which would save reading time there.
+	p.servers[list[0].ID].cache.add(parts(1))
+	got, _ := p.Place(0, Prompt{Service: service, Tokens: 9000, Parts: parts(1, 2, 3)})
+	if got.Backend != list[1].ID {
+		t.Errorf("got %q, want %q, where no stream waits", got.Backend, list[1].ID)
+	}
+}
--- a/peridotplace/plain.go
+++ b/peridotplace/plain.go
@@ -11,6 +11,9 @@
 	otherDomainCost = 0.7
 	// failureCost is the extra cost of a server that fails all of its requests.
 	failureCost = 6.0
+	// plainSlots is the size of a plain server, in requests at once, whose requests
+	// count once; those of larger servers count less.
+	plainSlots = 6.0
 )
 
 // Plain returns the server of a plain service with the least work for its size,
@@ -46,7 +49,7 @@
 // plainCost is the work at a server in requests, weighed by its size.
 func (p *Placer) plainCost(now time.Duration, s *server) float64 {
 	_, _, others := p.others(now, s.ID)
-	cost := float64(s.running+others+1) * 6 / float64(max(1, s.Slots)) * s.slow
+	cost := float64(s.running+others+1) * plainSlots / float64(max(1, s.Slots)) * s.slow
 	cost += failureCost * s.failures
 	if s.Domain != p.domain {
 		cost += otherDomainCost
