Hand the configuration over to a front that starts while the store is away

A front that was restarted in an outage answered 503 until the store was back, though the others knew the configuration. It now asks one of the fronts that it hears, over TCP, and takes over the configuration and the registrations, only while its feed is lost; what the store tells goes before. Tests: TestConfigurationIsHandedOver, TestHandOverGivesWay, TestNoHandOverWhileTheStoreAnswers; the first fails without askOthers.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -139,6 +139,8 @@
 	tree.Add(peridottree.Part{Name: "configuration", Run: func(ctx context.Context) error { return f.platform.WatchConfig(ctx, f) }})
 	tree.Add(peridottree.Part{Name: "backends", Run: func(ctx context.Context) error { return f.platform.WatchBackends(ctx, f) }})
 	tree.Add(peridottree.Part{Name: "peers", Run: f.peers.serve})
+	tree.Add(peridottree.Part{Name: "beliefs", Run: f.serveBeliefs})
+	tree.Add(peridottree.Part{Name: "hand-over", Run: f.askOthers})
 	tree.Add(peridottree.Part{Name: "clock", Run: f.anchorClock})
 	tree.Add(peridottree.Part{Name: "prune", Run: f.prune})
 	tree.ServeBackground(serving)
