--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -18,7 +18,7 @@
 const (
 	// prefillSlack is how much longer than expected a prefill may take before the
 	// prompt is placed elsewhere, and prefillFactor multiplies what is expected.
-	prefillSlack  = 150 * time.Millisecond
+	prefillSlack  = 400 * time.Millisecond
 	prefillFactor = 3
 	// maxHandleBytes bounds the answer to a prefill.
 	maxHandleBytes = 64 << 10
