Compare 96 engines for a prompt of a large service, and pairs by domain

Change: of a large service 80 engines behind the hash of the prompt's session, which all fronts choose alike, and 16 drawn ones are compared; what a move costs depends on the domains only, so that the cheapest writer of each domain stands for its domain. Services of 96 engines or fewer get the choice that they got before.

--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -36,7 +36,9 @@
 	servers map[string]*server
 	// groups holds the servers of a service in the order of their IDs.
 	groups map[string][]*server
-	peers  map[string]*peer
+	// rings holds the servers of large services by hash.
+	rings map[string]ring
+	peers map[string]*peer
 	// readers and writers learn how long prompts wait at engines that only read and
 	// at the others.
 	readers, writers stretch
@@ -115,6 +117,12 @@
 		})
 	}
 	p.servers = servers
+	p.rings = make(map[string]ring)
+	for name, group := range p.groups {
+		if len(group) > maxCandidates {
+			p.rings[name] = newRing(group)
+		}
+	}
 }
 
 // Report returns what the other instances are to know, and at most limit
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -62,7 +62,7 @@
 // Place returns the engines that are expected to have a prompt read first, and
 // to spend the least work on it. It returns false if no engine takes requests.
 func (p *Placer) Place(now time.Duration, prompt Prompt) (Choice, bool) {
-	group := p.groups[prompt.Service]
+	group := p.candidates(prompt)
 	for pass := range 2 {
 		best, ok := p.place(now, prompt, group, pass == 1)
 		if ok {
@@ -109,8 +109,11 @@
 		if cost < least {
 			best, least, found = p.alone(w), cost, true
 		}
-		for j := range readers {
-			r := &readers[j]
+	}
+	nearest := cheapestByDomain(writers)
+	for i := range readers {
+		r := &readers[i]
+		for _, w := range nearest {
 			move := moveTime(prompt.Tokens, r.server, w.server)
 			cost := r.wait + r.read*(1+workWeight) + move + moveCost + w.slot + w.generate + r.hop + w.hop + sending
 			if cost < least {
@@ -121,6 +124,23 @@
 	return best, found
 }
 
+// cheapestByDomain returns the writer of each failure domain at which an answer
+// costs least. What a move costs depends on the domains alone.
+func cheapestByDomain(writers []candidate) []*candidate {
+	var list []*candidate
+	for i := range writers {
+		w := &writers[i]
+		at := slices.IndexFunc(list, func(other *candidate) bool { return other.Domain == w.Domain })
+		switch {
+		case at < 0:
+			list = append(list, w)
+		case w.slot+w.generate < list[at].slot+list[at].generate:
+			list[at] = w
+		}
+	}
+	return list
+}
+
 func (p *Placer) estimate(now time.Duration, s *server, prompt Prompt) candidate {
 	reading, late, running := p.others(now, s.ID)
 	uncached := max(0, prompt.Tokens-s.cache.cached(prompt.Parts))
