--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -38,6 +38,7 @@
 // servePrompt serves a request of a model engine.
 func (x *exchange) servePrompt() {
 	for {
+		x.late = false // It may yet be on time elsewhere.
 		choice, ok := x.place()
 		if !ok {
 			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetry)))
--- a/peridotfront/settings.go
+++ b/peridotfront/settings.go
@@ -21,6 +21,9 @@
 	MemoryBytes int64
 	// LinkBytesPerSecond is the rate of the instance's network link.
 	LinkBytesPerSecond float64
+	// LeaveWithin is how soon after its leaving a backend server must get no more
+	// requests; 0 means unknown.
+	LeaveWithin time.Duration
 	// CatchUp is the time after an outage in which the instance must be up to date.
 	CatchUp time.Duration
 	// ShutdownGrace is the time from the signal to stop to the kill.
