Wait for the figures of all fronts before a usage window is sealed

Found by the soak with 100 fronts: a front tells its figures every 25 ms for each front, 2.5 s among 100, while a window was sealed after 0.9 s, so that windows held 228 of 1,809 requests. The wait now follows from the number of fronts, with a datagram lost, up to half of the time until the report is due. TestWindowsWaitForAllFigures fails with the old figure.

--- a/peridotfront/duties.go
+++ b/peridotfront/duties.go
@@ -34,9 +34,12 @@
 	// sendMargin is what must be left of the lease for a call to be sent: the
 	// longest time that a call takes.
 	sendMargin = 1300 * time.Millisecond
-	// settle is how long after its end a usage window waits for late figures; the
-	// figures of all fronts come every 200 ms.
-	settle = 900 * time.Millisecond
+	// minSettle is how long after its end a usage window waits for late figures at
+	// least, settleFactor and settleSlack by how much longer than the time between two
+	// announcements of a front: one of its datagrams may be lost.
+	minSettle    = 900 * time.Millisecond
+	settleFactor = 2.2
+	settleSlack  = 200 * time.Millisecond
 	// usagePrefix starts the keys of sealed usage windows.
 	usagePrefix = "usage/"
 )
@@ -124,7 +127,7 @@
 	}
 	f.mu.Lock()
 	current := f.tally.At(now)
-	over := f.tally.At(now.Add(-settle)) - 1
+	over := f.tally.At(now.Add(-settle(f.peers.size(), f.settings.UsageLate))) - 1
 	f.tally.Forget(current)
 	f.mu.Unlock()
 	for w := max(d.first, over-usageWindows); w <= over; w++ {
@@ -150,6 +153,13 @@
 	}
 }
 
+// settle is how long after its end a usage window waits for late figures among a
+// number of fronts. Half of the time until its report is due is left for the report.
+func settle(fronts int, due time.Duration) time.Duration {
+	announced := announceEvery * sendInterval(fronts)
+	return min(max(minSettle, time.Duration(settleFactor*float64(announced))+settleSlack), due/2)
+}
+
 // seal makes the figures of a window final in the table service and returns
 // them. Whoever reports the window reports exactly these.
 func (d *duties) seal(ctx context.Context, w peridotusage.Window) (map[string]int64, error) {
--- a/peridotfront/duties_test.go
+++ b/peridotfront/duties_test.go
@@ -301,3 +301,18 @@
 		}
 	}
 }
+
+// TestWindowsWaitForAllFigures compares how long a window waits with how often the
+// fronts tell their figures.
+func TestWindowsWaitForAllFigures(t *testing.T) {
+	const due = 10 * time.Second
+	for _, fronts := range []int{1, 5, 25, 100, 130} {
+		got, announced := settle(fronts, due), announceEvery*sendInterval(fronts)
+		if got < min(2*announced, due/2) || got < minSettle || got > due/2 {
+			t.Errorf("%d fronts: got %v, want %v at least, in which each has told its figures though a datagram was lost, and %v at most", fronts, got, 2*announced, due/2)
+		}
+	}
+	if got := settle(100_000, due); got != due/2 {
+		t.Errorf("too many fronts: got %v, want %v", got, due/2)
+	}
+}
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -83,12 +83,17 @@
 	go p.receive(ctx, conn)
 	go p.followRoster(ctx)
 	for ctx.Err() == nil {
-		peridotwait.Sleep(ctx, max(gossipInterval, time.Duration(p.size())*gossipPerPeer))
+		peridotwait.Sleep(ctx, sendInterval(p.size()))
 		p.send(conn)
 	}
 	return nil
 }
 
+// sendInterval is the time between two datagrams of a front to each other one.
+func sendInterval(fronts int) time.Duration {
+	return max(gossipInterval, time.Duration(fronts)*gossipPerPeer)
+}
+
 // send tells every other front of this one's work.
 func (p *peers) send(conn *net.UDPConn) {
 	to := p.targets()
