Choose another engine when the chosen one leaves while the prompt is read

A late prompt waited 1.44 s at its reader and then went to the engine chosen before, which had meanwhile said that it leaves (2,128 ms before; 2,000 allowed). Ruled out: the pause in which registrations are gathered (the front knew). The engine is looked at again before it gets the request.

--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -228,8 +228,14 @@
 // caller has got a whole answer.
 func (x *exchange) generate(c peridotplace.Choice, source *kvSource) *peridotverdict.Error {
 	f := x.front
+	if !f.takes(c.Backend) {
+		// The engine has left while the prompt was read at another.
+		if other, found := x.place(); found {
+			c.Backend = other.Backend
+		}
+	}
 	to, ok := f.backend(c.Backend)
-	if !ok {
+	if !ok || to.Leaving {
 		x.free(source)
 		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine is not registered any more")
 	}
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -93,6 +93,12 @@
 	return b, ok
 }
 
+// takes reports whether a backend server may get requests now.
+func (f *Front) takes(id string) bool {
+	b, ok := f.backend(id)
+	return ok && !b.Leaving
+}
+
 // may reports whether the request may be sent to another backend server. It
 // counts the send against the fleet's budget.
 func (x *exchange) may() bool {
