Catch the reload signal until the process exits

LOST: requests that a stopping front had passed on were cut when SIGHUP came during the drain. The signal was handled only until SIGTERM canceled the context of serving; after that it had its default effect and ended the process. frontCommand now catches it from before it reads the settings until the exit.

--- a/peridot/front.go
+++ b/peridot/front.go
@@ -26,6 +26,10 @@
 	clause := app.Command("front", "Run a front on the users' platform.")
 	path := clause.Flag("settings", "Settings file in the platform's format.").Envar(platform.SettingsVariable).Required().String()
 	return command{clause, func(ctx context.Context) error {
+		// The signal is caught until the process exits: by default it would end a front
+		// that starts or drains.
+		reloads := make(chan os.Signal, 1)
+		signal.Notify(reloads, syscall.SIGHUP)
 		settings, err := platform.LoadSettings(*path)
 		if err != nil {
 			return err
@@ -39,7 +43,8 @@
 			defer close(writerDone)
 			handler.Serve(writeCtx, os.Stdout)
 		}()
-		err = serveFront(ctx, *path, settings)
+		go checkSettings(reloads, *path)
+		err = serveFront(ctx, settings)
 		stopWriter()
 		<-writerDone
 		return err
@@ -47,7 +52,7 @@
 }
 
 // serveFront runs a front and its metrics page until ctx is done.
-func serveFront(ctx context.Context, path string, settings peridotfront.Settings) error {
+func serveFront(ctx context.Context, settings peridotfront.Settings) error {
 	metrics, closer := peridotmetric.New("front")
 	defer closer.Close()
 	listener, err := net.Listen("tcp", settings.MetricsAddress)
@@ -59,30 +64,21 @@
 	server := &http.Server{Handler: mux}
 	go func() { _ = server.Serve(listener) }() // Ends with Close.
 	defer server.Close()
-	go checkSettingsOnSIGHUP(ctx, path)
 	clock := &peridotclock.SharedClock{}
 	client := platform.NewClient(settings.StoreAddress, settings.CloudAddress, clock, platform.WithCatchUpTime(settings.CatchUpTime), platform.WithLeaveWithin(settings.LeaveWithin), platform.WithCallObserver(metrics.RecordDuration))
 	front := peridotfront.New(settings, client, platform.Protocol{}, clock, peridotfront.WithMetrics(metrics))
 	return front.Serve(ctx)
 }
 
-// checkSettingsOnSIGHUP checks the settings file at each SIGHUP and logs the
-// result until ctx is done. A running process doesn't apply changes of the file;
-// they take effect at the next start.
-func checkSettingsOnSIGHUP(ctx context.Context, path string) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-signals:
-			if _, err := platform.LoadSettings(path); err != nil {
-				log.WithError(err).Error("front: reloaded settings are invalid; the old ones stay in force")
-				continue
-			}
-			log.Info("front: reloaded settings")
-		case <-ctx.Done():
-			return
+// checkSettings checks the settings file for each signal from reloads and logs the
+// result. A running process doesn't apply changes of the file; they take effect at the
+// next start.
+func checkSettings(reloads <-chan os.Signal, path string) {
+	for range reloads {
+		if _, err := platform.LoadSettings(path); err != nil {
+			log.WithError(err).Error("front: reloaded settings are invalid; the old ones stay in force")
+			continue
 		}
+		log.Info("front: reloaded settings")
 	}
 }
