Don't restart a component that has done its work

supervisor took that for a failure; while it backs off, it restarts no other component either. A component now returns ErrFinished to end for good.

--- a/peridotfront/snapshot.go
+++ b/peridotfront/snapshot.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"peridotstack/peridotsite"
+	"peridotstack/peridottree"
 	"peridotstack/peridotwait"
 )
 
@@ -73,21 +74,21 @@
 }
 
 // copyPeerState copies the state of another front if the table service is unavailable
-// before this front has a configuration. It returns once this front has a
-// configuration or ctx is done.
+// before this front has a configuration. It returns peridottree.ErrFinished once this
+// front has a configuration or ctx is done.
 func (f *Front) copyPeerState(ctx context.Context) error {
 	client := &http.Client{Timeout: snapshotTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil && f.config.Load() == nil {
 		if f.configFeedLost() {
 			for address, state := range f.peers.alivePeers() {
 				if f.copyStateFrom(ctx, client, address.String(), state.instance) {
-					return nil
+					return peridottree.ErrFinished
 				}
 			}
 		}
 		peridotwait.Sleep(ctx, snapshotFetchInterval)
 	}
-	return nil
+	return peridottree.ErrFinished
 }
 
 // configFeedLost reports whether the last call of the configuration feed failed.
--- a/peridottree/tree.go
+++ b/peridottree/tree.go
@@ -14,6 +14,9 @@
 // stopTimeout limits how long a supervisor waits for a component to stop.
 const stopTimeout = 15 * time.Second
 
+// ErrFinished is returned by a component that has done its work.
+var ErrFinished = suture.ErrDoNotRestart
+
 // New returns a supervisor without components. Its log messages start with the name
 // and a colon.
 func New(name string) *suture.Supervisor {
@@ -41,7 +44,7 @@
 	// Name identifies the component in log messages.
 	Name string
 	// Run runs the component until its context is done. If it returns earlier, the
-	// supervisor calls it again.
+	// supervisor calls it again, unless it returns ErrFinished.
 	Run func(ctx context.Context) error
 }
 
