Tell in logs and metrics when the front itself gives up a silent server

LOST: a front closed the connection of a request beside a change of the configuration, and no log told why. A run that the front canceled was logged like one that the server broke off, and a panic left no structured line. Now 'try failed' and the last line have silent_ms, tries_given_up counts by place, and a panic has a line and a counter. The three timers are one type; their limits and their effect are the same.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -34,6 +36,8 @@
 	defaultMaxBodyBytes = 4 << 20
 	// bodyReadTimeout limits the time to read a request body.
 	bodyReadTimeout = 10 * time.Second
+	// maxStackBytes limits the stack in the log line of a panic.
+	maxStackBytes = 4 << 10
 )
 
 // exchange is the state of one request from a caller.
@@ -70,6 +74,9 @@
 	// late is set while the request is expected to miss its objective and is queued
 	// with low urgency.
 	late bool
+	// silentFor is how long the server of the last try had sent nothing when this
+	// instance gave the try up; 0 if the try ended otherwise.
+	silentFor time.Duration
 	// lastErr is the error of the last failed try; nil if none has failed.
 	lastErr *peridotverdict.Error
 	// logFields contains the fields of the request's log line.
@@ -82,6 +89,7 @@
 	defer f.activeRequests.Add(-1)
 	f.lastRequestAt.Store(f.now())
 	x := &exchange{front: f, writer: w, request: r, arrivedAt: peridotclock.BootTime(), logFields: log.Fields{}}
+	defer x.logPanic()
 	x.call = f.protocol.DecodeCall(r)
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -101,6 +109,23 @@
 	}
 }
 
+// logPanic logs and counts a panic of the handler. It panics again with
+// http.ErrAbortHandler, which closes the connection of the caller.
+func (x *exchange) logPanic() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if value != http.ErrAbortHandler {
+		x.front.metrics.Count("panics")
+		stack := debug.Stack()
+		x.logFields["panic"] = fmt.Sprint(value)
+		x.logFields["stack"] = string(stack[:min(len(stack), maxStackBytes)])
+		x.log(log.ErrorLevel, "handler panicked", 0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // prepareRequest finds the route, client account and service of the request, sets its
 // timeout and reads its body. It returns an error if the request must be refused.
 func (x *exchange) prepareRequest() *peridotverdict.Error {
--- a/peridotfront/plain.go
+++ b/peridotfront/plain.go
@@ -1,7 +1,6 @@
 package peridotfront
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -77,8 +76,11 @@
 // has the verdict NotRun only if the request did not run there and never will.
 func (x *exchange) tryPlain(to peridotsite.Backend) (*bufferedAnswer, *peridotverdict.Error) {
 	f := x.front
-	ctx, cancel := x.tryContext()
-	defer cancel()
+	ctx, watch := x.watchStall("plain")
+	defer watch.stop()
+	if limit := x.tryTimeout(); limit > 0 {
+		watch.start(limit)
+	}
 	f.mu.Lock()
 	flight := f.placer.Begin(f.now(), to.ID)
 	f.mu.Unlock()
@@ -116,13 +118,13 @@
 	return &bufferedAnswer{status: answer.StatusCode, header: f.protocol.AnswerHeader(answer.Header), body: body}, nil
 }
 
-// tryContext returns the context of one try. It limits the try of a safe request
-// that may be retried, to leave time for the retry.
-func (x *exchange) tryContext() (context.Context, context.CancelFunc) {
-	if x.route.Kind != peridotsite.Safe || x.runs+1 >= x.route.Attempts || x.route.Objective <= 0 {
-		return context.WithCancel(x.ctx)
+// tryTimeout returns the limit of one try of a safe request that may be retried, which
+// leaves time for the retry. It returns 0 for other requests.
+func (x *exchange) tryTimeout() time.Duration {
+	if x.route.Kind != peridotsite.Safe || x.runs+1 >= x.route.Attempts {
+		return 0
 	}
-	return context.WithTimeout(x.ctx, time.Duration(tryTimeoutShare*float64(x.route.Objective)))
+	return time.Duration(tryTimeoutShare * float64(x.route.Objective))
 }
 
 // deliver sends a buffered answer to the caller.
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -141,8 +141,9 @@
 	f.mu.Unlock()
 	x.logFields["reader"] = c.PrefillBackend
 	x.tries++
-	ctx, cancel := context.WithTimeout(x.ctx, x.prefillTimeout(c))
-	defer cancel()
+	ctx, watch := x.watchStall("prefill")
+	defer watch.stop()
+	watch.start(x.prefillTimeout(c))
 	start := peridotclock.BootTime()
 	handle, err := x.callPrefill(ctx, to)
 	x.logFields["read_ms"] = peridotclock.BootTime().Sub(start)
--- a/peridotfront/refuse.go
+++ b/peridotfront/refuse.go
@@ -121,6 +121,8 @@
 	switch level {
 	case log.DebugLevel:
 		e.Debug(logPrefix + outcome)
+	case log.ErrorLevel:
+		e.Error(logPrefix + outcome)
 	case log.WarnLevel:
 		e.Warn(logPrefix + outcome)
 	default:
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -35,9 +35,10 @@
 	// expectedWait is the Wait of the run's peridotplace.Choice: the expected time until
 	// the prefill has run and its KV cache is at the engine.
 	expectedWait time.Duration
-	// stallTimer cancels the run if no event arrives for too long. It is nil if the
+	// watch cancels the run if no event arrives for too long. It is not started if the
 	// request must not be resumed at another engine.
-	stallTimer *time.Timer
+	watch     *stallWatch
+	isWatched bool
 }
 
 const (
@@ -52,25 +53,27 @@
 	stallWaitFactor = 3
 )
 
-// stallContext returns a context that is canceled if the stream stalls and may be
+// startWatch returns a context that is canceled if the stream stalls and may be
 // resumed at another engine.
-func (s *stream) stallContext() (context.Context, context.CancelFunc) {
+func (s *stream) startWatch() context.Context {
 	x := s.exchange
-	ctx, cancel := context.WithCancel(x.ctx)
-	if x.route.Idempotent() && x.runs+1 < x.route.Attempts {
+	var ctx context.Context
+	ctx, s.watch = x.watchStall("stream")
+	s.isWatched = x.route.Idempotent() && x.runs+1 < x.route.Attempts
+	if s.isWatched {
 		timeout := minStallTimeout + stallWaitFactor*s.expectedWait
 		if x.late {
 			timeout = max(timeout, x.remaining()/2) // A late request may be queued behind others for that long.
 		}
-		s.stallTimer = time.AfterFunc(timeout, cancel)
+		s.watch.start(timeout)
 	}
-	return ctx, cancel
+	return ctx
 }
 
-// resetStallTimer restarts the stall timer after an event.
-func (s *stream) resetStallTimer() {
-	if s.stallTimer != nil {
-		s.stallTimer.Reset(max(minStallTimeout, stallGapFactor*s.exchange.route.Gap))
+// restartWatch restarts the watch after an event.
+func (s *stream) restartWatch() {
+	if s.isWatched {
+		s.watch.start(max(minStallTimeout, stallGapFactor*s.exchange.route.Gap))
 	}
 }
 
@@ -78,8 +81,8 @@
 // has the verdict NotRun only if the request did not run there and never will.
 func (s *stream) run(to peridotsite.Backend, requestHead RequestHead) *peridotverdict.Error {
 	x := s.exchange
-	ctx, cancel := s.stallContext()
-	defer cancel()
+	ctx := s.startWatch()
+	defer s.watch.stop()
 	answer, head, err := x.send(ctx, to, requestHead)
 	if err != nil {
 		if err.Verdict != peridotverdict.NotRun {
@@ -147,7 +150,7 @@
 // recordProgress records that an event has arrived. It counts the run on the first
 // event.
 func (s *stream) recordProgress() {
-	s.resetStallTimer()
+	s.restartWatch()
 	x := s.exchange
 	f := x.front
 	f.mu.Lock()
--- a/peridotmetric/metric.go
+++ b/peridotmetric/metric.go
@@ -80,6 +80,12 @@
 	m.countTagged("retries", "code", string(code))
 }
 
+// CountAt increments the counter with the given name and place. The place is a short
+// constant that says which part of the process counts.
+func (m *Metrics) CountAt(name, place string) {
+	m.countTagged(name, "place", place)
+}
+
 // latencyBuckets are the upper bounds of the buckets of all histograms.
 var latencyBuckets = tally.DurationBuckets{
 	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
