Keep a silent server's run until another server can replace it

The cause: the timers of streams, plain requests and prefills closed the only run first, and the retry budget, the attempts and the other servers were asked afterwards. Now a stallWatch cancels a try only if a usable server can take the request over and a retry is reserved in the budget; else it looks again every 50 ms. If the replacement turns the request away and no other is left, the server that was only silent may be tried again, within attempts and budget.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -65,7 +65,8 @@
 	tries int
 	// runs is the number of tries that may have run the request.
 	runs int
-	// triedBackends contains the backend servers that must not be tried again.
+	// triedBackends contains the backend servers that must not be tried again. It must
+	// not change during a try.
 	triedBackends []string
 	// answerStarted is set once the head of the answer has been sent to the caller.
 	answerStarted bool
@@ -77,6 +78,11 @@
 	// silentFor is how long the server of the last try had sent nothing when this
 	// instance gave the try up; 0 if the try ended otherwise.
 	silentFor time.Duration
+	// retryReserved is set if the next retry has been counted against the retry budget.
+	retryReserved bool
+	// silentBackends contains those of triedBackends that were given up because they
+	// were silent. They may be tried again if no other is left.
+	silentBackends []string
 	// lastErr is the error of the last failed try; nil if none has failed.
 	lastErr *peridotverdict.Error
 	// logFields contains the fields of the request's log line.
--- a/peridotfront/plain.go
+++ b/peridotfront/plain.go
@@ -17,7 +17,7 @@
 	// before it is sent to the caller.
 	maxAnswerBytes = 8 << 20
 	// tryTimeoutShare is the fraction of the route's objective after which a safe
-	// request is retried at another server.
+	// request is retried if another server can take it.
 	tryTimeoutShare = 0.8
 )
 
@@ -33,9 +33,10 @@
 	f := x.front
 	var errorAnswer *bufferedAnswer
 	for {
-		f.mu.Lock()
-		id, ok := f.placer.PlacePlain(f.now(), x.service.Name, x.triedBackends)
-		f.mu.Unlock()
+		id, ok := x.placePlain()
+		if !ok && x.readmitSilent() {
+			id, ok = x.placePlain()
+		}
 		to, known := f.backend(id)
 		if !ok || !known {
 			x.finishPlain(errorAnswer, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no backend server takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
@@ -62,6 +63,15 @@
 	}
 }
 
+// placePlain chooses the server for a request to a plain service. It returns false if
+// no server accepts requests.
+func (x *exchange) placePlain() (string, bool) {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placer.PlacePlain(f.now(), x.service.Name, x.triedBackends)
+}
+
 // finishPlain sends errorAnswer, the last error answer of a backend server, to the
 // caller. If it is nil or the caller has disconnected, finishPlain gives up with err.
 func (x *exchange) finishPlain(errorAnswer *bufferedAnswer, err *peridotverdict.Error) {
@@ -76,7 +86,7 @@
 // has the verdict NotRun only if the request did not run there and never will.
 func (x *exchange) tryPlain(to peridotsite.Backend) (*bufferedAnswer, *peridotverdict.Error) {
 	f := x.front
-	ctx, watch := x.watchStall("plain")
+	ctx, watch := x.watchStall("plain", to)
 	defer watch.stop()
 	if limit := x.tryTimeout(); limit > 0 {
 		watch.start(limit)
@@ -121,7 +131,7 @@
 // tryTimeout returns the limit of one try of a safe request that may be retried, which
 // leaves time for the retry. It returns 0 for other requests.
 func (x *exchange) tryTimeout() time.Duration {
-	if x.route.Kind != peridotsite.Safe || x.runs+1 >= x.route.Attempts {
+	if x.route.Kind != peridotsite.Safe || !x.canRun(x.runs+1) {
 		return 0
 	}
 	return time.Duration(tryTimeoutShare * float64(x.route.Objective))
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -17,7 +17,7 @@
 
 const (
 	// A prefill that takes longer than prefillTimeoutFactor times the expected time
-	// plus prefillTimeoutSlack is canceled and the prompt is placed elsewhere.
+	// plus prefillTimeoutSlack is canceled if the prompt can be placed elsewhere.
 	prefillTimeoutSlack  = 400 * time.Millisecond
 	prefillTimeoutFactor = 3
 	// maxHandleBytes limits the size of the answer to a prefill.
@@ -40,6 +40,9 @@
 	for {
 		x.late = false // Another engine may still meet the objective.
 		choice, ok := x.placePrompt()
+		if !ok && x.readmitSilent() {
+			choice, ok = x.placePrompt()
+		}
 		if !ok {
 			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
 			return
@@ -141,9 +144,11 @@
 	f.mu.Unlock()
 	x.logFields["reader"] = c.PrefillBackend
 	x.tries++
-	ctx, watch := x.watchStall("prefill")
+	ctx, watch := x.watchStall("prefill", to)
 	defer watch.stop()
-	watch.start(x.prefillTimeout(c))
+	if x.canRun(x.runs) {
+		watch.start(x.prefillTimeout(c))
+	}
 	start := peridotclock.BootTime()
 	handle, err := x.callPrefill(ctx, to)
 	x.logFields["read_ms"] = peridotclock.BootTime().Sub(start)
@@ -159,7 +164,7 @@
 }
 
 // prefillTimeout returns how long the prefill of c may take before it is canceled
-// and the prompt is placed elsewhere.
+// if the prompt can be placed elsewhere.
 func (x *exchange) prefillTimeout(c peridotplace.Choice) time.Duration {
 	timeout := prefillTimeoutFactor*c.Wait + prefillTimeoutSlack
 	if x.late {
--- a/peridotfront/stall.go
+++ b/peridotfront/stall.go
@@ -2,42 +2,68 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
+
+	"peridotstack/peridotplace"
+	"peridotstack/peridotsite"
 )
 
-// stallWatch cancels a try whose server sends nothing for too long. Its methods are
+// stallCheckInterval is the time between two checks whether another server can replace
+// a silent one.
+const stallCheckInterval = 50 * time.Millisecond
+
+// stallWatch cancels a try whose server sends nothing for too long, but only once
+// another server can replace it: the silent server may still go on. Its methods are
 // called by the handler of the request; only expire runs in another goroutine.
 type stallWatch struct {
 	exchange *exchange
 	// place names the kind of the try in the metrics.
-	place  string
-	cancel context.CancelFunc
-	timer  *time.Timer
+	place string
+	// alternative describes the servers that can replace the silent one.
+	alternative peridotplace.Alternative
+	cancel      context.CancelFunc
+	timer       *time.Timer
 
-	// mu guards the fields below.
+	// mu guards the fields below. Front.mu may be locked while mu is held, but not the
+	// other way round.
 	mu sync.Mutex
 	// limit is the longest allowed silence; 0 means that the watch is not running.
 	limit time.Duration
 	// since is the value of Front.now when the silence began.
 	since time.Duration
+	// replaceable is set if another run could continue the answer.
+	replaceable bool
+	// kept is set once the try has been kept for want of a replacement in this silence.
+	kept bool
 	// silentFor is the length of the silence for which the try was canceled; 0 if it
 	// was not canceled.
 	silentFor time.Duration
 }
 
-// watchStall returns the context of one try and a watch that cancels it. The watch
-// does not run until start is called. The caller must call stop at the end of the try.
-func (x *exchange) watchStall(place string) (context.Context, *stallWatch) {
+// watchStall returns the context of one try at a server and a watch that cancels it.
+// The watch does not run until start is called. The caller must call stop at the end of
+// the try.
+func (x *exchange) watchStall(place string, to peridotsite.Backend) (context.Context, *stallWatch) {
 	ctx, cancel := context.WithCancel(x.ctx)
-	return ctx, &stallWatch{exchange: x, place: place, cancel: cancel}
+	return ctx, &stallWatch{
+		exchange: x, place: place, cancel: cancel,
+		alternative: peridotplace.Alternative{
+			Service:   x.service.Name,
+			Generates: x.service.Engine != nil,
+			Exclude:   append(slices.Clone(x.triedBackends), to.ID),
+		},
+	}
 }
 
-// start starts the watch, or restarts it after the server has sent something.
+// start starts the watch, or restarts it after the server has sent something. The
+// caller must have checked that the request may run once more after this try.
 func (w *stallWatch) start(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limit, w.since = limit, w.exchange.front.now()
+	w.limit, w.since, w.kept = limit, w.exchange.front.now(), false
+	w.replaceable = w.exchange.resumable()
 	if w.timer == nil {
 		w.timer = time.AfterFunc(limit, w.expire)
 		return
@@ -45,8 +71,8 @@
 	w.timer.Reset(limit)
 }
 
-// stop ends the try and tells its exchange for how long the server was silent if the
-// watch canceled the try.
+// stop ends the try. If the watch canceled it, stop passes the length of the silence
+// and the reserved retry to the exchange.
 func (w *stallWatch) stop() {
 	w.cancel()
 	w.mu.Lock()
@@ -56,22 +82,43 @@
 		w.timer.Stop()
 	}
 	w.exchange.silentFor = w.silentFor
+	w.exchange.retryReserved = w.silentFor > 0
 }
 
-// expire cancels the try unless the server has sent something meanwhile.
+// expire cancels the try if its server is still silent and another one can replace it.
+// Otherwise it checks again later.
 func (w *stallWatch) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	f := w.exchange.front
 	silentFor := f.now() - w.since
-	if w.limit == 0 {
-		return
-	}
-	if silentFor < w.limit {
+	switch {
+	case w.limit == 0:
+	case silentFor < w.limit:
 		w.timer.Reset(w.limit - silentFor)
-		return
+	case w.reserveReplacement():
+		w.silentFor = silentFor
+		f.metrics.CountAt("tries_given_up", w.place)
+		w.limit = 0
+		w.cancel()
+	default:
+		if !w.kept {
+			w.kept = true
+			f.metrics.CountAt("tries_kept", w.place)
+		}
+		w.timer.Reset(stallCheckInterval)
 	}
-	w.silentFor = silentFor
-	f.metrics.CountAt("tries_given_up", w.place)
-	w.cancel()
+}
+
+// reserveReplacement reports whether the request can go on at another server now, and
+// counts the retry against the retry budget if so. The caller must hold w.mu.
+func (w *stallWatch) reserveReplacement() bool {
+	x := w.exchange
+	if !w.replaceable || x.ended() || x.remaining() < minRetryTime {
+		return false
+	}
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placer.HasAlternative(f.now(), w.alternative) && f.retryBudget.AllowRepeat(f.now(), x.service.Name)
 }
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -53,13 +53,13 @@
 	stallWaitFactor = 3
 )
 
-// startWatch returns a context that is canceled if the stream stalls and may be
+// startWatch returns a context that is canceled if the stream stalls and can be
 // resumed at another engine.
-func (s *stream) startWatch() context.Context {
+func (s *stream) startWatch(to peridotsite.Backend) context.Context {
 	x := s.exchange
 	var ctx context.Context
-	ctx, s.watch = x.watchStall("stream")
-	s.isWatched = x.route.Idempotent() && x.runs+1 < x.route.Attempts
+	ctx, s.watch = x.watchStall("stream", to)
+	s.isWatched = x.canRun(x.runs + 1)
 	if s.isWatched {
 		timeout := minStallTimeout + stallWaitFactor*s.expectedWait
 		if x.late {
@@ -81,7 +81,7 @@
 // has the verdict NotRun only if the request did not run there and never will.
 func (s *stream) run(to peridotsite.Backend, requestHead RequestHead) *peridotverdict.Error {
 	x := s.exchange
-	ctx := s.startWatch()
+	ctx := s.startWatch(to)
 	defer s.watch.stop()
 	answer, head, err := x.send(ctx, to, requestHead)
 	if err != nil {
@@ -144,13 +144,13 @@
 		if reader.Buffered() == 0 && answer.Buffered() == 0 {
 			x.flush()
 		}
+		s.restartWatch()
 	}
 }
 
 // recordProgress records that an event has arrived. It counts the run on the first
 // event.
 func (s *stream) recordProgress() {
-	s.restartWatch()
 	x := s.exchange
 	f := x.front
 	f.mu.Lock()
@@ -222,6 +222,12 @@
 	return x.call.LastEventID
 }
 
+// resumable reports whether another run could continue the answer: an event ID is
+// known unless the answer has not started.
+func (x *exchange) resumable() bool {
+	return !x.answerStarted || x.lastEventID > 0
+}
+
 // forwardEvent sends one event to the caller. The IDs of the events must be
 // consecutive, also across runs.
 func (x *exchange) forwardEvent(answer *peridotlink.Answer, event []byte) *peridotverdict.Error {
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -103,10 +104,15 @@
 	return ok && !b.Leaving
 }
 
+// canRun reports whether the route permits another run after the given number of runs.
+func (x *exchange) canRun(runs int) bool {
+	return runs == 0 || x.route.Idempotent() && runs < x.route.Attempts
+}
+
 // allowTry reports whether the request may be sent to a backend server now. It
 // always allows the first try. It allows a retry only if enough time remains, the
 // route permits another run and the retry budget is not exhausted, and counts the
-// retry against the budget.
+// retry against the budget unless it was reserved.
 func (x *exchange) allowTry() bool {
 	f := x.front
 	f.mu.Lock()
@@ -118,13 +124,12 @@
 	if x.ended() || x.remaining() < minRetryTime {
 		return false
 	}
-	if x.answerStarted && x.lastEventID == 0 {
-		return false // No event ID is known after which a run could resume.
-	}
-	if x.runs > 0 && (!x.route.Idempotent() || x.runs >= x.route.Attempts) {
+	if !x.resumable() || !x.canRun(x.runs) {
 		return false
 	}
-	if !f.retryBudget.AllowRepeat(f.now(), x.service.Name) {
+	if x.retryReserved {
+		x.retryReserved = false
+	} else if !f.retryBudget.AllowRepeat(f.now(), x.service.Name) {
 		f.metrics.Count("repeats_over_budget")
 		x.logFields["budget"] = "spent"
 		return false
@@ -140,11 +145,23 @@
 	x.triedBackends = append(x.triedBackends, backend)
 	fields := log.Fields{"request": x.call.ID, "backend": backend, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}
 	if x.silentFor > 0 {
+		x.silentBackends = append(x.silentBackends, backend)
 		fields["silent_ms"], x.logFields["silent_ms"] = x.silentFor, x.silentFor
 	}
 	log.WithFields(fields).Info(logPrefix + "try failed")
 }
 
+// readmitSilent lets the backend servers be tried again that were given up because they
+// were silent. It reports whether there are any.
+func (x *exchange) readmitSilent() bool {
+	if len(x.silentBackends) == 0 {
+		return false
+	}
+	x.triedBackends = slices.DeleteFunc(x.triedBackends, func(id string) bool { return slices.Contains(x.silentBackends, id) })
+	x.silentBackends = nil
+	return true
+}
+
 // failureOutcome returns the outcome of a try that failed with err.
 func (x *exchange) failureOutcome(err *peridotverdict.Error) peridotplace.Outcome {
 	switch {
--- /dev/null
+++ b/peridotplace/alternative.go
@@ -0,0 +1,30 @@
+package peridotplace
+
+import (
+	"slices"
+	"time"
+
+	"peridotstack/peridotsite"
+)
+
+// Alternative describes the servers that can take over a request from another server.
+type Alternative struct {
+	Service string
+	// Generates is set if the server must be an engine that generates answers.
+	Generates bool
+	// Exclude holds the IDs of servers that must not be chosen.
+	Exclude []string
+}
+
+// HasAlternative reports whether a usable server fulfills a. In contrast to Place and
+// PlacePlain, it does not accept unusable servers.
+func (p *Placer) HasAlternative(now time.Duration, a Alternative) bool {
+	return slices.ContainsFunc(p.groups[a.Service], func(s *server) bool {
+		return s.usable(now) && !slices.Contains(a.Exclude, s.ID) && (!a.Generates || s.generates())
+	})
+}
+
+// generates reports whether the server is an engine that generates answers.
+func (s *server) generates() bool {
+	return s.engine != nil && s.Role != peridotsite.Prefill
+}
