Try a failing backend server again after an interval

Now such a server gets one request at a time, 2 s after the failure and up to 30 s after repeated ones, and returns with its answers. It doesn't count as a certain replacement meanwhile.

--- a/peridotplace/alternative.go
+++ b/peridotplace/alternative.go
@@ -17,10 +17,10 @@
 }
 
 // HasAlternative reports whether a usable server fulfills a. In contrast to Place and
-// PlacePlain, it does not accept unusable servers.
+// PlacePlain, it accepts neither unusable servers nor trials.
 func (p *Placer) HasAlternative(now time.Duration, a Alternative) bool {
 	return slices.ContainsFunc(p.groups[a.Service], func(s *server) bool {
-		return s.usable(now) && !slices.Contains(a.Exclude, s.ID) && (!a.Generates || s.generates())
+		return s.usable(now) && !s.failing() && !slices.Contains(a.Exclude, s.ID) && (!a.Generates || s.generates())
 	})
 }
 
--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -226,16 +226,16 @@
 	switch outcome {
 	case Answered:
 		s.recordAnswer(now)
-		s.recordOutcome(false)
+		s.recordOutcome(now, false)
 	case Refused:
 		s.recordAnswer(now)
 		s.backoffUntil = now + refusedBackoff
 	case Failed:
 		s.recordAnswer(now)
-		s.recordOutcome(true)
+		s.recordOutcome(now, true)
 	case Unavailable:
 		s.startBackoff(now)
-		s.recordOutcome(true)
+		s.recordOutcome(now, true)
 	case Canceled:
 	}
 }
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -24,8 +24,12 @@
 	// before it gets no more requests.
 	silenceTimeout = 600 * time.Millisecond
 	// maxFailureRate is the failure rate at which a server becomes unusable, so that
-	// it is used only if there is no other.
+	// it is used only for trials or if there is no other.
 	maxFailureRate = 0.5
+	// minTrialInterval and maxTrialInterval bound the time from a failure of a server
+	// with such a failure rate to the next trial. A failed trial costs a retry.
+	minTrialInterval = 2 * time.Second
+	maxTrialInterval = 30 * time.Second
 )
 
 // server is a backend server and the state that this instance keeps for it.
@@ -51,6 +55,11 @@
 	slowness float64
 	// failureRate is the moving average of the share of failed requests.
 	failureRate float64
+	// trialInterval is the last time between a failure and the next trial, zero after an
+	// answer. A server whose failure rate is at least maxFailureRate gets one request at
+	// a time from trialAt on, since its failure rate falls only with answers.
+	trialInterval time.Duration
+	trialAt       time.Duration
 	// backoff is the length of the last backoff after the server could not be
 	// reached, zero after an answer. The server gets no requests until backoffUntil.
 	backoff      time.Duration
@@ -108,7 +117,18 @@
 
 // usable reports whether the server may get a request now.
 func (s *server) usable(now time.Duration) bool {
-	return !s.Leaving && now >= s.backoffUntil && !s.unresponsive(now) && s.failureRate < maxFailureRate
+	return !s.Leaving && now >= s.backoffUntil && !s.unresponsive(now) && (!s.failing() || s.trialDue(now))
+}
+
+// failing reports whether most of the recent requests to the server failed.
+func (s *server) failing() bool {
+	return s.failureRate >= maxFailureRate
+}
+
+// trialDue reports whether a failing server may get a request to find out whether it
+// answers again.
+func (s *server) trialDue(now time.Duration) bool {
+	return now >= s.trialAt && s.running == 0
 }
 
 // unresponsive reports whether the server has active requests and has sent nothing
@@ -145,11 +165,17 @@
 	s.backoffUntil = now + s.backoff
 }
 
-// recordOutcome updates the failure rate at the end of a request.
-func (s *server) recordOutcome(failed bool) {
-	if failed {
-		s.failureRate += (1 - s.failureRate) * smoothingFactor
-	} else {
+// recordOutcome updates the failure rate and the time of the next trial at the end of a
+// request. Failures before that time do not lengthen the interval.
+func (s *server) recordOutcome(now time.Duration, failed bool) {
+	if !failed {
 		s.failureRate -= s.failureRate * smoothingFactor
+		s.trialInterval, s.trialAt = 0, now
+		return
+	}
+	s.failureRate += (1 - s.failureRate) * smoothingFactor
+	if now >= s.trialAt {
+		s.trialInterval = min(max(2*s.trialInterval, minTrialInterval), maxTrialInterval)
+		s.trialAt = now + s.trialInterval
 	}
 }
