Suspend the stall watch while an event goes to the caller

LOST: a caller that read slowly for more than 600 ms made the front cancel a sound run: the watch ran on while the handler was blocked in a write. The run moved, or was lost, for nothing, the server counted as failed, and a retry was spent. Now the watch runs only while the front reads from the server.

--- a/peridotfront/stall.go
+++ b/peridotfront/stall.go
@@ -29,7 +29,8 @@
 	// mu guards the fields below. Front.mu may be locked while mu is held, but not the
 	// other way round.
 	mu sync.Mutex
-	// limit is the longest allowed silence; 0 means that the watch is not running.
+	// limit is the longest allowed silence; 0 means that the watch is not running, even
+	// if the timer is.
 	limit time.Duration
 	// since is the value of Front.now when the silence began.
 	since time.Duration
@@ -71,6 +72,13 @@
 	w.timer.Reset(limit)
 }
 
+// pause suspends the watch while nothing is read from the server.
+func (w *stallWatch) pause() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = 0
+}
+
 // stop ends the try. If the watch canceled it, stop passes the length of the silence
 // and the reserved retry to the exchange.
 func (w *stallWatch) stop() {
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -136,6 +136,7 @@
 			answer.Abandon()
 			return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream broke off", peridotverdict.Cause(err))
 		}
+		s.watch.pause() // A caller that reads slowly is no silence of the server.
 		s.recordProgress()
 		if err := x.forwardEvent(answer, event); err != nil {
 			answer.Abandon()
