Let TestHandlerPanicIsLogged run more than once in a process

LOST: the test of the panic's log line made metrics of the same names in each run, and the second run of one process stopped with 'duplicate metrics collector registration': 9 of 10 runs with -count=10. The checks are the same; each run has names of its own.

--- a/peridotfront/handler_test.go
+++ b/peridotfront/handler_test.go
@@ -1,10 +1,12 @@
 package peridotfront
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -36,7 +38,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			lines := memory.New()
-			metrics, closer := peridotmetric.New("front")
+			role := fmt.Sprint("front", time.Now().UnixNano()) // Metrics of a name can be made once in a process.
+			metrics, closer := peridotmetric.New(role)
 			f := newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-1")
 			f.protocol, f.metrics = panickingProtocol{value: test.value}, metrics
 			log.SetHandler(lines)
@@ -61,7 +64,7 @@
 			}
 			page := httptest.NewRecorder()
 			metrics.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-			if want := "peridot_front_panics 1"; !strings.Contains(page.Body.String(), want) {
+			if want := "peridot_" + role + "_panics 1"; !strings.Contains(page.Body.String(), want) {
 				t.Errorf("metrics: got no line %q", want)
 			}
 		})
