Give a late front time to read before it gives a server up

Now a stall watch whose timer is more than 20 ms late checks once more, 50 ms later, in each silence.

--- a/peridotfront/stall.go
+++ b/peridotfront/stall.go
@@ -14,6 +14,10 @@
 // a silent one.
 const stallCheckInterval = 50 * time.Millisecond
 
+// maxTimerDelay is the delay of a timer above which this process has not run for a
+// while, and may not have read yet what the server has sent.
+const maxTimerDelay = 20 * time.Millisecond
+
 // stallWatch cancels a try whose server sends nothing for too long, but only once
 // another server can replace it: the silent server may still go on. Its methods are
 // called by the handler of the request; only expire runs in another goroutine.
@@ -34,6 +38,11 @@
 	limit time.Duration
 	// since is the value of Front.now when the silence began.
 	since time.Duration
+	// expiresAt is the value of Front.now at which the timer is to call expire.
+	expiresAt time.Duration
+	// postponed is set once the end of this silence was postponed because the timer was
+	// late.
+	postponed bool
 	// replaceable is set if another run could continue the answer.
 	replaceable bool
 	// kept is set once the try has been kept for want of a replacement in this silence.
@@ -63,13 +72,20 @@
 func (w *stallWatch) start(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limit, w.since, w.kept = limit, w.exchange.front.now(), false
+	w.limit, w.since = limit, w.exchange.front.now()
+	w.postponed, w.kept = false, false
 	w.replaceable = w.exchange.resumable()
+	w.setTimer(w.since, limit)
+}
+
+// setTimer makes the timer call expire after d. The caller must hold w.mu.
+func (w *stallWatch) setTimer(now, d time.Duration) {
+	w.expiresAt = now + d
 	if w.timer == nil {
-		w.timer = time.AfterFunc(limit, w.expire)
+		w.timer = time.AfterFunc(d, w.expire)
 		return
 	}
-	w.timer.Reset(limit)
+	w.timer.Reset(d)
 }
 
 // pause suspends the watch while nothing is read from the server.
@@ -99,11 +115,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	f := w.exchange.front
-	silentFor := f.now() - w.since
+	now := f.now()
+	silentFor := now - w.since
 	switch {
 	case w.limit == 0:
 	case silentFor < w.limit:
-		w.timer.Reset(w.limit - silentFor)
+		w.setTimer(now, w.limit-silentFor)
+	case now-w.expiresAt > maxTimerDelay && !w.postponed:
+		w.postponed = true
+		w.setTimer(now, stallCheckInterval)
 	case w.reserveReplacement():
 		w.silentFor = silentFor
 		f.metrics.CountAt("tries_given_up", w.place)
@@ -114,7 +134,7 @@
 			w.kept = true
 			f.metrics.CountAt("tries_kept", w.place)
 		}
-		w.timer.Reset(stallCheckInterval)
+		w.setTimer(now, stallCheckInterval)
 	}
 }
 
--- /dev/null
+++ b/peridotfront/stall_test.go
@@ -0,0 +1,53 @@
+package peridotfront
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"peridotstack/peridotclock"
+	"peridotstack/peridotsite"
+	"peridotstack/peridottable"
+)
+
+// newStallExchange returns an exchange of a front with two servers and a retry budget.
+func newStallExchange(t *testing.T) *exchange {
+	t.Helper()
+	f := newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-1")
+	f.retryBudget.Slack = 10
+	config := (&peridotsite.Config{Version: 1, Services: []peridotsite.Service{{Name: "s"}}}).BuildIndex()
+	f.SetConfig(config)
+	f.SetBackends([]peridotsite.Backend{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}})
+	return &exchange{
+		front: f, request: httptest.NewRequest("GET", "/", nil), ctx: t.Context(), config: config, service: config.Service("s"),
+		route: &peridotsite.Route{Kind: peridotsite.Safe, Attempts: 2}, arrivedAt: peridotclock.BootTime(), timeout: time.Minute,
+	}
+}
+
+// TestLateTimerCancelsNothing guards against giving up sound servers after a pause of
+// the front itself, whose timers expire before it has read what the servers sent.
+func TestLateTimerCancelsNothing(t *testing.T) {
+	const limit = 20 * time.Millisecond
+	x := newStallExchange(t)
+	ctx, watch := x.watchStall("stream", peridotsite.Backend{ID: "a"})
+	defer watch.stop()
+	watch.start(limit)
+	watch.mu.Lock() // Stops expire as a pause of the process would.
+	time.Sleep(10 * limit)
+	watch.mu.Unlock()
+	time.Sleep(stallCheckInterval / 2)
+	if ctx.Err() != nil {
+		t.Fatal("right after the pause: got the try canceled, want time to read")
+	}
+	watch.start(time.Minute)
+	time.Sleep(2 * stallCheckInterval)
+	if ctx.Err() != nil {
+		t.Error("after an event: got the try canceled, want it to go on")
+	}
+	watch.start(limit)
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+		t.Error("silent server: got the try not canceled within a second, want it canceled")
+	}
+}
