Answer unfinished requests when the shutdown grace ends

LOST: a front whose grace ended with requests in progress returned from Serve, and the end of the process closed their connections without an answer or a refusal. Now, at 0.9 of the grace, it ends the requests and answers those that have no answer yet: 503 if they did not run, 502 if they may have.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -61,6 +61,9 @@
 	// closeConnsAt is the value of now at which a stopping front closes its
 	// connections.
 	closeConnsAt atomicDuration
+	// closing is done once a stopping front answers the requests that it cannot finish.
+	closing      context.Context
+	startClosing context.CancelFunc
 	// activeRequests is the number of requests in progress.
 	activeRequests atomic.Int64
 	// lastRequestAt is the value of now when the last request arrived.
@@ -115,6 +118,7 @@
 		feedAnsweredAt:  make(map[string]time.Duration),
 		feedSteadySince: make(map[string]time.Duration),
 	}
+	f.closing, f.startClosing = context.WithCancel(context.Background())
 	f.backends.byID = make(map[string]peridotsite.Backend)
 	f.peers = newPeers(f)
 	for _, option := range options {
@@ -179,9 +183,12 @@
 	// connections, unless half of the drain time is shorter. By then the balancer,
 	// which probes once a second, has seen two failed probes.
 	minLameDuckTime = 3 * time.Second
-	// drainShare is the fraction of Settings.ShutdownGrace after which connections
-	// are closed.
+	// drainShare is the fraction of Settings.ShutdownGrace after which requests in
+	// progress are ended.
 	drainShare = 0.9
+	// finalAnswerShare is the fraction of Settings.ShutdownGrace after which Serve
+	// returns, even if requests that were ended after drainShare have no answer yet.
+	finalAnswerShare = 0.97
 	// closeIdleTime is the time reserved at the end of the drain for closing idle
 	// connections.
 	closeIdleTime = 300 * time.Millisecond
@@ -195,7 +202,8 @@
 
 // drain makes the readiness probe fail, but keeps serving the requests that can be
 // answered before the connections are closed. Once no more requests arrive, or the
-// time is up, it shuts the server down and waits for the requests in progress.
+// time is up, it shuts the server down and waits for the requests in progress. At the
+// end, it answers those that are not finished.
 func (f *Front) drain(server *http.Server, duties *duties) {
 	log.Info(logPrefix + "stopping")
 	start := time.Now()
@@ -214,7 +222,13 @@
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		log.WithError(err).Warn(logPrefix + "shutdown grace period ended with requests still running")
-		return
+		f.startClosing()
+		finalCtx, cancel := context.WithDeadline(context.Background(), start.Add(time.Duration(finalAnswerShare*float64(f.settings.ShutdownGrace))))
+		defer cancel()
+		if err := server.Shutdown(finalCtx); err != nil {
+			log.WithError(err).Warn(logPrefix + "stopped without an answer to some requests")
+			return
+		}
 	}
 	log.Info(logPrefix + "stopped")
 }
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -57,7 +57,8 @@
 	arrivedAt time.Time
 	// timeout limits the time from arrivedAt to the end of the answer.
 	timeout time.Duration
-	// ctx is done when timeout has passed or the caller disconnects.
+	// ctx is done when timeout has passed, the caller disconnects or the front is
+	// closing.
 	ctx context.Context
 
 	// tries is the number of tries so far. A prefill and the generation that follows it
@@ -107,6 +108,7 @@
 	defer f.bodyBytes.Add(-int64(len(x.body)))
 	ctx, cancel := context.WithTimeout(r.Context(), x.remaining())
 	defer cancel()
+	defer context.AfterFunc(f.closing, cancel)()
 	x.ctx = ctx
 	if x.service.Engine != nil {
 		x.servePrompt()
@@ -249,7 +251,7 @@
 }
 
 // ended reports whether the request must not be retried because its caller has
-// disconnected or its timeout has passed.
+// disconnected, its timeout has passed or the front is closing.
 func (x *exchange) ended() bool {
 	return x.ctx.Err() != nil
 }
--- a/peridotfront/refuse.go
+++ b/peridotfront/refuse.go
@@ -100,7 +100,9 @@
 		verdict = peridotverdict.MayHaveRun
 	}
 	code, message := err.Code, err.Message
-	if x.ended() {
+	if x.front.closing.Err() != nil {
+		code, message = peridotverdict.ShuttingDown, "this instance stops: "+err.Message
+	} else if x.ended() {
 		code, message = peridotverdict.DeadlinePassed, "the time of the request is up: "+err.Message
 	}
 	x.refuse(peridotverdict.New(code, verdict, message, peridotverdict.RetryAfter(max(err.RetryAfter, noBackendRetryAfter)), peridotverdict.Cause(err.Cause)))
