Wait for a retry before a given-up stream is cut

Now a started answer whose run the front gave up waits, until its deadline or its caller's leaving, for an engine and the budget. Answers that a server broke off end at once, as before: their callers resume sooner by themselves. repeats_over_budget now counts a request once.

--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -13,6 +13,7 @@
 	"peridotstack/peridotplace"
 	"peridotstack/peridotsite"
 	"peridotstack/peridotverdict"
+	"peridotstack/peridotwait"
 )
 
 const (
@@ -43,6 +44,9 @@
 		if !ok && x.readmitSilent() {
 			choice, ok = x.placePrompt()
 		}
+		if !ok && x.awaitRetry() {
+			continue
+		}
 		if !ok {
 			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
 			return
@@ -53,6 +57,9 @@
 			return
 		}
 		if !x.allowTry() {
+			if x.awaitRetry() {
+				continue
+			}
 			x.giveUp(x.lastErr)
 			return
 		}
@@ -74,6 +81,17 @@
 	}
 }
 
+// awaitRetry waits for a short time until a started answer may go on at some engine. It
+// returns false if it cannot, or if no run of the answer was given up by this instance:
+// after a run that its engine broke off, the caller can resume the stream sooner itself.
+func (x *exchange) awaitRetry() bool {
+	if !x.gaveUpRun || !x.answerStarted || !x.resumable() || !x.canRun(x.runs) || x.ended() || x.remaining() < minRetryTime {
+		return false
+	}
+	peridotwait.Sleep(x.ctx, stallCheckInterval)
+	return true
+}
+
 // placePrompt chooses the engines for the prompt. It returns false if no engine accepts
 // requests.
 func (x *exchange) placePrompt() (peridotplace.Choice, bool) {
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -130,7 +130,10 @@
 	if x.retryReserved {
 		x.retryReserved = false
 	} else if !f.retryBudget.AllowRepeat(f.now(), x.service.Name) {
-		f.metrics.Count("repeats_over_budget")
+		if !x.budgetSpent {
+			f.metrics.Count("repeats_over_budget")
+		}
+		x.budgetSpent = true
 		x.logFields["budget"] = "spent"
 		return false
 	}
@@ -145,6 +148,7 @@
 	x.triedBackends = append(x.triedBackends, backend)
 	fields := log.Fields{"request": x.call.ID, "backend": backend, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}
 	if x.silentFor > 0 {
+		x.gaveUpRun = true
 		x.silentBackends = append(x.silentBackends, backend)
 		fields["silent_ms"], x.logFields["silent_ms"] = x.silentFor, x.silentFor
 	}
