Count a silence for the try that it ended only

LOST: if the next engine left the registrations before its try began, its failure was logged with the silence of the try before, and it might be tried again as a silent one.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -84,9 +84,9 @@
 	// silentBackends contains those of triedBackends that were given up because they
 	// were silent. They may be tried again if no other is left.
 	silentBackends []string
-	// gaveUpRun is set once this instance has given up a run because its server was
+	// gaveUpTry is set once this instance has given up a try because its server was
 	// silent.
-	gaveUpRun bool
+	gaveUpTry bool
 	// budgetSpent is set once a retry was not allowed for want of budget.
 	budgetSpent bool
 	// lastErr is the error of the last failed try; nil if none has failed.
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -82,10 +82,10 @@
 }
 
 // awaitRetry waits for a short time until a started answer may go on at some engine. It
-// returns false if it cannot, or if no run of the answer was given up by this instance:
+// returns false if it cannot, or if no try was given up by this instance:
 // after a run that its engine broke off, the caller can resume the stream sooner itself.
 func (x *exchange) awaitRetry() bool {
-	if !x.gaveUpRun || !x.answerStarted || !x.resumable() || !x.canRun(x.runs) || x.ended() || x.remaining() < minRetryTime {
+	if !x.gaveUpTry || !x.answerStarted || !x.resumable() || !x.canRun(x.runs) || x.ended() || x.remaining() < minRetryTime {
 		return false
 	}
 	peridotwait.Sleep(x.ctx, stallCheckInterval)
--- a/peridotfront/stall_test.go
+++ b/peridotfront/stall_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+
 	"peridotstack/peridotclock"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottable"
+	"peridotstack/peridotverdict"
 )
 
 // newStallExchange returns an exchange of a front with two servers and a retry budget.
@@ -51,3 +55,16 @@
 		t.Error("silent server: got the try not canceled within a second, want it canceled")
 	}
 }
+
+// TestSilenceCountsForOneTry guards against taking a server for silent that was not even
+// tried, because the server of the try before it was.
+func TestSilenceCountsForOneTry(t *testing.T) {
+	x := newStallExchange(t)
+	x.logFields = log.Fields{}
+	x.silentFor = time.Second // As stop sets it for the try at a.
+	x.recordFailure("a", peridotverdict.New(peridotverdict.PeerLost, peridotverdict.MayHaveRun, "silent"))
+	x.recordFailure("b", peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "not registered any more"))
+	if !x.readmitSilent() || !slices.Equal(x.triedBackends, []string{"b"}) {
+		t.Errorf("got %v excluded after the silent servers were readmitted, want only b", x.triedBackends)
+	}
+}
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -148,9 +148,10 @@
 	x.triedBackends = append(x.triedBackends, backend)
 	fields := log.Fields{"request": x.call.ID, "backend": backend, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}
 	if x.silentFor > 0 {
-		x.gaveUpRun = true
+		x.gaveUpTry = true
 		x.silentBackends = append(x.silentBackends, backend)
 		fields["silent_ms"], x.logFields["silent_ms"] = x.silentFor, x.silentFor
+		x.silentFor = 0 // The next failure may come before its try begins.
 	}
 	log.WithFields(fields).Info(logPrefix + "try failed")
 }
