--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -34,6 +36,8 @@
 	defaultMaxBodyBytes = 4 << 20
 	// bodyReadTimeout limits the time to read a request body.
 	bodyReadTimeout = 10 * time.Second
+	// maxStackBytes limits the stack in the log line of a panic.
+	maxStackBytes = 4 << 10
 )
 
 // exchange is the state of one request from a caller.
@@ -53,7 +57,8 @@
 	arrivedAt time.Time
 	// timeout limits the time from arrivedAt to the end of the answer.
 	timeout time.Duration
-	// ctx is done when timeout has passed or the caller disconnects.
+	// ctx is done when timeout has passed, the caller disconnects or the front is
+	// closing.
 	ctx context.Context
 
 	// tries is the number of tries so far. A prefill and the generation that follows it
@@ -61,7 +66,8 @@
 	tries int
 	// runs is the number of tries that may have run the request.
 	runs int
-	// triedBackends contains the backend servers that must not be tried again.
+	// triedBackends contains the backend servers that must not be tried again. It must
+	// not change during a try.
 	triedBackends []string
 	// answerStarted is set once the head of the answer has been sent to the caller.
 	answerStarted bool
@@ -70,6 +76,19 @@
 	// late is set while the request is expected to miss its objective and is queued
 	// with low urgency.
 	late bool
+	// silentFor is how long the server of the last try had sent nothing when this
+	// instance gave the try up; 0 if the try ended otherwise.
+	silentFor time.Duration
+	// retryReserved is set if the next retry has been counted against the retry budget.
+	retryReserved bool
+	// silentBackends contains those of triedBackends that were given up because they
+	// were silent. They may be tried again if no other is left.
+	silentBackends []string
+	// gaveUpTry is set once this instance has given up a try because its server was
+	// silent.
+	gaveUpTry bool
+	// budgetSpent is set once a retry was not allowed for want of budget.
+	budgetSpent bool
 	// lastErr is the error of the last failed try; nil if none has failed.
 	lastErr *peridotverdict.Error
 	// logFields contains the fields of the request's log line.
@@ -82,6 +101,7 @@
 	defer f.activeRequests.Add(-1)
 	f.lastRequestAt.Store(f.now())
 	x := &exchange{front: f, writer: w, request: r, arrivedAt: peridotclock.BootTime(), logFields: log.Fields{}}
+	defer x.logPanic()
 	x.call = f.protocol.DecodeCall(r)
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -93,6 +113,7 @@
 	defer f.bodyBytes.Add(-int64(len(x.body)))
 	ctx, cancel := context.WithTimeout(r.Context(), x.remaining())
 	defer cancel()
+	defer context.AfterFunc(f.closing, cancel)()
 	x.ctx = ctx
 	if x.service.Engine != nil {
 		x.servePrompt()
@@ -101,6 +122,23 @@
 	}
 }
 
+// logPanic logs and counts a panic of the handler. It panics again with
+// http.ErrAbortHandler, which closes the connection of the caller.
+func (x *exchange) logPanic() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if value != http.ErrAbortHandler {
+		x.front.metrics.Count("panics")
+		stack := debug.Stack()
+		x.logFields["panic"] = fmt.Sprint(value)
+		x.logFields["stack"] = string(stack[:min(len(stack), maxStackBytes)])
+		x.log(log.ErrorLevel, "handler panicked", 0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // prepareRequest finds the route, client account and service of the request, sets its
 // timeout and reads its body. It returns an error if the request must be refused.
 func (x *exchange) prepareRequest() *peridotverdict.Error {
@@ -218,7 +256,7 @@
 }
 
 // ended reports whether the request must not be retried because its caller has
-// disconnected or its timeout has passed.
+// disconnected, its timeout has passed or the front is closing.
 func (x *exchange) ended() bool {
 	return x.ctx.Err() != nil
 }
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -13,11 +13,12 @@
 	"peridotstack/peridotplace"
 	"peridotstack/peridotsite"
 	"peridotstack/peridotverdict"
+	"peridotstack/peridotwait"
 )
 
 const (
 	// A prefill that takes longer than prefillTimeoutFactor times the expected time
-	// plus prefillTimeoutSlack is canceled and the prompt is placed elsewhere.
+	// plus prefillTimeoutSlack is canceled if the prompt can be placed elsewhere.
 	prefillTimeoutSlack  = 400 * time.Millisecond
 	prefillTimeoutFactor = 3
 	// maxHandleBytes limits the size of the answer to a prefill.
@@ -40,6 +41,12 @@
 	for {
 		x.late = false // Another engine may still meet the objective.
 		choice, ok := x.placePrompt()
+		if !ok && x.readmitSilent() {
+			choice, ok = x.placePrompt()
+		}
+		if !ok && x.awaitRetry() {
+			continue
+		}
 		if !ok {
 			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
 			return
@@ -50,6 +57,9 @@
 			return
 		}
 		if !x.allowTry() {
+			if x.awaitRetry() {
+				continue
+			}
 			x.giveUp(x.lastErr)
 			return
 		}
@@ -71,6 +81,17 @@
 	}
 }
 
+// awaitRetry waits for a short time until a started answer may go on at some engine. It
+// returns false if it cannot, or if no try was given up by this instance:
+// after a run that its engine broke off, the caller can resume the stream sooner itself.
+func (x *exchange) awaitRetry() bool {
+	if !x.gaveUpTry || !x.answerStarted || !x.resumable() || !x.canRun(x.runs) || x.ended() || x.remaining() < minRetryTime {
+		return false
+	}
+	peridotwait.Sleep(x.ctx, stallCheckInterval)
+	return true
+}
+
 // placePrompt chooses the engines for the prompt. It returns false if no engine accepts
 // requests.
 func (x *exchange) placePrompt() (peridotplace.Choice, bool) {
@@ -141,8 +162,11 @@
 	f.mu.Unlock()
 	x.logFields["reader"] = c.PrefillBackend
 	x.tries++
-	ctx, cancel := context.WithTimeout(x.ctx, x.prefillTimeout(c))
-	defer cancel()
+	ctx, watch := x.watchStall("prefill", to)
+	defer watch.stop()
+	if x.canRun(x.runs) {
+		watch.start(x.prefillTimeout(c))
+	}
 	start := peridotclock.BootTime()
 	handle, err := x.callPrefill(ctx, to)
 	x.logFields["read_ms"] = peridotclock.BootTime().Sub(start)
@@ -158,7 +182,7 @@
 }
 
 // prefillTimeout returns how long the prefill of c may take before it is canceled
-// and the prompt is placed elsewhere.
+// if the prompt can be placed elsewhere.
 func (x *exchange) prefillTimeout(c peridotplace.Choice) time.Duration {
 	timeout := prefillTimeoutFactor*c.Wait + prefillTimeoutSlack
 	if x.late {
