Log the software versions of tries and what a resumed request names

A stream that went on at another software version could not be told from one that didn't: the front ignored the field version of a registration and the header Resumes. Registrations now carry SoftwareVersion and Call carries Resumes. The log has software, last_event, resumes and after_event. No decision uses them yet. go test -race ./platform ./peridotfront passes.

--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -264,6 +264,7 @@
 	}
 	f.mu.Unlock()
 	x.logFields["backend"] = c.Backend
+	x.logFields["software"] = to.SoftwareVersion
 	x.logFields["late"] = x.late
 	s := &stream{exchange: x, flight: flight, expectedWait: c.Wait}
 	err := s.run(to, requestHead)
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -45,6 +45,9 @@
 	HasTimeout bool
 	// LastEventID is the ID of the event after which to resume a stream, or empty.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream to
+	// resume, or empty.
+	Resumes string
 	// Model is the name of the requested model, or empty.
 	Model string
 	// PromptTokens is the length of the prompt; 0 means unknown.
--- a/peridotfront/refuse.go
+++ b/peridotfront/refuse.go
@@ -117,6 +117,10 @@
 	if status != 0 {
 		x.logFields["status"] = status
 	}
+	if x.call.LastEventID != "" {
+		x.logFields["resumes"] = x.call.Resumes
+		x.logFields["after_event"] = x.call.LastEventID
+	}
 	e := log.WithFields(x.logFields)
 	switch level {
 	case log.DebugLevel:
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -120,7 +120,7 @@
 		if old, ok := f.backends.byID[s.ID]; ok && old == s {
 			continue
 		}
-		log.WithFields(log.Fields{"backend": s.ID, "address": s.Address, "service": s.Service, "leaving": s.Leaving, "role": int(s.Role), "born": s.Born}).Info(logPrefix + "backend server registered")
+		log.WithFields(log.Fields{"backend": s.ID, "address": s.Address, "service": s.Service, "software": s.SoftwareVersion, "leaving": s.Leaving, "role": int(s.Role), "born": s.Born}).Info(logPrefix + "backend server registered")
 	}
 	for id := range f.backends.byID {
 		if !registered[id] {
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -138,7 +138,8 @@
 func (x *exchange) recordFailure(backend string, err *peridotverdict.Error) {
 	x.lastErr = err
 	x.triedBackends = append(x.triedBackends, backend)
-	log.WithFields(log.Fields{"request": x.call.ID, "backend": backend, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}).Info(logPrefix + "try failed")
+	to, _ := x.front.backend(backend)
+	log.WithFields(log.Fields{"request": x.call.ID, "backend": backend, "software": to.SoftwareVersion, "last_event": x.lastEventID, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}).Info(logPrefix + "try failed")
 }
 
 // failureOutcome returns the outcome of a try that failed with err.
--- a/peridotsite/backend.go
+++ b/peridotsite/backend.go
@@ -29,6 +29,9 @@
 	Domain string
 	// Slots is the maximum number of requests that run at the same time.
 	Slots int
+	// SoftwareVersion is the version of the server's own software, not of its model
+	// weights; empty means unknown. Servers of one service may run different versions.
+	SoftwareVersion string
 	// Leaving is set if the backend server must get no new requests.
 	Leaving bool
 	Role    Role
