Place prompts by software version, and pairs of one version only

Callers got streams of two software versions, since no choice knew of versions: the engine with the least cost got a resumed stream, and a pair could join the prefill of one version with the decode of another. Prompt.SoftwareVersion restricts the engines, also where a version has few of many; pairs have one version.

--- a/peridotplace/candidates.go
+++ b/peridotplace/candidates.go
@@ -19,7 +19,7 @@
 	randomCandidates = 16
 )
 
-// ring holds the engines of a service in the order of the hashes of their IDs.
+// ring holds the engines of a group in the order of the hashes of their IDs.
 // Instances that know nearly the same engines have nearly the same rings.
 type ring []point
 
@@ -38,17 +38,18 @@
 	return r
 }
 
-// candidates returns the engines to compare for a prompt. For a service of at most
-// maxCandidates engines, these are all engines. For a larger service, they are
-// consecutive engines on the ring and some engines drawn at random. The consecutive
-// ones are the same on every instance for all prompts of a session, so the session's
-// parts are cached there.
+// candidates returns the engines to compare for a prompt, all of its software version.
+// For a group of at most maxCandidates engines, these are all engines. For a larger
+// group, they are consecutive engines on the ring and some engines drawn at random. The
+// consecutive ones are the same on every instance for all prompts of a session, so the
+// session's parts are cached there.
 func (p *Placer) candidates(prompt Prompt) []*server {
-	group := p.groups[prompt.Service]
+	key := groupKey{prompt.Service, prompt.SoftwareVersion}
+	group := p.groups[key]
 	if len(group) <= maxCandidates {
 		return group
 	}
-	r := p.rings[prompt.Service]
+	r := p.rings[key]
 	list := make([]*server, 0, maxCandidates)
 	start := r.successor(affinityHash(prompt.Parts))
 	for i := range maxCandidates - randomCandidates {
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -36,10 +36,10 @@
 	domain string
 
 	servers map[string]*server
-	// groups holds the servers of each service, ordered by ID.
-	groups map[string][]*server
-	// rings holds the ring of each service with more than maxCandidates servers.
-	rings map[string]ring
+	// groups holds the servers of each group, ordered by ID.
+	groups map[groupKey][]*server
+	// rings holds the ring of each group with more than maxCandidates servers.
+	rings map[groupKey]ring
 	peers map[string]*peer
 	// prefillCalibration corrects estimated waits at prefill engines, and
 	// decodeCalibration those at all other engines.
@@ -55,6 +55,12 @@
 	pendingPlacements []Placement
 }
 
+// groupKey identifies a group of servers: those of one software version of a service,
+// or all servers of the service if softwareVersion is empty.
+type groupKey struct {
+	service, softwareVersion string
+}
+
 // peer holds the loads in the last report of another instance, and when the report was
 // received.
 type peer struct {
@@ -95,25 +101,29 @@
 		random:         rand.New(rand.NewPCG(seed, seed)),
 		domain:         domain,
 		servers:        make(map[string]*server),
-		groups:         make(map[string][]*server),
+		groups:         make(map[groupKey][]*server),
 		peers:          make(map[string]*peer),
 		meanSlotMillis: make(map[string]float64),
 	}
 }
 
 // SetBackends replaces the list of backend servers. A server that is listed again
-// keeps its state, unless its incarnation or address has changed.
+// keeps its state, unless its incarnation, address or software version has changed.
 func (p *Placer) SetBackends(now time.Duration, list []peridotsite.Backend, config *peridotsite.Config) {
 	servers := make(map[string]*server, len(list))
-	p.groups = make(map[string][]*server)
+	p.groups = make(map[groupKey][]*server)
 	for _, b := range list {
 		s := p.servers[b.ID]
-		if s == nil || s.Born != b.Born || s.Address != b.Address {
+		if s == nil || s.Born != b.Born || s.Address != b.Address || s.SoftwareVersion != b.SoftwareVersion {
 			s = newServer(now)
 		}
 		s.update(now, b, config.Service(b.Service))
 		servers[b.ID] = s
-		p.groups[b.Service] = append(p.groups[b.Service], s)
+		all, sameVersion := groupKey{service: b.Service}, groupKey{b.Service, b.SoftwareVersion}
+		p.groups[all] = append(p.groups[all], s)
+		if sameVersion != all {
+			p.groups[sameVersion] = append(p.groups[sameVersion], s)
+		}
 	}
 	for _, group := range p.groups {
 		slices.SortFunc(group, func(a, b *server) int {
@@ -124,10 +134,10 @@
 		})
 	}
 	p.servers = servers
-	p.rings = make(map[string]ring)
-	for name, group := range p.groups {
+	p.rings = make(map[groupKey]ring)
+	for key, group := range p.groups {
 		if len(group) > maxCandidates {
-			p.rings[name] = newRing(group)
+			p.rings[key] = newRing(group)
 		}
 	}
 }
--- a/peridotplace/plain.go
+++ b/peridotplace/plain.go
@@ -25,7 +25,7 @@
 	leastCost := 0.0
 	for pass := range 2 {
 		ties := 1
-		for _, s := range p.groups[service] {
+		for _, s := range p.groups[groupKey{service: service}] {
 			if s.Leaving || slices.Contains(exclude, s.ID) || pass == 0 && !s.usable(now) {
 				continue
 			}
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -38,6 +38,9 @@
 	Parts   []Part
 	// Tokens is the length of the prompt in tokens.
 	Tokens int
+	// SoftwareVersion is the only software version whose servers may be chosen; empty
+	// means any.
+	SoftwareVersion string
 	// Exclude holds the IDs of servers that must not be chosen.
 	Exclude []string
 	// Late is set for a prompt that cannot be on time; it is served after all others.
@@ -65,8 +68,9 @@
 
 // Place returns the engine or pair of engines with the least estimated cost for a
 // prompt. The cost combines the time to the first token with the work of the engines.
-// Place considers unusable engines only if the usable ones cannot serve the prompt, and
-// returns false if no engine can serve it.
+// The engines of a pair have the same software version. Place considers unusable engines
+// only if the usable ones cannot serve the prompt, and returns false if no engine can
+// serve it.
 func (p *Placer) Place(now time.Duration, prompt Prompt) (Choice, bool) {
 	group := p.candidates(prompt)
 	for pass := range 2 {
@@ -120,10 +124,13 @@
 			best, leastCost, found = p.singleChoice(d), cost, true
 		}
 	}
-	cheapestDecode := cheapestByDomain(decodeEngines)
+	cheapestDecode := cheapestDecodeEngines(decodeEngines)
 	for i := range prefillEngines {
 		pf := &prefillEngines[i]
 		for _, d := range cheapestDecode {
+			if d.SoftwareVersion != pf.SoftwareVersion {
+				continue
+			}
 			transferMillis := estimateTransferMillis(prompt.Tokens, pf.server, d.server)
 			cost := pf.waitMillis + pf.prefillMillis*(1+prefillWorkWeight) + transferMillis + transferCostMillis + d.slotWaitMillis + d.decodeCost + pf.domainCost + d.domainCost + sendCost
 			if cost < leastCost {
@@ -134,14 +141,16 @@
 	return best, found
 }
 
-// cheapestByDomain returns the engine with the least cost of decoding in each failure
-// domain. The time of a KV cache transfer depends only on the two domains, so no other
-// engine of the domain can cost less.
-func cheapestByDomain(engines []candidate) []*candidate {
+// cheapestDecodeEngines returns the engine with the least cost of decoding of each
+// software version in each failure domain. The time of a KV cache transfer depends only
+// on the two domains, so no other engine can cost less in a pair.
+func cheapestDecodeEngines(engines []candidate) []*candidate {
 	var list []*candidate
 	for i := range engines {
 		d := &engines[i]
-		at := slices.IndexFunc(list, func(other *candidate) bool { return other.Domain == d.Domain })
+		at := slices.IndexFunc(list, func(other *candidate) bool {
+			return other.Domain == d.Domain && other.SoftwareVersion == d.SoftwareVersion
+		})
 		switch {
 		case at < 0:
 			list = append(list, d)
