Keep an answer at the software version of its first event

The exchange now keeps the version of the server whose first event it sends, chooses only such servers afterwards, and checks the server again when it sends, also against the version of a finished prefill.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -67,6 +67,11 @@
 	answerStarted bool
 	// lastEventID is the ID of the last stream event sent to the caller; 0 if none.
 	lastEventID int64
+	// software is the software version whose servers may generate the answer. It is
+	// valid only if softwareFixed is set.
+	software string
+	// softwareFixed is set once the answer has events of one software version.
+	softwareFixed bool
 	// late is set while the request is expected to miss its objective and is queued
 	// with low urgency.
 	late bool
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -39,7 +39,7 @@
 func (x *exchange) servePrompt() {
 	for {
 		x.late = false // Another engine may still meet the objective.
-		choice, ok := x.placePrompt()
+		choice, ok := x.placePrompt(x.software)
 		if !ok {
 			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
 			return
@@ -71,13 +71,13 @@
 	}
 }
 
-// placePrompt chooses the engines for the prompt. It returns false if no engine accepts
-// requests.
-func (x *exchange) placePrompt() (peridotplace.Choice, bool) {
+// placePrompt chooses the engines for the prompt, of the given software version unless
+// it is empty. It returns false if no engine accepts requests.
+func (x *exchange) placePrompt(software string) (peridotplace.Choice, bool) {
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.placer.Place(f.now(), peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), Exclude: x.triedBackends, Late: x.late, SendTime: x.sendTime()})
+	return f.placer.Place(f.now(), peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Exclude: x.triedBackends, Late: x.late, SendTime: x.sendTime()})
 }
 
 // sendTime returns the time that the network link of this instance takes to send
@@ -111,7 +111,7 @@
 	lateBy := peridotclock.BootTime().Sub(x.arrivedAt) + c.Wait + onTimeMargin - x.route.Objective
 	x.late = x.route.Objective > 0 && lateBy > 0 && !x.answerStarted
 	if x.late {
-		if lateChoice, ok := x.placePrompt(); ok {
+		if lateChoice, ok := x.placePrompt(x.software); ok {
 			c = lateChoice
 		}
 	}
@@ -239,7 +239,11 @@
 	f := x.front
 	if !f.acceptsRequests(c.Backend) {
 		// The engine left while another one was running the prefill.
-		if other, found := x.placePrompt(); found {
+		software := x.software
+		if source != nil {
+			software = source.backend.SoftwareVersion
+		}
+		if other, found := x.placePrompt(software); found {
 			c.Backend = other.Backend
 		}
 	}
@@ -248,6 +252,10 @@
 		x.freeKV(source)
 		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine is not registered any more")
 	}
+	if !x.softwareFits(to, source) {
+		x.freeKV(source)
+		return softwareChangedError(to)
+	}
 	requestHead := RequestHead{Urgency: x.urgency()}
 	f.mu.Lock()
 	var flight *peridotplace.Flight
@@ -266,7 +274,7 @@
 	x.logFields["backend"] = c.Backend
 	x.logFields["software"] = to.SoftwareVersion
 	x.logFields["late"] = x.late
-	s := &stream{exchange: x, flight: flight, expectedWait: c.Wait}
+	s := &stream{exchange: x, flight: flight, expectedWait: c.Wait, software: to.SoftwareVersion}
 	err := s.run(to, requestHead)
 	if err == nil && s.failureForwarded {
 		f.endFlight(flight, peridotplace.Failed)
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -27,6 +27,8 @@
 type stream struct {
 	exchange *exchange
 	flight   *peridotplace.Flight
+	// software is the software version of the engine.
+	software string
 	// hasEvents is set once the first event of the run has arrived.
 	hasEvents bool
 	// failureForwarded is set once an error answer of the engine has been sent to the
@@ -134,6 +136,7 @@
 			return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream broke off", peridotverdict.Cause(err))
 		}
 		s.recordProgress()
+		x.fixSoftware(s.software)
 		if err := x.forwardEvent(answer, event); err != nil {
 			answer.Abandon()
 			return err
