Resume a caller's stream at the software version that began it

The front now looks up, by the request named in Resumes, the version that began the stream; if it is unknown and more than one version has served within five minutes, here or at another front, or the table service doesn't answer, it refuses at once.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
 
 	"peridotstack/peridotclock"
@@ -75,6 +76,8 @@
 	tally       *peridotusage.Tally
 	backends    backends
 	peers       *peers
+	// origins contains the software version at which each stream began.
+	origins *lru.Cache[string, string]
 	// lostFeeds is true for each feed whose last call failed.
 	lostFeeds map[string]bool
 	// feedAnsweredAt contains the value of now when each feed last answered.
@@ -116,6 +119,7 @@
 		feedSteadySince: make(map[string]time.Duration),
 	}
 	f.backends.byID = make(map[string]peridotsite.Backend)
+	f.origins = newOrigins()
 	f.peers = newPeers(f)
 	for _, option := range options {
 		option(f)
--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -34,6 +34,8 @@
 	// StoreAnsweringMillis is how long the table service has answered the sender
 	// without interruption; 0 if it does not answer.
 	StoreAnsweringMillis uint32 `cbor:"7,keyasint,omitempty"`
+	// Software contains software versions that the sender has seen registered.
+	Software []softwareAge `cbor:"16,keyasint,omitempty"`
 }
 
 // load is the encoded form of a peridotplace.Load.
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -70,7 +70,8 @@
 	// software is the software version whose servers may generate the answer. It is
 	// valid only if softwareFixed is set.
 	software string
-	// softwareFixed is set once the answer has events of one software version.
+	// softwareFixed is set once the stream has events of one software version, in this
+	// answer or in the one that it goes on with.
 	softwareFixed bool
 	// late is set while the request is expected to miss its objective and is queued
 	// with low urgency.
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -139,8 +139,9 @@
 }
 
 // messages returns the messages of one round. The first contains the load of this
-// front. An announcement adds the addresses of the fronts that are alive, and
-// further messages with the usage that this front counted.
+// front. An announcement adds the software versions that this front has seen, the
+// addresses of the fronts that are alive, and further messages with the usage that this
+// front counted.
 func (p *peers) messages(announce bool) []*message {
 	f := p.front
 	first := p.newMessage()
@@ -150,6 +151,7 @@
 	var windows map[peridotusage.Window]map[string]int64
 	if announce {
 		windows = f.tally.OwnCounts(f.tally.WindowAt(f.trueTime()), announcedUsageWindows)
+		first.Software = f.backends.software.ages(f.now())
 	}
 	f.mu.Unlock()
 	messages := []*message{first}
@@ -271,6 +273,7 @@
 		f.tally.Merge(from, peridotusage.Window(m.Usage.Window), m.Usage.Counts)
 		return
 	}
+	f.backends.observeSoftware(f.now(), m.Software)
 	f.placer.Observe(f.now(), m.From, m.report(f.backends.idByHash))
 }
 
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -37,6 +37,10 @@
 
 // servePrompt serves a request to a model engine.
 func (x *exchange) servePrompt() {
+	if err := x.findSoftware(); err != nil {
+		x.giveUp(err)
+		return
+	}
 	for {
 		x.late = false // Another engine may still meet the objective.
 		choice, ok := x.placePrompt(x.software)
--- a/peridotfront/snapshot.go
+++ b/peridotfront/snapshot.go
@@ -34,6 +34,8 @@
 type stateSnapshot struct {
 	Config   *peridotsite.Config
 	Backends []peridotsite.Backend
+	// Software contains the software versions that the front has seen registered.
+	Software []softwareAge
 }
 
 // serveSnapshots serves the state of this front to the other fronts until ctx is
@@ -58,7 +60,7 @@
 // no configuration yet.
 func (f *Front) writeSnapshot(w http.ResponseWriter, _ *http.Request) {
 	f.mu.Lock()
-	snapshot := stateSnapshot{Config: f.config.Load()}
+	snapshot := stateSnapshot{Config: f.config.Load(), Software: f.backends.software.ages(f.now())}
 	for _, s := range f.backends.byID {
 		snapshot.Backends = append(snapshot.Backends, s)
 	}
@@ -121,11 +123,13 @@
 	return true
 }
 
-// applySnapshot uses the backend servers in the snapshot unless the table service has
+// applySnapshot records the software versions in the snapshot. It uses the backend
+// servers in it unless the table service has
 // already answered with the registered ones, and the configuration in the snapshot if
 // it is newer than the current one.
 func (f *Front) applySnapshot(snapshot *stateSnapshot) {
 	f.mu.Lock()
+	f.backends.observeSoftware(f.now(), snapshot.Software)
 	_, answered := f.feedAnsweredAt[FeedBackends]
 	f.mu.Unlock()
 	if !answered {
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -1,15 +1,154 @@
 package peridotfront
 
 import (
+	"cmp"
+	"slices"
+	"time"
+
 	"peridotstack/peridotsite"
 	"peridotstack/peridotverdict"
 )
 
+const (
+	// softwareMemory is how long a software version counts as serving after its last
+	// server has left. It exceeds the time for which callers resume streams.
+	softwareMemory = 5 * time.Minute
+	// maxSoftwareAges limits the number of software versions that are sent to other
+	// fronts. One takes about 20 bytes in a datagram.
+	maxSoftwareAges = 32
+	// softwareRetryAfter is the Retry-After if the software version of a resumed stream
+	// is unknown. By then other fronts have sent several datagrams.
+	softwareRetryAfter = 300 * time.Millisecond
+)
+
+// serviceSoftware is a software version of a service.
+type serviceSoftware struct {
+	service, version string
+}
+
+// softwareRecord contains, for each software version, the value of Front.now when a
+// server of it was last registered.
+type softwareRecord map[serviceSoftware]time.Duration
+
+// softwareAge says how long ago a server of a software version was last registered.
+type softwareAge struct {
+	_                struct{} `cbor:",toarray"`
+	Service, Version string
+	Millis           uint32
+}
+
+// ages returns the latest entries of the record, at most maxSoftwareAges.
+func (r softwareRecord) ages(now time.Duration) []softwareAge {
+	var list []softwareAge
+	for s, at := range r {
+		list = append(list, softwareAge{Service: s.service, Version: s.version, Millis: uint32((now - at).Milliseconds())})
+	}
+	slices.SortFunc(list, func(a, b softwareAge) int { return cmp.Compare(a.Millis, b.Millis) })
+	return list[:min(len(list), maxSoftwareAges)]
+}
+
+// removeExpired removes the entries older than softwareMemory.
+func (r softwareRecord) removeExpired(now time.Duration) {
+	for s, at := range r {
+		if now-at > softwareMemory {
+			delete(r, s)
+		}
+	}
+}
+
+// recordSoftware records the software versions of the known backend servers.
+func (b *backends) recordSoftware(now time.Duration) {
+	if b.software == nil {
+		b.software, b.peerSoftware = make(softwareRecord), make(softwareRecord)
+	}
+	for _, s := range b.byID {
+		b.software[serviceSoftware{s.Service, s.SoftwareVersion}] = now
+	}
+	b.software.removeExpired(now)
+	b.peerSoftware.removeExpired(now)
+}
+
+// observeSoftware records the software versions that another front has seen. They are
+// not passed on: the ages would grow by less than the time that passes.
+func (b *backends) observeSoftware(now time.Duration, list []softwareAge) {
+	b.recordSoftware(now)
+	for _, a := range list {
+		s, at := serviceSoftware{a.Service, a.Version}, now-time.Duration(a.Millis)*time.Millisecond
+		if last, ok := b.peerSoftware[s]; !ok || at > last {
+			b.peerSoftware[s] = at
+		}
+	}
+	b.peerSoftware.removeExpired(now)
+}
+
+// onlySoftware returns the software version of a service if just one has served within
+// softwareMemory.
+func (b *backends) onlySoftware(now time.Duration, service string) (version string, ok bool) {
+	b.recordSoftware(now)
+	for _, record := range []softwareRecord{b.software, b.peerSoftware} {
+		for s := range record {
+			if s.service != service {
+				continue
+			}
+			if ok && s.version != version {
+				return "", false
+			}
+			version, ok = s.version, true
+		}
+	}
+	return version, ok
+}
+
+// onlySoftware returns the software version of a service if just one is known to have
+// served lately. It returns false while the table service does not answer, since a
+// server of another version may have registered.
+func (f *Front) onlySoftware(service string) (version string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lostFeeds[FeedBackends] {
+		return "", false
+	}
+	return f.backends.onlySoftware(f.now(), service)
+}
+
+// resumesStream reports whether the caller goes on with a stream that an earlier
+// request began.
+func (x *exchange) resumesStream() bool {
+	return x.call.LastEventID != "" && x.route.Idempotent()
+}
+
+// findSoftware sets the software version at which a resumed stream must go on. If it is
+// unknown, findSoftware returns an error: what two versions write must not be joined.
+func (x *exchange) findSoftware() *peridotverdict.Error {
+	if !x.resumesStream() {
+		return nil
+	}
+	f := x.front
+	if x.call.Resumes != "" {
+		x.software, x.softwareFixed = f.findOrigin(x.ctx, x.call.Resumes)
+	}
+	if !x.softwareFixed {
+		x.software, x.softwareFixed = f.onlySoftware(x.service.Name)
+	}
+	if x.softwareFixed {
+		return nil
+	}
+	return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the software version of the stream is unknown", peridotverdict.RetryAfter(softwareRetryAfter))
+}
+
 // fixSoftware is called before an event of a server of the given software version is
 // sent to the caller. All further events must have that version.
 func (x *exchange) fixSoftware(software string) {
-	if !x.answerStarted && x.route.Idempotent() {
-		x.software, x.softwareFixed = software, true
+	if x.answerStarted || !x.route.Idempotent() {
+		return
+	}
+	x.software, x.softwareFixed = software, true
+	origin := x.call.ID
+	if x.resumesStream() {
+		origin = x.call.Resumes // The caller names it again when it resumes this answer.
+	}
+	if origin != "" {
+		x.front.recordOrigin(origin, software)
 	}
 }
 
--- /dev/null
+++ b/peridotfront/software_test.go
@@ -0,0 +1,134 @@
+package peridotfront
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"peridotstack/peridotsite"
+	"peridotstack/peridottable"
+)
+
+// withVersions returns registered servers of service llm, one of each software version.
+func withVersions(versions ...string) []peridotsite.Backend {
+	var list []peridotsite.Backend
+	for _, version := range versions {
+		list = append(list, peridotsite.Backend{ID: "i-" + version, Service: "llm", Address: "10.0.0.1:80", SoftwareVersion: version})
+	}
+	return list
+}
+
+// TestOnlySoftware guards against streams of unknown origin that go on at the only
+// registered software version although another one has served lately.
+func TestOnlySoftware(t *testing.T) {
+	const now = time.Hour
+	tests := []struct {
+		name string
+		// prepare changes the record before now.
+		prepare func(b *backends)
+		want    string
+		isNone  bool
+	}{
+		{name: "no server", prepare: func(*backends) {}, isNone: true},
+		{name: "one version", prepare: func(b *backends) { b.setRegistered(now, withVersions("v1")) }, want: "v1"},
+		{name: "one version without a name", prepare: func(b *backends) { b.setRegistered(now, withVersions("")) }},
+		{name: "two versions", prepare: func(b *backends) { b.setRegistered(now, withVersions("v1", "v2")) }, isNone: true},
+		{name: "second version has left lately", prepare: func(b *backends) {
+			b.setRegistered(now-time.Hour, withVersions("v1", "v2"))
+			b.setRegistered(now-softwareMemory, withVersions("v1"))
+		}, isNone: true},
+		{name: "second version has left long ago", prepare: func(b *backends) {
+			b.setRegistered(now-time.Hour, withVersions("v1", "v2"))
+			b.setRegistered(now-softwareMemory-time.Second, withVersions("v1"))
+		}, want: "v1"},
+		{name: "last server has left lately", prepare: func(b *backends) {
+			b.setRegistered(now-time.Hour, withVersions("v1"))
+			b.setRegistered(now-time.Minute, nil)
+		}, want: "v1"},
+		{name: "version of another service", prepare: func(b *backends) {
+			b.setRegistered(now, append(withVersions("v1"), peridotsite.Backend{ID: "o", Service: "other", SoftwareVersion: "v2"}))
+		}, want: "v1"},
+		{name: "another front saw a second version", prepare: func(b *backends) {
+			b.setRegistered(now, withVersions("v1"))
+			b.observeSoftware(now-time.Second, []softwareAge{{Service: "llm", Version: "v2", Millis: uint32((softwareMemory - time.Second).Milliseconds())}})
+		}, isNone: true},
+		{name: "another front saw a second version long ago", prepare: func(b *backends) {
+			b.setRegistered(now, withVersions("v1"))
+			b.observeSoftware(now-time.Second, []softwareAge{{Service: "llm", Version: "v2", Millis: uint32(softwareMemory.Milliseconds())}})
+		}, want: "v1"},
+		{name: "another front saw the same version", prepare: func(b *backends) {
+			b.setRegistered(now, withVersions("v1"))
+			b.observeSoftware(now, []softwareAge{{Service: "llm", Version: "v1"}})
+		}, want: "v1"},
+	}
+	for _, test := range tests {
+		b := &backends{byID: make(map[string]peridotsite.Backend)}
+		test.prepare(b)
+		if got, ok := b.onlySoftware(now, "llm"); got != test.want || ok == test.isNone {
+			t.Errorf("%s: got %q, %v; want %q, %v", test.name, got, ok, test.want, !test.isNone)
+		}
+	}
+}
+
+// TestOnlySoftwareNeedsTableService guards against a front that has lost the table
+// service and takes the version that it knows for the only one.
+func TestOnlySoftwareNeedsTableService(t *testing.T) {
+	f := newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-0")
+	f.FeedAnswered(FeedBackends)
+	f.SetBackends(withVersions("v1"))
+	if got, ok := f.onlySoftware("llm"); got != "v1" || !ok {
+		t.Errorf("table service answers: got %q, %v; want v1", got, ok)
+	}
+	f.FeedFailed(FeedBackends, errors.New("away"))
+	if got, ok := f.onlySoftware("llm"); ok {
+		t.Errorf("table service does not answer: got %q, want none", got)
+	}
+	f.FeedAnswered(FeedBackends)
+	if got, ok := f.onlySoftware("llm"); got != "v1" || !ok {
+		t.Errorf("table service answers again: got %q, %v; want v1", got, ok)
+	}
+}
+
+// TestSoftwareReachesOtherFronts guards against a front that has just started and knows
+// only the software versions that are registered now. It checks that a version that has
+// left is announced and part of a snapshot, and not passed on by hearsay.
+func TestSoftwareReachesOtherFronts(t *testing.T) {
+	platform := &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}
+	config := (&peridotsite.Config{Version: 1}).BuildIndex()
+	var fronts []*Front
+	for i := range 4 {
+		f := newFront(t, platform, fmt.Sprint("front-", i))
+		f.SetConfig(config)
+		fronts = append(fronts, f)
+	}
+	old, byDatagram, bySnapshot, byHearsay := fronts[0], fronts[1], fronts[2], fronts[3]
+	old.SetBackends(withVersions("v1", "v2"))
+	for _, f := range fronts {
+		f.SetBackends(withVersions("v1"))
+	}
+	send := func(from, to *Front) {
+		for _, m := range from.peers.messages(true) {
+			data, err := m.encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := decodeMessage(data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			to.peers.handleMessage(got)
+		}
+	}
+	send(old, byDatagram)
+	bySnapshot.applySnapshot(&stateSnapshot{Config: config, Backends: withVersions("v1"), Software: old.backends.software.ages(old.now())})
+	send(byDatagram, byHearsay)
+	for _, f := range []*Front{old, byDatagram, bySnapshot} {
+		if got, ok := f.onlySoftware("llm"); ok {
+			t.Errorf("%s: got only version %q, want two known", f.settings.Instance, got)
+		}
+	}
+	if got, ok := byHearsay.onlySoftware("llm"); got != "v1" || !ok {
+		t.Errorf("%s: got %q, %v; want v1, since the first front has not told it", byHearsay.settings.Instance, got, ok)
+	}
+}
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -36,6 +36,9 @@
 	afterOutage bool
 	// outageEnd is when the last outage ended.
 	outageEnd time.Duration
+	// software contains the software versions that this instance has seen registered,
+	// and peerSoftware those that other instances have.
+	software, peerSoftware softwareRecord
 }
 
 // recordOutageEnd records that an outage of the table service ended at now.
@@ -47,6 +50,7 @@
 // backend server that is missing from the first list after an outage, to give it time
 // to register again. A backend server that is removed from a later list has left.
 func (b *backends) setRegistered(now time.Duration, list []peridotsite.Backend) {
+	b.recordSoftware(now)
 	byID := make(map[string]peridotsite.Backend, len(list))
 	for _, s := range list {
 		byID[s.ID] = s
@@ -62,11 +66,13 @@
 		}
 	}
 	b.byID, b.missingUntil, b.afterOutage = byID, missingUntil, false
+	b.recordSoftware(now)
 }
 
 // removeExpired removes backend servers that did not register again in time. It
 // reports whether it removed any.
 func (b *backends) removeExpired(now time.Duration) bool {
+	b.recordSoftware(now)
 	expired := false
 	for id, until := range b.missingUntil {
 		if now >= until {
