Admit a resumed stream unless its wait exceeds the deadline

Callers that took a stream up were refused as too late at half of their remaining time, like new streams, but with only the servers of one software version to choose from: beside an idle server of another version, new streams began and resumed ones were refused.

--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -109,7 +109,8 @@
 // others still meet their objective under overload. If a late request that has not
 // been tried yet is then expected to exceed its deadline, admit refuses it immediately.
 // The Retry-After of the refusal is the time by which the request would miss the
-// objective.
+// objective. A resumed stream has fewer engines to choose from and is refused only if
+// the wait alone exceeds its deadline.
 func (x *exchange) admit(c peridotplace.Choice) (peridotplace.Choice, *peridotverdict.Error) {
 	x.logFields["uncached"] = c.UncachedTokens
 	lateBy := peridotclock.BootTime().Sub(x.arrivedAt) + c.Wait + onTimeMargin - x.route.Objective
@@ -120,7 +121,11 @@
 		}
 	}
 	x.logFields["wait_ms"] = c.Wait
-	if x.late && x.tries == 0 && c.Wait > time.Duration(maxLateWaitShare*float64(x.remaining())) {
+	maxWait := time.Duration(maxLateWaitShare * float64(x.remaining()))
+	if x.resumesStream() {
+		maxWait = x.remaining()
+	}
+	if x.late && x.tries == 0 && c.Wait > maxWait {
 		return c, peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "the answer would come after the deadline", peridotverdict.RetryAfter(lateBy))
 	}
 	return c, nil
