Count and log how resumed streams go on

The counter resumptions{result} and the log field resumption tell a known origin, the only version, an unknown one and no server. TestResumptionsAreCounted passes 5 of 5 runs with -race; it reads the counter's lines.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -73,6 +73,8 @@
 	// softwareFixed is set once the stream has events of one software version, in this
 	// answer or in the one that it goes on with.
 	softwareFixed bool
+	// resumption says how the software version of a resumed stream was found.
+	resumption resumption
 	// late is set while the request is expected to miss its objective and is queued
 	// with low urgency.
 	late bool
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -45,6 +45,7 @@
 		x.late = false // Another engine may still meet the objective.
 		choice, ok := x.placePrompt(x.software)
 		if !ok {
+			x.countNoServer()
 			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
 			return
 		}
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -111,6 +111,22 @@
 	return f.backends.onlySoftware(f.now(), service)
 }
 
+// resumption is the result of a request that resumes a stream, in metrics and logs.
+type resumption string
+
+const (
+	// resumedKnown streams go on at the software version that began them.
+	resumedKnown resumption = "known"
+	// resumedSingle streams have an unknown origin and go on at the only software
+	// version of their service.
+	resumedSingle resumption = "single"
+	// resumptionUnknown streams have an unknown origin and are refused.
+	resumptionUnknown resumption = "refused_unknown"
+	// resumptionNoServer streams are refused because no server of their software
+	// version takes requests.
+	resumptionNoServer resumption = "refused_no_server"
+)
+
 // resumesStream reports whether the caller goes on with a stream that an earlier
 // request began.
 func (x *exchange) resumesStream() bool {
@@ -124,15 +140,19 @@
 		return nil
 	}
 	f := x.front
+	x.resumption = resumedKnown
 	if x.call.Resumes != "" {
 		x.software, x.softwareFixed = f.findOrigin(x.ctx, x.call.Resumes)
 	}
 	if !x.softwareFixed {
+		x.resumption = resumedSingle
 		x.software, x.softwareFixed = f.onlySoftware(x.service.Name)
 	}
+	x.logFields["resumption"] = string(x.resumption)
 	if x.softwareFixed {
 		return nil
 	}
+	x.countResumption(resumptionUnknown)
 	return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the software version of the stream is unknown", peridotverdict.RetryAfter(softwareRetryAfter))
 }
 
@@ -146,6 +166,7 @@
 	origin := x.call.ID
 	if x.resumesStream() {
 		origin = x.call.Resumes // The caller names it again when it resumes this answer.
+		x.countResumption(x.resumption)
 	}
 	if origin != "" {
 		x.front.recordOrigin(origin, software)
@@ -166,3 +187,16 @@
 func softwareChangedError(to peridotsite.Backend) *peridotverdict.Error {
 	return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine has another software version now: "+to.SoftwareVersion)
 }
+
+// countNoServer counts a resumed stream if no server has taken it.
+func (x *exchange) countNoServer() {
+	if x.resumesStream() && x.runs == 0 {
+		x.countResumption(resumptionNoServer)
+	}
+}
+
+// countResumption counts and logs the result of a request that resumes a stream.
+func (x *exchange) countResumption(result resumption) {
+	x.logFields["resumption"] = string(result)
+	x.front.metrics.CountResumption(string(result))
+}
--- a/peridotfront/software_test.go
+++ b/peridotfront/software_test.go
@@ -3,9 +3,17 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+
+	"peridotstack/peridotawait"
+	"peridotstack/peridotmetric"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottable"
 )
@@ -132,3 +140,53 @@
 		t.Errorf("%s: got %q, %v; want v1, since the first front has not told it", byHearsay.settings.Instance, got, ok)
 	}
 }
+
+// testMetrics returns the metrics of all tests of the process, which can register the
+// names of metrics only once.
+var testMetrics = sync.OnceValue(func() *peridotmetric.Metrics {
+	m, _ := peridotmetric.New("front")
+	return m
+})
+
+// TestResumptionsAreCounted guards against refused or guessed resumptions that no
+// counter shows.
+func TestResumptionsAreCounted(t *testing.T) {
+	tests := []struct {
+		resumes  string
+		versions []string
+		// noServer is set if no server of the version takes the request.
+		noServer bool
+		want     resumption
+	}{
+		{resumes: "begun", versions: []string{"v1", "v2"}, want: resumedKnown},
+		{resumes: "unknown", versions: []string{"v1"}, want: resumedSingle},
+		{resumes: "unknown", versions: []string{"v1", "v2"}, want: resumptionUnknown},
+		{resumes: "begun", versions: []string{"v2"}, noServer: true, want: resumptionNoServer},
+	}
+	for _, test := range tests {
+		f := newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-0")
+		f.metrics = testMetrics()
+		f.SetBackends(withVersions(test.versions...))
+		f.recordOrigin("begun", "v1")
+		x := &exchange{
+			front: f, ctx: t.Context(), call: Call{LastEventID: "2", Resumes: test.resumes}, logFields: log.Fields{},
+			route: &peridotsite.Route{Kind: peridotsite.Stream, Resumable: true}, service: &peridotsite.Service{Name: "llm"},
+		}
+		err := x.findSoftware()
+		switch {
+		case test.noServer:
+			x.countNoServer()
+		case err == nil:
+			x.fixSoftware(x.software)
+		}
+		if got := x.logFields["resumption"]; got != string(test.want) || (err != nil) != (test.want == resumptionUnknown) {
+			t.Errorf("%s at %v: got resumption %q, error %v; want %q", test.resumes, test.versions, got, err, test.want)
+		}
+		line := fmt.Sprintf("peridot_front_resumptions{result=%q}", string(test.want))
+		peridotawait.Until(t, line, func() bool {
+			recorder := httptest.NewRecorder()
+			f.metrics.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+			return strings.Contains(recorder.Body.String(), line)
+		})
+	}
+}
--- a/peridotmetric/metric.go
+++ b/peridotmetric/metric.go
@@ -80,6 +80,11 @@
 	m.countTagged("retries", "code", string(code))
 }
 
+// CountResumption increments the counter of streams that callers resume, by result.
+func (m *Metrics) CountResumption(result string) {
+	m.countTagged("resumptions", "result", result)
+}
+
 // latencyBuckets are the upper bounds of the buckets of all histograms.
 var latencyBuckets = tally.DurationBuckets{
 	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
