Have a starting front hear from the others before it guesses a version

Callers that took a stream up at a front which had just started could get another version (ORDER): the front knew only what is registered now, not the versions whose last servers had left. It now takes a version for the only one after all other fronts have announced theirs, after 2 s some of them, or after five minutes without any. TestSoftwareReachesOtherFronts asks the last front's record itself now: its answer as a whole is no longer that record alone.

--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -75,6 +75,9 @@
 	// the table service answers the front.
 	storeSteadySince time.Duration
 	storeAnswering   bool
+	// announcedSoftware is set once the front has announced the software versions that
+	// it has seen.
+	announcedSoftware bool
 }
 
 func newPeers(f *Front) *peers {
@@ -215,6 +218,19 @@
 	return false
 }
 
+// softwareAnnouncers returns the number of the other fronts that are known, and how many
+// of them have announced the software versions that they have seen.
+func (p *peers) softwareAnnouncers() (announced, known int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, state := range p.byAddress {
+		if state.announcedSoftware {
+			announced++
+		}
+	}
+	return announced, len(p.byAddress)
+}
+
 // aliveInstances returns the names of the other fronts that are alive.
 func (p *peers) aliveInstances() []string {
 	var names []string
@@ -289,6 +305,7 @@
 	isNew := state.heardAt == 0
 	state.heardAt, state.instance = now, m.From
 	if m.Usage == nil {
+		state.announcedSoftware = state.announcedSoftware || len(m.Software) > 0
 		state.storeAnswering = m.StoreAnsweringMillis > 0
 		state.storeSteadySince = now - time.Duration(m.StoreAnsweringMillis)*time.Millisecond
 	}
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -13,6 +13,10 @@
 	// softwareMemory is how long a software version counts as serving after its last
 	// server has left. It exceeds the time for which callers resume streams.
 	softwareMemory = 5 * time.Minute
+	// softwareGatherTime is how long a front that has just started waits for the
+	// announcements of all other fronts before those of some must do. An announcement
+	// comes about every 200 ms.
+	softwareGatherTime = 2 * time.Second
 	// maxSoftwareAges limits the number of software versions that are sent to other
 	// fronts. One takes about 20 bytes in a datagram.
 	maxSoftwareAges = 32
@@ -101,16 +105,24 @@
 
 // onlySoftware returns the software version of a service if just one is known to have
 // served lately. It returns false while the table service does not answer, since a
-// server of another version may have registered.
+// server of another version may have registered, and until this front has learned which
+// versions had left before it started.
 func (f *Front) onlySoftware(service string) (version string, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lostFeeds[FeedBackends] {
+	if f.lostFeeds[FeedBackends] || !f.knowsPastSoftware() {
 		return "", false
 	}
 	return f.backends.onlySoftware(f.now(), service)
 }
 
+// knowsPastSoftware reports whether this front has run for softwareMemory or has heard
+// from the other fronts which software versions have served.
+func (f *Front) knowsPastSoftware() bool {
+	announced, known := f.peers.softwareAnnouncers()
+	return announced == known || announced > 0 && f.now() > softwareGatherTime || f.now() > softwareMemory
+}
+
 // resumption is the result of a request that resumes a stream, in metrics and logs.
 type resumption string
 
--- a/peridotfront/software_test.go
+++ b/peridotfront/software_test.go
@@ -136,8 +136,52 @@
 			t.Errorf("%s: got only version %q, want two known", f.settings.Instance, got)
 		}
 	}
-	if got, ok := byHearsay.onlySoftware("llm"); got != "v1" || !ok {
-		t.Errorf("%s: got %q, %v; want v1, since the first front has not told it", byHearsay.settings.Instance, got, ok)
+	if got, ok := byHearsay.backends.onlySoftware(byHearsay.now(), "llm"); got != "v1" || !ok {
+		t.Errorf("%s: got %q, %v; want v1 in its record, since the first front has not told it", byHearsay.settings.Instance, got, ok)
+	}
+}
+
+// TestStartingFrontGathersSoftware guards against a front that has just started, has not
+// heard of the software versions that left before, and takes the registered one for the
+// only one.
+func TestStartingFrontGathersSoftware(t *testing.T) {
+	announcement := func(i int) *message {
+		return &message{From: fmt.Sprint("other-", i), Address: fmt.Sprint("10.0.0.", i, ":7660"), Software: []softwareAge{{Service: "llm", Version: "v1"}}}
+	}
+	tests := []struct {
+		name string
+		// known is the number of other fronts, of which announcing have sent an
+		// announcement and silent a datagram without one.
+		known, announcing, silent int
+		// uptime is the time since the start of the front.
+		uptime time.Duration
+		want   bool
+	}{
+		{name: "no other front", want: true},
+		{name: "no other front heard", known: 2},
+		{name: "only loads heard", known: 2, silent: 2},
+		{name: "some announcements", known: 2, announcing: 1},
+		{name: "all announcements", known: 2, announcing: 2, want: true},
+		{name: "some announcements, another front is away", known: 2, announcing: 1, uptime: softwareGatherTime + time.Second, want: true},
+		{name: "out of touch", known: 2, uptime: time.Minute},
+		{name: "out of touch for long", known: 2, uptime: softwareMemory + time.Second, want: true},
+	}
+	for _, test := range tests {
+		f := newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-0")
+		f.startedAt = f.startedAt.Add(-test.uptime)
+		f.SetBackends(withVersions("v1"))
+		for i := range test.known {
+			f.peers.addAddress(mustParseAddrPort(t, fmt.Sprint("10.0.0.", i, ":7660")))
+		}
+		for i := range test.announcing {
+			f.peers.handleMessage(announcement(i))
+		}
+		for i := range test.silent {
+			f.peers.handleMessage(&message{From: fmt.Sprint("other-", i), Address: fmt.Sprint("10.0.0.", i, ":7660")})
+		}
+		if got, ok := f.onlySoftware("llm"); ok != test.want {
+			t.Errorf("%s: got %q, %v; want %v", test.name, got, ok, test.want)
+		}
 	}
 }
 
