--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -73,6 +73,14 @@
 	answerStarted bool
 	// lastEventID is the ID of the last stream event sent to the caller; 0 if none.
 	lastEventID int64
+	// software is the software version whose servers may generate the answer. It is
+	// valid only if softwareFixed is set.
+	software string
+	// softwareFixed is set once the stream has events of one software version, in this
+	// answer or in the one that it goes on with.
+	softwareFixed bool
+	// resumption says how the software version of a resumed stream was found.
+	resumption resumption
 	// late is set while the request is expected to miss its objective and is queued
 	// with low urgency.
 	late bool
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -75,6 +75,9 @@
 	// the table service answers the front.
 	storeSteadySince time.Duration
 	storeAnswering   bool
+	// announcedSoftware is set once the front has announced the software versions that
+	// it has seen.
+	announcedSoftware bool
 }
 
 func newPeers(f *Front) *peers {
@@ -139,8 +142,9 @@
 }
 
 // messages returns the messages of one round. The first contains the load of this
-// front. An announcement adds the addresses of the fronts that are alive, and
-// further messages with the usage that this front counted.
+// front. An announcement adds the software versions that this front has seen, the
+// addresses of the fronts that are alive, and further messages with the usage that this
+// front counted.
 func (p *peers) messages(announce bool) []*message {
 	f := p.front
 	first := p.newMessage()
@@ -150,6 +154,7 @@
 	var windows map[peridotusage.Window]map[string]int64
 	if announce {
 		windows = f.tally.OwnCounts(f.tally.WindowAt(f.trueTime()), announcedUsageWindows)
+		first.Software = f.backends.software.ages(f.now())
 	}
 	f.mu.Unlock()
 	messages := []*message{first}
@@ -213,6 +218,19 @@
 	return false
 }
 
+// softwareAnnouncers returns the number of the other fronts that are known, and how many
+// of them have announced the software versions that they have seen.
+func (p *peers) softwareAnnouncers() (announced, known int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, state := range p.byAddress {
+		if state.announcedSoftware {
+			announced++
+		}
+	}
+	return announced, len(p.byAddress)
+}
+
 // aliveInstances returns the names of the other fronts that are alive.
 func (p *peers) aliveInstances() []string {
 	var names []string
@@ -271,6 +289,7 @@
 		f.tally.Merge(from, peridotusage.Window(m.Usage.Window), m.Usage.Counts)
 		return
 	}
+	f.backends.observeSoftware(f.now(), m.Software)
 	f.placer.Observe(f.now(), m.From, m.report(f.backends.idByHash))
 }
 
@@ -286,6 +305,7 @@
 	isNew := state.heardAt == 0
 	state.heardAt, state.instance = now, m.From
 	if m.Usage == nil {
+		state.announcedSoftware = state.announcedSoftware || len(m.Software) > 0
 		state.storeAnswering = m.StoreAnsweringMillis > 0
 		state.storeSteadySince = now - time.Duration(m.StoreAnsweringMillis)*time.Millisecond
 	}
--- a/peridotfront/stall.go
+++ b/peridotfront/stall.go
@@ -24,11 +24,9 @@
 type stallWatch struct {
 	exchange *exchange
 	// place names the kind of the try in the metrics.
-	place string
-	// alternative describes the servers that can replace the silent one.
-	alternative peridotplace.Alternative
-	cancel      context.CancelFunc
-	timer       *time.Timer
+	place  string
+	cancel context.CancelFunc
+	timer  *time.Timer
 
 	// mu guards the fields below. Front.mu may be locked while mu is held, but not the
 	// other way round.
@@ -43,6 +41,8 @@
 	// postponed is set once the end of this silence was postponed because the timer was
 	// late.
 	postponed bool
+	// alternative describes the servers that can replace the silent one.
+	alternative peridotplace.Alternative
 	// replaceable is set if another run could continue the answer.
 	replaceable bool
 	// kept is set once the try has been kept for want of a replacement in this silence.
@@ -75,6 +75,7 @@
 	w.limit, w.since = limit, w.exchange.front.now()
 	w.postponed, w.kept = false, false
 	w.replaceable = w.exchange.resumable()
+	w.alternative.SoftwareVersion = w.exchange.software
 	w.setTimer(w.since, limit)
 }
 
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -27,6 +27,8 @@
 type stream struct {
 	exchange *exchange
 	flight   *peridotplace.Flight
+	// software is the software version of the engine.
+	software string
 	// hasEvents is set once the first event of the run has arrived.
 	hasEvents bool
 	// failureForwarded is set once an error answer of the engine has been sent to the
@@ -138,6 +140,7 @@
 		}
 		s.watch.pause() // A caller that reads slowly is no silence of the server.
 		s.recordProgress()
+		x.fixSoftware(s.software)
 		if err := x.forwardEvent(answer, event); err != nil {
 			answer.Abandon()
 			return err
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -146,7 +146,8 @@
 func (x *exchange) recordFailure(backend string, err *peridotverdict.Error) {
 	x.lastErr = err
 	x.triedBackends = append(x.triedBackends, backend)
-	fields := log.Fields{"request": x.call.ID, "backend": backend, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}
+	to, _ := x.front.backend(backend)
+	fields := log.Fields{"request": x.call.ID, "backend": backend, "software": to.SoftwareVersion, "last_event": x.lastEventID, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}
 	if x.silentFor > 0 {
 		x.gaveUpTry = true
 		x.silentBackends = append(x.silentBackends, backend)
--- a/peridotplace/alternative.go
+++ b/peridotplace/alternative.go
@@ -10,6 +10,9 @@
 // Alternative describes the servers that can take over a request from another server.
 type Alternative struct {
 	Service string
+	// SoftwareVersion is the only software version that the server may have; empty means
+	// any.
+	SoftwareVersion string
 	// Generates is set if the server must be an engine that generates answers.
 	Generates bool
 	// Exclude holds the IDs of servers that must not be chosen.
@@ -19,7 +22,7 @@
 // HasAlternative reports whether a usable server fulfills a. In contrast to Place and
 // PlacePlain, it accepts neither unusable servers nor trials.
 func (p *Placer) HasAlternative(now time.Duration, a Alternative) bool {
-	return slices.ContainsFunc(p.groups[a.Service], func(s *server) bool {
+	return slices.ContainsFunc(p.groups[groupKey{a.Service, a.SoftwareVersion}], func(s *server) bool {
 		return s.usable(now) && !s.failing() && !slices.Contains(a.Exclude, s.ID) && (!a.Generates || s.generates())
 	})
 }
--- a/peridotplace/alternative_test.go
+++ b/peridotplace/alternative_test.go
@@ -12,12 +12,13 @@
 func TestHasAlternative(t *testing.T) {
 	const now = time.Second
 	for _, test := range []struct {
-		name           string
-		prefillEngines int
-		decodeEngines  int
-		prepare        func(p *Placer, list []peridotsite.Backend, config *peridotsite.Config)
-		plain          bool
-		want           bool
+		name            string
+		prefillEngines  int
+		decodeEngines   int
+		prepare         func(p *Placer, list []peridotsite.Backend, config *peridotsite.Config)
+		plain           bool
+		softwareVersion string
+		want            bool
 	}{
 		{name: "other engine", decodeEngines: 2, want: true},
 		{name: "no other engine", decodeEngines: 1},
@@ -39,6 +40,14 @@
 			p.SetBackends(0, list, (&peridotsite.Config{Version: 2}).BuildIndex())
 		}},
 		{name: "other plain server", plain: true, want: true},
+		{name: "other engine of the software version", decodeEngines: 2, softwareVersion: "v1", prepare: func(p *Placer, list []peridotsite.Backend, config *peridotsite.Config) {
+			list[1].SoftwareVersion = "v1"
+			p.SetBackends(0, list, config)
+		}, want: true},
+		{name: "other engine of another software version", decodeEngines: 2, softwareVersion: "v1", prepare: func(p *Placer, list []peridotsite.Backend, config *peridotsite.Config) {
+			list[1].SoftwareVersion = "v2"
+			p.SetBackends(0, list, config)
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			p, list, config := newFleet(test.prefillEngines, test.decodeEngines)
@@ -49,7 +58,7 @@
 			if test.prepare != nil {
 				test.prepare(p, list, config)
 			}
-			a := Alternative{Service: list[0].Service, Generates: !test.plain, Exclude: []string{"w0"}}
+			a := Alternative{Service: list[0].Service, SoftwareVersion: test.softwareVersion, Generates: !test.plain, Exclude: []string{"w0"}}
 			if got := p.HasAlternative(now, a); got != test.want {
 				t.Errorf("got %v, want %v", got, test.want)
 			}
