Share between fronts which software version began a stream

Streams went on at another software version (ORDER): a caller comes back at any front, and the one that knew the version was often killed. New fields 8 to 10 of datagrams; messages with them have no sender's address, so that old processes ignore them.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -68,13 +68,15 @@
 	// bodyBytes is the memory used by request bodies that have been read completely.
 	bodyBytes atomic.Int64
 
-	// mu guards the fields below, except for peers, which has its own mutex.
+	// mu guards the fields below, except for peers and origins, which have mutexes of
+	// their own.
 	mu          sync.Mutex
 	placer      *peridotplace.Placer
 	retryBudget *peridotretry.WindowBudget
 	tally       *peridotusage.Tally
 	backends    backends
 	peers       *peers
+	origins     *origins
 	// lostFeeds is true for each feed whose last call failed.
 	lostFeeds map[string]bool
 	// feedAnsweredAt contains the value of now when each feed last answered.
@@ -117,6 +119,7 @@
 	}
 	f.backends.byID = make(map[string]peridotsite.Backend)
 	f.peers = newPeers(f)
+	f.origins = newOrigins(f)
 	for _, option := range options {
 		option(f)
 	}
@@ -253,9 +256,9 @@
 	}
 }
 
-// removeExpired removes backend servers that did not register again in time, closes
-// connections that have expired or lead to unregistered backend servers, and
-// updates the gauges.
+// removeExpired removes backend servers that did not register again in time and
+// expired origins, closes connections that have expired or lead to unregistered
+// backend servers, and updates the gauges.
 func (f *Front) removeExpired() {
 	f.mu.Lock()
 	if f.backends.removeExpired(f.now()) {
@@ -269,5 +272,6 @@
 	f.metrics.SetGauge("connections_dialed", float64(f.pool.DialCount()))
 	f.mu.Unlock()
 	f.metrics.SetGauge("fronts", float64(f.peers.frontCount()))
+	f.metrics.SetGauge("origins", float64(f.origins.removeExpired()))
 	f.pool.Prune(time.Now(), func(address string) bool { return addresses[address] })
 }
--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -19,10 +19,12 @@
 // backend servers as hashes, because a slow link carries the datagrams of every
 // front.
 type message struct {
-	// From is the instance name of the sender.
-	From string `cbor:"1,keyasint"`
+	// From is the instance name of the sender. Messages with origins, a question or an
+	// answer have no From and Address, because there are many of them; instances that
+	// don't know these fields ignore such a message.
+	From string `cbor:"1,keyasint,omitempty"`
 	// Address is the Settings.PeerAddress of the sender.
-	Address    string      `cbor:"2,keyasint"`
+	Address    string      `cbor:"2,keyasint,omitempty"`
 	Loads      []load      `cbor:"3,keyasint,omitempty"`
 	Placements []placement `cbor:"4,keyasint,omitempty"`
 	// Usage contains the requests per account in one window; nil if the message
@@ -34,6 +36,12 @@
 	// StoreAnsweringMillis is how long the table service has answered the sender
 	// without interruption; 0 if it does not answer.
 	StoreAnsweringMillis uint32 `cbor:"7,keyasint,omitempty"`
+	// Origins contains origins of which the receiver is to keep a copy.
+	Origins []originGroup `cbor:"8,keyasint,omitempty"`
+	// Question asks for origins; nil if the message asks none.
+	Question *originQuestion `cbor:"9,keyasint,omitempty"`
+	// Answer answers a Question; nil if the message answers none.
+	Answer *originAnswer `cbor:"10,keyasint,omitempty"`
 }
 
 // load is the encoded form of a peridotplace.Load.
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -61,6 +61,10 @@
 	byAddress map[netip.AddrPort]*peerState
 	// rounds counts the rounds of datagrams sent.
 	rounds int
+	// rosterRead is set once the roster has been read.
+	rosterRead bool
+	// changes counts the fronts that became known, and those heard for the first time.
+	changes int
 }
 
 // peerState is the state of another front. Its times are values of Front.now.
@@ -94,6 +98,7 @@
 	}
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	go p.receive(ctx, conn)
+	go p.front.origins.serve(ctx, conn)
 	go p.followRoster(ctx)
 	for ctx.Err() == nil {
 		peridotwait.Sleep(ctx, sendInterval(p.frontCount()))
@@ -186,6 +191,36 @@
 	return to
 }
 
+// heardAddresses returns the addresses of the other fronts that sent a datagram within
+// peerForgetTimeout.
+func (p *peers) heardAddresses() []netip.AddrPort {
+	now := p.front.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var heard []netip.AddrPort
+	for address, state := range p.byAddress {
+		if state.heardAt > 0 && now-state.heardAt < peerForgetTimeout {
+			heard = append(heard, address)
+		}
+	}
+	return heard
+}
+
+// changeCount returns the number of changes of the known fronts so far. It does not
+// count fronts that become silent.
+func (p *peers) changeCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changes
+}
+
+// hasReadRoster reports whether the roster has been read.
+func (p *peers) hasReadRoster() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rosterRead
+}
+
 // alivePeers returns the other fronts that are alive, by address: those that sent a
 // datagram within peerAliveTimeout.
 func (p *peers) alivePeers() map[netip.AddrPort]peerState {
@@ -234,7 +269,7 @@
 func (p *peers) receive(ctx context.Context, conn *net.UDPConn) {
 	buffer := make([]byte, maxDatagramBytes+1)
 	for ctx.Err() == nil {
-		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				peridotwait.Sleep(ctx, gossipInterval) // An unreachable peer makes the next read fail.
@@ -246,6 +281,9 @@
 			p.front.metrics.Count("datagrams_unreadable")
 			continue
 		}
+		if m.hasOrigins() {
+			p.front.origins.handleMessage(from, m)
+		}
 		p.handleMessage(m)
 	}
 }
@@ -284,6 +322,9 @@
 		p.byAddress[address] = state
 	}
 	isNew := state.heardAt == 0
+	if isNew {
+		p.changes++
+	}
 	state.heardAt, state.instance = now, m.From
 	if m.Usage == nil {
 		state.storeAnswering = m.StoreAnsweringMillis > 0
@@ -307,6 +348,7 @@
 	defer p.mu.Unlock()
 	if p.byAddress[address] == nil {
 		p.byAddress[address] = &peerState{addedAt: now}
+		p.changes++
 	}
 }
 
@@ -356,5 +398,8 @@
 		}
 		p.addAddress(address)
 	}
+	p.mu.Lock()
+	p.rosterRead = true
+	p.mu.Unlock()
 	return true
 }
--- a/peridotmetric/metric.go
+++ b/peridotmetric/metric.go
@@ -80,6 +80,12 @@
 	m.countTagged("retries", "code", string(code))
 }
 
+// CountOriginLookup increments the counter of look-ups of a stream's origin that ended
+// with the given result.
+func (m *Metrics) CountOriginLookup(result string) {
+	m.countTagged("origin_lookups", "result", result)
+}
+
 // latencyBuckets are the upper bounds of the buckets of all histograms.
 var latencyBuckets = tally.DurationBuckets{
 	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
--- a/peridotorigin/fronts_test.go
+++ b/peridotorigin/fronts_test.go
@@ -69,6 +69,7 @@
 		{fronts: 4, gone: 2, added: 2},
 		{fronts: 21, gone: 2, added: 2},
 		{fronts: 21, gone: 2, added: 5},
+		{fronts: 21, gone: 2, added: 10},
 		{fronts: 68, gone: 2, added: 8},
 		{fronts: 1200, gone: 92, added: 92},
 	} {
