--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -316,6 +316,7 @@
 	}
 	if err == nil {
 		f.endFlight(flight, peridotplace.Answered)
+		f.endOrigin(x.streamID())
 		x.log(log.DebugLevel, "answered", http.StatusOK)
 		return nil
 	}
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -175,14 +175,19 @@
 		return
 	}
 	x.software, x.softwareFixed = software, true
-	origin := x.call.ID
 	if x.resumesStream() {
-		origin = x.call.Resumes // The caller names it again when it resumes this answer.
 		x.countResumption(x.resumption)
 	}
-	if origin != "" {
-		x.front.recordOrigin(origin, software)
+	x.front.recordOrigin(x.streamID(), software)
+}
+
+// streamID returns the ID of the request that brought the first event of the stream,
+// which a caller names each time it resumes the stream; empty if it is unknown.
+func (x *exchange) streamID() string {
+	if x.resumesStream() {
+		return x.call.Resumes
 	}
+	return x.call.ID
 }
 
 // softwareFits reports whether a server may serve the request: its software version must
