--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -61,6 +61,10 @@
 	byAddress map[netip.AddrPort]*peerState
 	// rounds counts the rounds of datagrams sent.
 	rounds int
+	// rosterRead is set once the roster has been read.
+	rosterRead bool
+	// changes counts the fronts that became known, and those heard for the first time.
+	changes int
 }
 
 // peerState is the state of another front. Its times are values of Front.now.
@@ -75,6 +79,9 @@
 	// the table service answers the front.
 	storeSteadySince time.Duration
 	storeAnswering   bool
+	// announcedSoftware is set once the front has announced the software versions that
+	// it has seen.
+	announcedSoftware bool
 }
 
 func newPeers(f *Front) *peers {
@@ -94,6 +101,7 @@
 	}
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	go p.receive(ctx, conn)
+	go p.front.origins.serve(ctx, conn)
 	go p.followRoster(ctx)
 	for ctx.Err() == nil {
 		peridotwait.Sleep(ctx, sendInterval(p.frontCount()))
@@ -139,8 +147,9 @@
 }
 
 // messages returns the messages of one round. The first contains the load of this
-// front. An announcement adds the addresses of the fronts that are alive, and
-// further messages with the usage that this front counted.
+// front. An announcement adds the software versions that this front has seen, the
+// addresses of the fronts that are alive, and further messages with the usage that this
+// front counted.
 func (p *peers) messages(announce bool) []*message {
 	f := p.front
 	first := p.newMessage()
@@ -150,6 +159,7 @@
 	var windows map[peridotusage.Window]map[string]int64
 	if announce {
 		windows = f.tally.OwnCounts(f.tally.WindowAt(f.trueTime()), announcedUsageWindows)
+		first.Software = f.backends.software.ages(f.now())
 	}
 	f.mu.Unlock()
 	messages := []*message{first}
@@ -186,6 +196,36 @@
 	return to
 }
 
+// heardAddresses returns the addresses of the other fronts that sent a datagram within
+// peerForgetTimeout.
+func (p *peers) heardAddresses() []netip.AddrPort {
+	now := p.front.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var heard []netip.AddrPort
+	for address, state := range p.byAddress {
+		if state.heardAt > 0 && now-state.heardAt < peerForgetTimeout {
+			heard = append(heard, address)
+		}
+	}
+	return heard
+}
+
+// changeCount returns the number of changes of the known fronts so far. It does not
+// count fronts that become silent.
+func (p *peers) changeCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changes
+}
+
+// hasReadRoster reports whether the roster has been read.
+func (p *peers) hasReadRoster() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rosterRead
+}
+
 // alivePeers returns the other fronts that are alive, by address: those that sent a
 // datagram within peerAliveTimeout.
 func (p *peers) alivePeers() map[netip.AddrPort]peerState {
@@ -213,6 +253,19 @@
 	return false
 }
 
+// softwareAnnouncers returns the number of the other fronts that are known, and how many
+// of them have announced the software versions that they have seen.
+func (p *peers) softwareAnnouncers() (announced, known int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, state := range p.byAddress {
+		if state.announcedSoftware {
+			announced++
+		}
+	}
+	return announced, len(p.byAddress)
+}
+
 // aliveInstances returns the names of the other fronts that are alive.
 func (p *peers) aliveInstances() []string {
 	var names []string
@@ -234,7 +287,7 @@
 func (p *peers) receive(ctx context.Context, conn *net.UDPConn) {
 	buffer := make([]byte, maxDatagramBytes+1)
 	for ctx.Err() == nil {
-		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				peridotwait.Sleep(ctx, gossipInterval) // An unreachable peer makes the next read fail.
@@ -246,6 +299,9 @@
 			p.front.metrics.Count("datagrams_unreadable")
 			continue
 		}
+		if m.hasOrigins() {
+			p.front.origins.handleMessage(from, m)
+		}
 		p.handleMessage(m)
 	}
 }
@@ -271,6 +327,7 @@
 		f.tally.Merge(from, peridotusage.Window(m.Usage.Window), m.Usage.Counts)
 		return
 	}
+	f.backends.observeSoftware(f.now(), m.Software)
 	f.placer.Observe(f.now(), m.From, m.report(f.backends.idByHash))
 }
 
@@ -284,8 +341,12 @@
 		p.byAddress[address] = state
 	}
 	isNew := state.heardAt == 0
+	if isNew {
+		p.changes++
+	}
 	state.heardAt, state.instance = now, m.From
 	if m.Usage == nil {
+		state.announcedSoftware = state.announcedSoftware || len(m.Software) > 0
 		state.storeAnswering = m.StoreAnsweringMillis > 0
 		state.storeSteadySince = now - time.Duration(m.StoreAnsweringMillis)*time.Millisecond
 	}
@@ -307,6 +368,7 @@
 	defer p.mu.Unlock()
 	if p.byAddress[address] == nil {
 		p.byAddress[address] = &peerState{addedAt: now}
+		p.changes++
 	}
 }
 
@@ -356,5 +418,8 @@
 		}
 		p.addAddress(address)
 	}
+	p.mu.Lock()
+	p.rosterRead = true
+	p.mu.Unlock()
 	return true
 }
--- a/peridotfront/plain.go
+++ b/peridotfront/plain.go
@@ -1,7 +1,6 @@
 package peridotfront
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,7 +17,7 @@
 	// before it is sent to the caller.
 	maxAnswerBytes = 8 << 20
 	// tryTimeoutShare is the fraction of the route's objective after which a safe
-	// request is retried at another server.
+	// request is retried if another server can take it.
 	tryTimeoutShare = 0.8
 )
 
@@ -34,9 +33,10 @@
 	f := x.front
 	var errorAnswer *bufferedAnswer
 	for {
-		f.mu.Lock()
-		id, ok := f.placer.PlacePlain(f.now(), x.service.Name, x.triedBackends)
-		f.mu.Unlock()
+		id, ok := x.placePlain()
+		if !ok && x.readmitSilent() {
+			id, ok = x.placePlain()
+		}
 		to, known := f.backend(id)
 		if !ok || !known {
 			x.finishPlain(errorAnswer, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no backend server takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
@@ -63,6 +63,15 @@
 	}
 }
 
+// placePlain chooses the server for a request to a plain service. It returns false if
+// no server accepts requests.
+func (x *exchange) placePlain() (string, bool) {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placer.PlacePlain(f.now(), x.service.Name, x.triedBackends)
+}
+
 // finishPlain sends errorAnswer, the last error answer of a backend server, to the
 // caller. If it is nil or the caller has disconnected, finishPlain gives up with err.
 func (x *exchange) finishPlain(errorAnswer *bufferedAnswer, err *peridotverdict.Error) {
@@ -77,8 +86,11 @@
 // has the verdict NotRun only if the request did not run there and never will.
 func (x *exchange) tryPlain(to peridotsite.Backend) (*bufferedAnswer, *peridotverdict.Error) {
 	f := x.front
-	ctx, cancel := x.tryContext()
-	defer cancel()
+	ctx, watch := x.watchStall("plain", to)
+	defer watch.stop()
+	if limit := x.tryTimeout(); limit > 0 {
+		watch.start(limit)
+	}
 	f.mu.Lock()
 	flight := f.placer.Begin(f.now(), to.ID)
 	f.mu.Unlock()
@@ -116,13 +128,13 @@
 	return &bufferedAnswer{status: answer.StatusCode, header: f.protocol.AnswerHeader(answer.Header), body: body}, nil
 }
 
-// tryContext returns the context of one try. It limits the try of a safe request
-// that may be retried, to leave time for the retry.
-func (x *exchange) tryContext() (context.Context, context.CancelFunc) {
-	if x.route.Kind != peridotsite.Safe || x.runs+1 >= x.route.Attempts || x.route.Objective <= 0 {
-		return context.WithCancel(x.ctx)
+// tryTimeout returns the limit of one try of a safe request that may be retried, which
+// leaves time for the retry. It returns 0 for other requests.
+func (x *exchange) tryTimeout() time.Duration {
+	if x.route.Kind != peridotsite.Safe || !x.canRun(x.runs+1) {
+		return 0
 	}
-	return context.WithTimeout(x.ctx, time.Duration(tryTimeoutShare*float64(x.route.Objective)))
+	return time.Duration(tryTimeoutShare * float64(x.route.Objective))
 }
 
 // deliver sends a buffered answer to the caller.
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -13,11 +13,12 @@
 	"peridotstack/peridotplace"
 	"peridotstack/peridotsite"
 	"peridotstack/peridotverdict"
+	"peridotstack/peridotwait"
 )
 
 const (
 	// A prefill that takes longer than prefillTimeoutFactor times the expected time
-	// plus prefillTimeoutSlack is canceled and the prompt is placed elsewhere.
+	// plus prefillTimeoutSlack is canceled if the prompt can be placed elsewhere.
 	prefillTimeoutSlack  = 400 * time.Millisecond
 	prefillTimeoutFactor = 3
 	// maxHandleBytes limits the size of the answer to a prefill.
@@ -37,10 +38,21 @@
 
 // servePrompt serves a request to a model engine.
 func (x *exchange) servePrompt() {
+	if err := x.findSoftware(); err != nil {
+		x.giveUp(err)
+		return
+	}
 	for {
 		x.late = false // Another engine may still meet the objective.
-		choice, ok := x.placePrompt()
+		choice, ok := x.placePrompt(x.software)
+		if !ok && x.readmitSilent() {
+			choice, ok = x.placePrompt(x.software)
+		}
+		if !ok && x.awaitRetry() {
+			continue
+		}
 		if !ok {
+			x.countNoServer()
 			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
 			return
 		}
@@ -50,6 +62,9 @@
 			return
 		}
 		if !x.allowTry() {
+			if x.awaitRetry() {
+				continue
+			}
 			x.giveUp(x.lastErr)
 			return
 		}
@@ -71,13 +86,24 @@
 	}
 }
 
-// placePrompt chooses the engines for the prompt. It returns false if no engine accepts
-// requests.
-func (x *exchange) placePrompt() (peridotplace.Choice, bool) {
+// awaitRetry waits for a short time until a started answer may go on at some engine. It
+// returns false if it cannot, or if no try was given up by this instance:
+// after a run that its engine broke off, the caller can resume the stream sooner itself.
+func (x *exchange) awaitRetry() bool {
+	if !x.gaveUpTry || !x.answerStarted || !x.resumable() || !x.canRun(x.runs) || x.ended() || x.remaining() < minRetryTime {
+		return false
+	}
+	peridotwait.Sleep(x.ctx, stallCheckInterval)
+	return true
+}
+
+// placePrompt chooses the engines for the prompt, of the given software version unless
+// it is empty. It returns false if no engine accepts requests.
+func (x *exchange) placePrompt(software string) (peridotplace.Choice, bool) {
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.placer.Place(f.now(), peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), Exclude: x.triedBackends, Late: x.late, SendTime: x.sendTime()})
+	return f.placer.Place(f.now(), peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Exclude: x.triedBackends, Late: x.late, SendTime: x.sendTime()})
 }
 
 // sendTime returns the time that the network link of this instance takes to send
@@ -105,18 +131,23 @@
 // others still meet their objective under overload. If a late request that has not
 // been tried yet is then expected to exceed its deadline, admit refuses it immediately.
 // The Retry-After of the refusal is the time by which the request would miss the
-// objective.
+// objective. A resumed stream has fewer engines to choose from and is refused only if
+// the wait alone exceeds its deadline.
 func (x *exchange) admit(c peridotplace.Choice) (peridotplace.Choice, *peridotverdict.Error) {
 	x.logFields["uncached"] = c.UncachedTokens
 	lateBy := peridotclock.BootTime().Sub(x.arrivedAt) + c.Wait + onTimeMargin - x.route.Objective
 	x.late = x.route.Objective > 0 && lateBy > 0 && !x.answerStarted
 	if x.late {
-		if lateChoice, ok := x.placePrompt(); ok {
+		if lateChoice, ok := x.placePrompt(x.software); ok {
 			c = lateChoice
 		}
 	}
 	x.logFields["wait_ms"] = c.Wait
-	if x.late && x.tries == 0 && c.Wait > time.Duration(maxLateWaitShare*float64(x.remaining())) {
+	maxWait := time.Duration(maxLateWaitShare * float64(x.remaining()))
+	if x.resumesStream() {
+		maxWait = x.remaining()
+	}
+	if x.late && x.tries == 0 && c.Wait > maxWait {
 		return c, peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "the answer would come after the deadline", peridotverdict.RetryAfter(lateBy))
 	}
 	return c, nil
@@ -141,8 +172,11 @@
 	f.mu.Unlock()
 	x.logFields["reader"] = c.PrefillBackend
 	x.tries++
-	ctx, cancel := context.WithTimeout(x.ctx, x.prefillTimeout(c))
-	defer cancel()
+	ctx, watch := x.watchStall("prefill", to)
+	defer watch.stop()
+	if x.canRun(x.runs) {
+		watch.start(x.prefillTimeout(c))
+	}
 	start := peridotclock.BootTime()
 	handle, err := x.callPrefill(ctx, to)
 	x.logFields["read_ms"] = peridotclock.BootTime().Sub(start)
@@ -158,7 +192,7 @@
 }
 
 // prefillTimeout returns how long the prefill of c may take before it is canceled
-// and the prompt is placed elsewhere.
+// if the prompt can be placed elsewhere.
 func (x *exchange) prefillTimeout(c peridotplace.Choice) time.Duration {
 	timeout := prefillTimeoutFactor*c.Wait + prefillTimeoutSlack
 	if x.late {
@@ -239,7 +273,11 @@
 	f := x.front
 	if !f.acceptsRequests(c.Backend) {
 		// The engine left while another one was running the prefill.
-		if other, found := x.placePrompt(); found {
+		software := x.software
+		if source != nil {
+			software = source.backend.SoftwareVersion
+		}
+		if other, found := x.placePrompt(software); found {
 			c.Backend = other.Backend
 		}
 	}
@@ -248,6 +286,10 @@
 		x.freeKV(source)
 		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine is not registered any more")
 	}
+	if !x.softwareFits(to, source) {
+		x.freeKV(source)
+		return softwareChangedError(to)
+	}
 	requestHead := RequestHead{Urgency: x.urgency()}
 	f.mu.Lock()
 	var flight *peridotplace.Flight
@@ -264,8 +306,9 @@
 	}
 	f.mu.Unlock()
 	x.logFields["backend"] = c.Backend
+	x.logFields["software"] = to.SoftwareVersion
 	x.logFields["late"] = x.late
-	s := &stream{exchange: x, flight: flight, expectedWait: c.Wait}
+	s := &stream{exchange: x, flight: flight, expectedWait: c.Wait, software: to.SoftwareVersion}
 	err := s.run(to, requestHead)
 	if err == nil && s.failureForwarded {
 		f.endFlight(flight, peridotplace.Failed)
@@ -273,6 +316,7 @@
 	}
 	if err == nil {
 		f.endFlight(flight, peridotplace.Answered)
+		f.endOrigin(x.streamID())
 		x.log(log.DebugLevel, "answered", http.StatusOK)
 		return nil
 	}
--- a/peridotfront/refuse.go
+++ b/peridotfront/refuse.go
@@ -100,7 +100,9 @@
 		verdict = peridotverdict.MayHaveRun
 	}
 	code, message := err.Code, err.Message
-	if x.ended() {
+	if x.front.closing.Err() != nil {
+		code, message = peridotverdict.ShuttingDown, "this instance stops: "+err.Message
+	} else if x.ended() {
 		code, message = peridotverdict.DeadlinePassed, "the time of the request is up: "+err.Message
 	}
 	x.refuse(peridotverdict.New(code, verdict, message, peridotverdict.RetryAfter(max(err.RetryAfter, noBackendRetryAfter)), peridotverdict.Cause(err.Cause)))
@@ -117,10 +119,16 @@
 	if status != 0 {
 		x.logFields["status"] = status
 	}
+	if x.call.LastEventID != "" {
+		x.logFields["resumes"] = x.call.Resumes
+		x.logFields["after_event"] = x.call.LastEventID
+	}
 	e := log.WithFields(x.logFields)
 	switch level {
 	case log.DebugLevel:
 		e.Debug(logPrefix + outcome)
+	case log.ErrorLevel:
+		e.Error(logPrefix + outcome)
 	case log.WarnLevel:
 		e.Warn(logPrefix + outcome)
 	default:
--- a/peridotmetric/metric.go
+++ b/peridotmetric/metric.go
@@ -80,6 +80,23 @@
 	m.countTagged("retries", "code", string(code))
 }
 
+// CountAt increments the counter with the given name and place. The place is a short
+// constant that says which part of the process counts.
+func (m *Metrics) CountAt(name, place string) {
+	m.countTagged(name, "place", place)
+}
+
+// CountResumption increments the counter of streams that callers resume, by result.
+func (m *Metrics) CountResumption(result string) {
+	m.countTagged("resumptions", "result", result)
+}
+
+// CountOriginLookup increments the counter of look-ups of a stream's origin that ended
+// with the given result.
+func (m *Metrics) CountOriginLookup(result string) {
+	m.countTagged("origin_lookups", "result", result)
+}
+
 // latencyBuckets are the upper bounds of the buckets of all histograms.
 var latencyBuckets = tally.DurationBuckets{
 	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
--- /dev/null
+++ b/peridotplace/alternative.go
@@ -0,0 +1,33 @@
+package peridotplace
+
+import (
+	"slices"
+	"time"
+
+	"peridotstack/peridotsite"
+)
+
+// Alternative describes the servers that can take over a request from another server.
+type Alternative struct {
+	Service string
+	// SoftwareVersion is the only software version that the server may have; empty means
+	// any.
+	SoftwareVersion string
+	// Generates is set if the server must be an engine that generates answers.
+	Generates bool
+	// Exclude holds the IDs of servers that must not be chosen.
+	Exclude []string
+}
+
+// HasAlternative reports whether a usable server fulfills a. In contrast to Place and
+// PlacePlain, it accepts neither unusable servers nor trials.
+func (p *Placer) HasAlternative(now time.Duration, a Alternative) bool {
+	return slices.ContainsFunc(p.groups[groupKey{a.Service, a.SoftwareVersion}], func(s *server) bool {
+		return s.usable(now) && !s.failing() && !slices.Contains(a.Exclude, s.ID) && (!a.Generates || s.generates())
+	})
+}
+
+// generates reports whether the server is an engine that generates answers.
+func (s *server) generates() bool {
+	return s.engine != nil && s.Role != peridotsite.Prefill
+}
