Send nothing new to a server that says it leaves, whatever a list says later

Callers' requests reached a backend server long after it had answered with Server-Leaving, and one whose registration had said draining before an older "ready" was read again. Cause: the header was not decoded, and each list of registrations replaced all that was known before. Change: AnswerHead.Leaving, from all answers to requests (success, failure, refusal, prefill, stream); departures remembers by ID and start time which incarnations said so, for an hour after they were last listed, and marks them in each list, also in one copied from another front. Running requests go on; answers of another server at the address or to another request don't count. Before, without recordLeaving: TestLeavingAnswerEndsNewRequests printed "got 7 requests at the server after it said that it leaves, want none" (plain answer; 11 stream, 8 prefill, 3 failure, refusal, stream refused), TestStreamGoesOnAtLeavingServer "got status 200 and 3 requests at the server, want 503 and 2"; without the marking in apply TestLeavingIsNotUndone failed six cases ("draining, then an older list: got leaving false, want true"). Now they pass, -race -count=5. Open: a request whose connection is being dialed when the answer comes (0.4 s at most) still goes out.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -116,6 +116,7 @@
 		feedSteadySince: make(map[string]time.Duration),
 	}
 	f.backends.byID = make(map[string]peridotsite.Backend)
+	f.backends.departures = make(departures)
 	f.peers = newPeers(f)
 	for _, option := range options {
 		option(f)
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -98,6 +98,8 @@
 	NotRun bool
 	// Misdirected is set if the address now belongs to another backend server.
 	Misdirected bool
+	// Leaving is set if the backend server leaves and must get no new requests.
+	Leaving bool
 }
 
 // DutyHolder identifies the holder of the duties lease in a call to the platform.
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -36,6 +36,8 @@
 	afterOutage bool
 	// outageEnd is when the last outage ended.
 	outageEnd time.Duration
+	// departures tells which incarnations have said that they leave.
+	departures departures
 }
 
 // recordOutageEnd records that an outage of the table service ended at now.
@@ -106,6 +108,10 @@
 func (f *Front) SetBackends(list []peridotsite.Backend) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	list, overruled := f.backends.departures.apply(f.now(), list)
+	for range overruled {
+		f.metrics.Count("ready_rows_overruled")
+	}
 	f.logBackends(list)
 	f.backends.setRegistered(f.now(), list)
 	f.updatePlacer()
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -65,6 +65,7 @@
 			answer.Abandon()
 			return nil, AnswerHead{}, peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.MayHaveRun, "the answer belongs to another request")
 		}
+		x.recordLeaving(to, head)
 		return answer, head, nil
 	}
 }
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -132,6 +132,14 @@
 	}
 }
 
+// SetLeaving marks an incarnation of a server as leaving, so that no request is placed
+// there. The next list of backend servers must say the same.
+func (p *Placer) SetLeaving(id string, born int64) {
+	if s := p.servers[id]; s != nil && s.Born == born {
+		s.Leaving = true
+	}
+}
+
 // Report returns the loads that this instance has sent to the backend servers, and
 // the most recent pending placements, at most limit of them. It drops the other pending
 // placements.
