Send a server nothing before the end of its Retry-After

A backend server that turned a request away with 503 and Retry-After got all later requests of the front all the same: 100 ms afterwards, or at once if it was alone. Cause: the header was not decoded, the backoff after a refusal is ended by any other answer, and the placer falls back to servers in backoff. Change: AnswerHead.RetryAfter of 503 that says not run (digits with at most one point; anything else and negative values are ignored, more than 10 minutes count as 10). Placer.Hold excludes the incarnation in both passes, prefills too; the longest time counts, other answers and lists don't end it, another start time does. If all servers of a service are held the caller is refused at once with the soonest end. Before, without recordHold: TestRetryAfterIsHonored printed "got 28 of 28 requests at the server before the end of its time, want none" (plain, safe, prompt; 1 of 28 for prefill), TestHoldOutlastsOtherAnswers "got 4 requests at the server, Retry-After "0.300"; want 3 and more than 1 s", TestHoldDuringPrefill "2 requests at the decode engine, want 503 and 1"; without heldUntil in accepts TestHold failed nine cases or more. Now they pass, -race -count=5.

--- a/peridotfront/plain.go
+++ b/peridotfront/plain.go
@@ -39,7 +39,7 @@
 		f.mu.Unlock()
 		to, known := f.backend(id)
 		if !ok || !known {
-			x.finishPlain(errorAnswer, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no backend server takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
+			x.finishPlain(errorAnswer, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no backend server takes the request", peridotverdict.RetryAfter(x.untilAccepted())))
 			return
 		}
 		if !x.allowTry() {
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -41,7 +41,7 @@
 		x.late = false // Another engine may still meet the objective.
 		choice, ok := x.placePrompt()
 		if !ok {
-			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
+			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(x.untilAccepted())))
 			return
 		}
 		choice, err := x.admit(choice)
@@ -238,15 +238,15 @@
 func (x *exchange) generate(c peridotplace.Choice, source *kvSource) *peridotverdict.Error {
 	f := x.front
 	if !f.acceptsRequests(c.Backend) {
-		// The engine left while another one was running the prefill.
+		// The engine left or was held while another one was running the prefill.
 		if other, found := x.placePrompt(); found {
 			c.Backend = other.Backend
 		}
 	}
 	to, ok := f.backend(c.Backend)
-	if !ok || to.Leaving {
+	if !ok || !f.acceptsRequests(c.Backend) {
 		x.freeKV(source)
-		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine is not registered any more")
+		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine takes no requests any more")
 	}
 	requestHead := RequestHead{Urgency: x.urgency()}
 	f.mu.Lock()
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -100,6 +100,9 @@
 	Misdirected bool
 	// Leaving is set if the backend server leaves and must get no new requests.
 	Leaving bool
+	// RetryAfter is how long a backend server that did not run the request wants no
+	// other one; 0 means that it does not say.
+	RetryAfter time.Duration
 }
 
 // DutyHolder identifies the holder of the duties lease in a call to the platform.
--- a/peridotfront/refuse.go
+++ b/peridotfront/refuse.go
@@ -92,6 +92,7 @@
 		x.log(log.InfoLevel, "caller left", 0)
 		panic(http.ErrAbortHandler)
 	}
+	retryAfter := max(err.RetryAfter, noBackendRetryAfter)
 	if x.lastErr != nil && err.Code == peridotverdict.NoBackend {
 		err = x.lastErr // Report why the tried servers failed.
 	}
@@ -103,7 +104,7 @@
 	if x.ended() {
 		code, message = peridotverdict.DeadlinePassed, "the time of the request is up: "+err.Message
 	}
-	x.refuse(peridotverdict.New(code, verdict, message, peridotverdict.RetryAfter(max(err.RetryAfter, noBackendRetryAfter)), peridotverdict.Cause(err.Cause)))
+	x.refuse(peridotverdict.New(code, verdict, message, peridotverdict.RetryAfter(max(err.RetryAfter, retryAfter)), peridotverdict.Cause(err.Cause)))
 }
 
 // log writes the log line with the outcome of the request and the reasons for it.
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -66,6 +66,7 @@
 			return nil, AnswerHead{}, peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.MayHaveRun, "the answer belongs to another request")
 		}
 		x.recordLeaving(to, head)
+		x.recordHold(to, head)
 		return answer, head, nil
 	}
 }
@@ -98,10 +99,12 @@
 	return b, ok
 }
 
-// acceptsRequests reports whether a backend server is known and not leaving.
+// acceptsRequests reports whether a backend server is known and neither leaving nor
+// held.
 func (f *Front) acceptsRequests(id string) bool {
-	b, ok := f.backend(id)
-	return ok && !b.Leaving
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placer.Accepts(f.now(), id)
 }
 
 // allowTry reports whether the request may be sent to a backend server now. It
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -36,6 +36,8 @@
 	domain string
 
 	servers map[string]*server
+	// holds holds the ends of the holds, also those of servers that are not listed.
+	holds map[incarnation]time.Duration
 	// groups holds the servers of each service, ordered by ID.
 	groups map[string][]*server
 	// rings holds the ring of each service with more than maxCandidates servers.
@@ -95,6 +97,7 @@
 		random:         rand.New(rand.NewPCG(seed, seed)),
 		domain:         domain,
 		servers:        make(map[string]*server),
+		holds:          make(map[incarnation]time.Duration),
 		groups:         make(map[string][]*server),
 		peers:          make(map[string]*peer),
 		meanSlotMillis: make(map[string]float64),
@@ -110,6 +113,7 @@
 		s := p.servers[b.ID]
 		if s == nil || s.Born != b.Born || s.Address != b.Address {
 			s = newServer(now)
+			s.heldUntil = p.holds[incarnation{b.ID, b.Born}]
 		}
 		s.update(now, b, config.Service(b.Service))
 		servers[b.ID] = s
--- a/peridotplace/plain.go
+++ b/peridotplace/plain.go
@@ -18,15 +18,15 @@
 )
 
 // PlacePlain returns the ID of the server of a plain service with the least work relative
-// to its size, or false if every server is excluded or leaving. It returns an unusable
-// server only if no other is left.
+// to its size, or false if every server is excluded, leaving or held. It returns an
+// unusable server only if no other is left.
 func (p *Placer) PlacePlain(now time.Duration, service string, exclude []string) (string, bool) {
 	var best *server
 	leastCost := 0.0
 	for pass := range 2 {
 		ties := 1
 		for _, s := range p.groups[service] {
-			if s.Leaving || slices.Contains(exclude, s.ID) || pass == 0 && !s.usable(now) {
+			if !s.accepts(now) || slices.Contains(exclude, s.ID) || pass == 0 && !s.usable(now) {
 				continue
 			}
 			cost := p.plainCost(now, s)
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -65,8 +65,8 @@
 
 // Place returns the engine or pair of engines with the least estimated cost for a
 // prompt. The cost combines the time to the first token with the work of the engines.
-// Place considers unusable engines only if the usable ones cannot serve the prompt, and
-// returns false if no engine can serve it.
+// Place considers unusable engines only if the usable ones cannot serve the prompt, but
+// never leaving or held ones, and returns false if no engine can serve it.
 func (p *Placer) Place(now time.Duration, prompt Prompt) (Choice, bool) {
 	group := p.candidates(prompt)
 	for pass := range 2 {
@@ -75,6 +75,9 @@
 			return best, true
 		}
 	}
+	if all := p.groups[prompt.Service]; len(all) > len(group) {
+		return p.place(now, prompt, all, true)
+	}
 	return Choice{}, false
 }
 
@@ -101,7 +104,7 @@
 func (p *Placer) place(now time.Duration, prompt Prompt, group []*server, allowUnusable bool) (Choice, bool) {
 	var prefillEngines, decodeEngines []candidate
 	for _, s := range group {
-		if s.Leaving || s.engine == nil || slices.Contains(prompt.Exclude, s.ID) || !allowUnusable && !s.usable(now) {
+		if !s.accepts(now) || s.engine == nil || slices.Contains(prompt.Exclude, s.ID) || !allowUnusable && !s.usable(now) {
 			continue
 		}
 		c := p.estimate(now, s, prompt)
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -55,6 +55,9 @@
 	// reached, zero after an answer. The server gets no requests until backoffUntil.
 	backoff      time.Duration
 	backoffUntil time.Duration
+	// heldUntil is the end of the time for which the server asked for no requests. Other
+	// answers do not end that time.
+	heldUntil time.Duration
 	// lastProgress is when the server last answered, or when it got a request while it
 	// had no active ones.
 	lastProgress time.Duration
@@ -106,9 +109,14 @@
 	return ms
 }
 
+// accepts reports whether the server may get a request now if there is no other one.
+func (s *server) accepts(now time.Duration) bool {
+	return !s.Leaving && now >= s.heldUntil
+}
+
 // usable reports whether the server may get a request now.
 func (s *server) usable(now time.Duration) bool {
-	return !s.Leaving && now >= s.backoffUntil && !s.unresponsive(now) && s.failureRate < maxFailureRate
+	return s.accepts(now) && now >= s.backoffUntil && !s.unresponsive(now) && s.failureRate < maxFailureRate
 }
 
 // unresponsive reports whether the server has active requests and has sent nothing
