Bound the head of a backend server's answer

A backend server that sends a head without end (one line, header lines, interim answers) made the front hold all of it until the request's time was up. Cause: http.ReadResponse reads lines and headers without a limit, and 1xx answers were skipped without one. Change: a connection reads at most 64 KiB for the heads of one answer; then it is closed, and the request may have run. ErrTooLong is the cause, also of a body over its limit; recordFailure counts answers_too_long.

--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"peridotstack/peridotlink"
 	"peridotstack/peridotplace"
@@ -141,6 +142,9 @@
 // further tries.
 func (x *exchange) recordFailure(backend string, err *peridotverdict.Error) {
 	x.lastErr = err
+	if errors.Is(err, peridotlink.ErrTooLong) {
+		x.front.metrics.Count("answers_too_long")
+	}
 	x.triedBackends = append(x.triedBackends, backend)
 	log.WithFields(log.Fields{"request": x.call.ID, "backend": backend, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}).Info(logPrefix + "try failed")
 }
--- a/peridotlink/exchange.go
+++ b/peridotlink/exchange.go
@@ -18,6 +18,13 @@
 // block.
 const maxInlineBodyBytes = 2 << 10
 
+// maxHeadBytes limits the heads of the interim answers and the final answer together.
+const maxHeadBytes = 64 << 10
+
+// ErrTooLong is the cause of the error for an answer whose head or body is longer than
+// its limit.
+var ErrTooLong = errors.New("the answer is too long")
+
 // Request is a request to a backend server.
 type Request struct {
 	Method string
@@ -109,10 +116,15 @@
 }
 
 // readHead reads the head of the final answer. It skips interim answers (status
-// 1xx).
+// 1xx). It returns ErrTooLong if the heads are longer than maxHeadBytes.
 func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.source.limit(maxHeadBytes)
+	defer c.source.limit(unlimited)
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.source.left == 0 {
+			return nil, ErrTooLong // Otherwise the error is about the line that was cut.
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -127,11 +139,11 @@
 
 // ReadAll reads the remaining body and calls Finish. If the body is incomplete or
 // longer than limit bytes, ReadAll calls Abandon and returns an error with the code
-// ShortAnswer and the verdict MayHaveRun.
+// ShortAnswer and the verdict MayHaveRun. Its cause is ErrTooLong for a long body.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
 	if err == nil && int64(len(body)) > limit {
-		err = errors.New("the answer is too large")
+		err = ErrTooLong
 	}
 	if err != nil {
 		a.Abandon()
--- a/peridotlink/pool.go
+++ b/peridotlink/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -56,6 +57,7 @@
 	net.Conn
 	pool    *Pool
 	address string
+	source  *limitedReader
 	reader  *bufio.Reader
 	// reused is set once a complete answer has been read from the connection.
 	reused bool
@@ -119,7 +121,35 @@
 		p.decrementOpen(address)
 		return nil, peridotverdict.New(peridotverdict.PeerLost, peridotverdict.NotRun, "backend server cannot be reached", peridotverdict.Cause(err))
 	}
-	return &Conn{Conn: conn, pool: p, address: address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	source := &limitedReader{reader: conn, left: unlimited}
+	return &Conn{Conn: conn, pool: p, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
+}
+
+// unlimited is the limit of a limitedReader that reads on without end.
+const unlimited = -1
+
+// limitedReader reads from a connection. Once its limit is used up, it returns
+// ErrTooLong.
+type limitedReader struct {
+	reader io.Reader
+	// left is the number of bytes that may still be read, or unlimited.
+	left int
+}
+
+// limit sets the number of bytes that may be read from now on, or unlimited.
+func (l *limitedReader) limit(n int) { l.left = n }
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left == unlimited {
+		return l.reader.Read(p)
+	}
+	if l.left == 0 {
+		return 0, ErrTooLong
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // setUserTimeout sets the TCP_USER_TIMEOUT option of a socket.
