Bound blank lines and events without ids in a stream

An engine that sends blank lines, comments or events without ids without end kept its stream open until the request's time was up, and the caller got all of its comments. Cause: readEvent skipped blank lines without a limit, and forwardEvent passed on whatever ends with a blank line. Change: 64 KiB of blank lines, or of events without an id in sequence, end the stream; such events are held back until the next one with an id, or the end, so that a stream that begins with them can still be run by another engine. The head of the answer no longer leaves by a flush before the first event is sent. Before, on: TestEndlessStream printed "got bytes sent, want at most 65536 read" and "got the answer after 1.02s, want it before the route's timeout" (blank lines behind the last event), and comments in the body where /ask/x wants the whole stream of another engine. Now: -race -count=5 passed.

--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -19,6 +19,9 @@
 const (
 	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes = 1 << 20
+	// maxUnnumberedBytes limits the bytes without an event ID in sequence: blank lines
+	// between two events, and events without an ID between two others.
+	maxUnnumberedBytes = 64 << 10
 	// streamBufferBytes is the size of the read buffer of a stream.
 	streamBufferBytes = 4 << 10
 )
@@ -29,6 +32,9 @@
 	flight   *peridotplace.Flight
 	// hasEvents is set once the first event of the run has arrived.
 	hasEvents bool
+	// unnumbered contains the events without an ID since the last other event. They
+	// are sent to the caller with the next one, or at the end of the stream.
+	unnumbered []byte
 	// failureForwarded is set once an error answer of the engine has been sent to the
 	// caller.
 	failureForwarded bool
@@ -134,11 +140,11 @@
 			return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream broke off", peridotverdict.Cause(err))
 		}
 		s.recordProgress()
-		if err := x.forwardEvent(answer, event); err != nil {
+		if err := s.forwardEvent(answer, event); err != nil {
 			answer.Abandon()
 			return err
 		}
-		if reader.Buffered() == 0 && answer.Buffered() == 0 {
+		if x.answerStarted && reader.Buffered() == 0 && answer.Buffered() == 0 {
 			x.flush()
 		}
 	}
@@ -166,16 +172,20 @@
 // finish completes the answer. A stream without events is a complete answer too.
 func (s *stream) finish(answer *peridotlink.Answer) *peridotverdict.Error {
 	s.exchange.startAnswer(answer)
+	if err := s.exchange.write(s.unnumbered); err != nil {
+		return err
+	}
 	s.exchange.flush()
 	return nil
 }
 
 // readEvent reads one event and the blank line that ends it. At the end of the
 // stream it returns io.EOF, or io.ErrUnexpectedEOF and the partial event if the
-// stream ends within one. It returns io.ErrShortBuffer for an event larger than
-// maxEventBytes.
+// stream ends within one. It returns peridotlink.ErrTooLong for an event larger than
+// maxEventBytes, or more than maxUnnumberedBytes of blank lines before it.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
+	blankBytes := 0
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
@@ -187,11 +197,12 @@
 			return event, err
 		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) == len(line):
 			event = event[:0] // Skip blank lines between events.
+			blankBytes += len(line)
 		case len(bytes.TrimRight(line, "\r\n")) == 0:
 			return event, nil
 		}
-		if len(event) > maxEventBytes {
-			return event, io.ErrShortBuffer
+		if len(event) > maxEventBytes || blankBytes > maxUnnumberedBytes {
+			return event, peridotlink.ErrTooLong
 		}
 	}
 }
@@ -220,16 +231,35 @@
 }
 
 // forwardEvent sends one event to the caller. The IDs of the events must be
-// consecutive, also across runs.
-func (x *exchange) forwardEvent(answer *peridotlink.Answer, event []byte) *peridotverdict.Error {
-	if id, ok := eventID(event); ok {
-		if x.lastEventID > 0 && id != x.lastEventID+1 {
-			return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "event "+strconv.FormatInt(id, 10)+" came behind "+strconv.FormatInt(x.lastEventID, 10))
+// consecutive, also across runs. It holds back an event without an ID.
+func (s *stream) forwardEvent(answer *peridotlink.Answer, event []byte) *peridotverdict.Error {
+	x := s.exchange
+	id, ok := eventID(event)
+	if !ok {
+		s.unnumbered = append(s.unnumbered, event...)
+		if len(s.unnumbered) > maxUnnumberedBytes {
+			return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream goes on without event IDs", peridotverdict.Cause(peridotlink.ErrTooLong))
 		}
-		x.lastEventID = id
+		return nil
 	}
+	if x.lastEventID > 0 && id != x.lastEventID+1 {
+		return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "event "+strconv.FormatInt(id, 10)+" came behind "+strconv.FormatInt(x.lastEventID, 10))
+	}
+	x.lastEventID = id
 	x.startAnswer(answer)
-	if _, err := x.writer.Write(event); err != nil {
+	if err := x.write(s.unnumbered); err != nil {
+		return err
+	}
+	s.unnumbered = s.unnumbered[:0]
+	return x.write(event)
+}
+
+// write sends bytes of the answer to the caller.
+func (x *exchange) write(data []byte) *peridotverdict.Error {
+	if len(data) == 0 {
+		return nil
+	}
+	if _, err := x.writer.Write(data); err != nil {
 		return peridotverdict.New(peridotverdict.Canceled, peridotverdict.MayHaveRun, "the caller takes no bytes", peridotverdict.Cause(err))
 	}
 	return nil
