--- a/peridotfront/snapshot.go
+++ b/peridotfront/snapshot.go
@@ -72,11 +72,16 @@
 	}
 }
 
+// newSnapshotClient returns a client for snapshots of other fronts.
+func newSnapshotClient() *http.Client {
+	return &http.Client{Timeout: snapshotTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
+}
+
 // copyPeerState copies the state of another front if the table service is unavailable
 // before this front has a configuration. It returns once this front has a
 // configuration or ctx is done.
 func (f *Front) copyPeerState(ctx context.Context) error {
-	client := &http.Client{Timeout: snapshotTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newSnapshotClient()
 	for ctx.Err() == nil && f.config.Load() == nil {
 		if f.configFeedLost() {
 			for address, state := range f.peers.alivePeers() {
@@ -111,7 +116,13 @@
 	}
 	defer response.Body.Close()
 	var snapshot stateSnapshot
-	err = json.NewDecoder(io.LimitReader(response.Body, maxSnapshotBytes)).Decode(&snapshot)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxSnapshotBytes+1))
+	if err == nil && len(data) > maxSnapshotBytes {
+		err = errors.New("the snapshot is too long")
+	}
+	if err == nil {
+		err = json.Unmarshal(data, &snapshot)
+	}
 	if response.StatusCode != http.StatusOK || err != nil || snapshot.Config == nil {
 		f.metrics.Count("handover_failures")
 		return false
