Read an event whole if a line is as long as the read buffer

An event with a line of 4,096 bytes, or a multiple, would have reached the caller without what follows that line; the rest became an event of its own, or lost its blank line. Cause: readEvent looked for a blank line in the part that ReadSlice returned last, which is the newline alone after a full buffer. Change: it looks at the whole line.

--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -185,10 +185,11 @@
 // maxEventBytes, or more than maxUnnumberedBytes of blank lines before it.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
-	blankBytes := 0
+	lineStart, blankBytes := 0, 0
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		read, err := r.ReadSlice('\n')
+		event = append(event, read...)
+		line := event[lineStart:]
 		switch {
 		case err == bufio.ErrBufferFull:
 		case err == io.EOF && len(event) > 0:
@@ -200,6 +201,8 @@
 			blankBytes += len(line)
 		case len(bytes.TrimRight(line, "\r\n")) == 0:
 			return event, nil
+		default:
+			lineStart = len(event)
 		}
 		if len(event) > maxEventBytes || blankBytes > maxUnnumberedBytes {
 			return event, peridotlink.ErrTooLong
