--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -122,6 +122,7 @@
 	}
 	f.closing, f.startClosing = context.WithCancel(context.Background())
 	f.backends.byID = make(map[string]peridotsite.Backend)
+	f.backends.departures = make(departures)
 	f.peers = newPeers(f)
 	f.origins = newOrigins(f)
 	for _, option := range options {
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -53,7 +53,7 @@
 		}
 		if !ok {
 			x.countNoServer()
-			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
+			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(x.untilAccepted())))
 			return
 		}
 		choice, err := x.admit(choice)
@@ -272,7 +272,7 @@
 func (x *exchange) generate(c peridotplace.Choice, source *kvSource) *peridotverdict.Error {
 	f := x.front
 	if !f.acceptsRequests(c.Backend) {
-		// The engine left while another one was running the prefill.
+		// The engine left or was held while another one was running the prefill.
 		software := x.software
 		if source != nil {
 			software = source.backend.SoftwareVersion
@@ -282,9 +282,9 @@
 		}
 	}
 	to, ok := f.backend(c.Backend)
-	if !ok || to.Leaving {
+	if !ok || !f.acceptsRequests(c.Backend) {
 		x.freeKV(source)
-		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine is not registered any more")
+		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine takes no requests any more")
 	}
 	if !x.softwareFits(to, source) {
 		x.freeKV(source)
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -39,6 +39,8 @@
 	// software contains the software versions that this instance has seen registered,
 	// and peerSoftware those that other instances have.
 	software, peerSoftware softwareRecord
+	// departures tells which incarnations have said that they leave.
+	departures departures
 }
 
 // recordOutageEnd records that an outage of the table service ended at now.
@@ -112,6 +114,10 @@
 func (f *Front) SetBackends(list []peridotsite.Backend) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	list, overruled := f.backends.departures.apply(f.now(), list)
+	for range overruled {
+		f.metrics.Count("ready_rows_overruled")
+	}
 	f.logBackends(list)
 	f.backends.setRegistered(f.now(), list)
 	f.updatePlacer()
