Refuse conditional writes across a restore of the store

The store may come back from an older copy and assign versions again, so a version read before can match another row: a write meant for one row hit another, and an acknowledged write of the lost history counted as done. Writes that only require absent rows use AnyEra.

--- a/peridotfront/clock.go
+++ b/peridotfront/clock.go
@@ -70,6 +70,7 @@
 	anchor := time.Now().Add(-serviceTime)
 	_, err := f.platform.Commit(ctx, peridottable.Txn{
 		ID:     f.self.Incarnation,
+		Era:    peridottable.AnyEra,
 		Checks: []peridottable.Check{{Key: clockAnchorKey}},
 		Puts:   []peridottable.Put{{Key: clockAnchorKey, Value: strconv.AppendInt(nil, anchor.UnixNano(), 10)}},
 	})
--- a/peridotfront/duties.go
+++ b/peridotfront/duties.go
@@ -187,6 +187,7 @@
 	}
 	_, err = f.platform.Commit(ctx, peridottable.Txn{
 		ID:      f.self.Incarnation,
+		Era:     peridottable.AnyEra,
 		Checks:  []peridottable.Check{{Key: key}},
 		Puts:    []peridottable.Put{{Key: key, Value: data}},
 		Deletes: []string{usagePrefix + (w - 100).String()},
--- a/peridotfront/duties_test.go
+++ b/peridotfront/duties_test.go
@@ -42,6 +42,8 @@
 	at     time.Time
 }
 
+func (c *fakePlatform) Era() int64 { return c.Store.(*peridottable.Memory).Era() }
+
 func (c *fakePlatform) WatchConfig(ctx context.Context, _ Watcher) error {
 	<-ctx.Done()
 	return nil
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -332,6 +332,7 @@
 	f := p.front
 	_, err := f.platform.Commit(ctx, peridottable.Txn{
 		ID:   f.self.Incarnation,
+		Era:  peridottable.AnyEra,
 		Puts: []peridottable.Put{{Key: rosterPrefix + f.settings.Instance, Value: []byte(f.settings.PeerAddress)}},
 	})
 	if err != nil {
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -112,6 +112,8 @@
 // service, feeds of its contents and the usage API.
 type Platform interface {
 	peridottable.Store
+	// Era returns the newest era of the table service that an answer has shown.
+	Era() int64
 	// WatchConfig calls w with each configuration until ctx is done.
 	WatchConfig(ctx context.Context, w Watcher) error
 	// WatchBackends calls w with each list of registered backend servers until ctx is
--- a/peridotlease/lease.go
+++ b/peridotlease/lease.go
@@ -225,6 +225,7 @@
 	key := RowKey(l.shard)
 	return peridottable.Txn{
 		ID:     key + "/" + l.nonce + "/" + strconv.Itoa(l.attempts),
+		Era:    l.row.Era,
 		Checks: []peridottable.Check{{Key: key, Version: l.row.Version}},
 		Puts:   []peridottable.Put{{Key: key, Value: value.encode()}},
 	}
--- a/peridottable/doc.go
+++ b/peridottable/doc.go
@@ -5,4 +5,8 @@
 // have taken effect. Its error then has the verdict MayHaveRun. Each row holds the
 // ID of the transaction that wrote it, so that a later read can determine whether
 // the commit took effect.
+//
+// The table may be restored from an older copy. It then loses the commits made since
+// the copy and assigns their versions again, so versions are comparable only within
+// an era. The era is 0 at first and rises with each restore.
 package peridottable
--- a/peridottable/memory.go
+++ b/peridottable/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -20,17 +21,40 @@
 	mu sync.Mutex
 	// version is the number of commits that have changed the table.
 	version int64
+	era     int64
 	rows    map[string]Row
 }
 
+// Copy returns a copy of the table, for Restore.
+func (m *Memory) Copy() *Memory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &Memory{version: m.version, era: m.era, rows: maps.Clone(m.rows)}
+}
+
+// Restore replaces the rows and the version of the table with those of a copy and
+// begins a new era.
+func (m *Memory) Restore(from *Memory) {
+	from = from.Copy()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version, m.rows = from.version, from.rows
+	m.era++
+}
+
+// Era returns the era of the table.
+func (m *Memory) Era() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
 // Get reads one row.
 func (m *Memory) Get(_ context.Context, key string) (Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	row, ok := m.rows[key]
-	if !ok {
-		return Row{Key: key}, nil
-	}
+	row := m.rows[key]
+	row.Key, row.Era = key, m.era
 	return row, nil
 }
 
@@ -41,6 +65,7 @@
 	var found []Row
 	for key, row := range m.rows {
 		if strings.HasPrefix(key, r.Prefix) && key > r.After {
+			row.Era = m.era
 			found = append(found, row)
 		}
 	}
@@ -59,6 +84,9 @@
 func (m *Memory) Commit(_ context.Context, t Txn) (int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if t.Era != AnyEra && t.Era != m.era {
+		return 0, peridotverdict.New(peridotverdict.Conflict, peridotverdict.NotRun, "the table has another era")
+	}
 	for _, c := range t.Checks {
 		if got := m.rows[c.Key].Version; got != c.Version {
 			return 0, peridotverdict.New(peridotverdict.Conflict, peridotverdict.NotRun, "row "+c.Key+" has changed")
--- a/peridottable/store.go
+++ b/peridottable/store.go
@@ -19,8 +19,9 @@
 	// stale.
 	Scan(ctx context.Context, r Range) ([]Row, error)
 	// Commit applies all of t or nothing, and returns the new version of the
-	// written rows. If a check fails, the error has the code Conflict and the
-	// verdict NotRun.
+	// written rows. If a check fails or the table has another era than t, the error
+	// has the code Conflict and the verdict NotRun. If the table has changed its era
+	// meanwhile, the verdict is MayHaveRun: t may have taken effect in either era.
 	Commit(ctx context.Context, t Txn) (int64, error)
 }
 
@@ -28,9 +29,12 @@
 type Row struct {
 	// Key is unique within the table.
 	Key string
-	// Version increases with each commit to the table; 0 means that the row does not
-	// exist.
+	// Version increases with each commit to the table within an era; 0 means that the
+	// row does not exist.
 	Version int64
+	// Era is the era of the table in which the row was read, also for a row that does
+	// not exist.
+	Era int64
 	// WriterID is the ID of the Txn that wrote the row.
 	WriterID string
 	// Value is opaque to the table service.
@@ -66,13 +70,19 @@
 // and Deletes only checks.
 type Txn struct {
 	// ID is unique per transaction. A retry of the same transaction keeps the ID.
-	ID     string
+	ID string
+	// Era is the era of the rows to whose versions Checks refers, or AnyEra if Checks
+	// requires at most that rows do not exist.
+	Era    int64
 	Checks []Check
 	Puts   []Put
 	// Deletes are the keys of the rows to delete.
 	Deletes []string
 }
 
+// AnyEra is the Era of a transaction that may take effect in any era.
+const AnyEra = -1
+
 // IsConflict reports whether a commit failed because a check did not hold.
 func IsConflict(err error) bool {
 	return peridotverdict.Is(err, peridotverdict.Conflict)
@@ -108,7 +118,7 @@
 		if err != nil {
 			return Row{}, err
 		}
-		_, err = s.Commit(ctx, Txn{Checks: []Check{{Key: key, Version: row.Version}}})
+		_, err = s.Commit(ctx, Txn{Era: row.Era, Checks: []Check{{Key: key, Version: row.Version}}})
 		if err == nil {
 			return row, nil
 		}
