--- a/peridotfront/duties_test.go
+++ b/peridotfront/duties_test.go
@@ -281,6 +281,45 @@
 	}
 }
 
+// TestBackendAfterRestore guards against the loss of backend servers that are missing
+// from the older copy of the table service because they registered after it. Other
+// fronts that were answered throughout don't mean that such a server has left.
+func TestBackendAfterRestore(t *testing.T) {
+	f := newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-0")
+	a, b := peridotsite.Backend{ID: "a", Service: "s"}, peridotsite.Backend{ID: "b", Service: "s"}
+	f.SetConfig(&peridotsite.Config{Version: 2})
+	f.FeedAnswered(FeedBackends)
+	f.SetBackends([]peridotsite.Backend{a, b})
+	f.peers.handleMessage(&message{From: "front-1", Address: "10.0.0.9:7660", StoreAnsweringMillis: 3_600_000})
+	answered := f.now()
+	time.Sleep(5 * time.Millisecond)
+	for _, failed := range []bool{false, true} {
+		if failed {
+			f.FeedFailed(FeedBackends, nil)
+		}
+		f.FeedRestored(FeedBackends, 1)
+		f.FeedAnswered(FeedBackends)
+		f.SetBackends([]peridotsite.Backend{a})
+		if _, got := f.backends.byID["b"]; !got {
+			t.Errorf("missing in the copy, feed failed before %v: got b not used, want it used", failed)
+		}
+		f.mu.Lock()
+		steadySince := f.now() - f.storeAnsweringFor()
+		f.mu.Unlock()
+		if steadySince <= answered {
+			t.Errorf("got the table service answering since %v, want since the restore after %v", steadySince, answered)
+		}
+	}
+	f.SetConfig(&peridotsite.Config{Version: 1})
+	if got := f.config.Load().Version; got != 2 {
+		t.Errorf("configuration of the older copy: got version %d, want 2", got)
+	}
+	f.backends.removeExpired(f.now() + 3*time.Second)
+	if _, got := f.backends.byID["b"]; got {
+		t.Error("not registered again: got b used, want it removed")
+	}
+}
+
 // TestBackendAfterLocalOutage checks a backend server that leaves while one front
 // cannot reach the table service. The front may keep using it, as one whose
 // registration expired, only if the table service answered no other front throughout.
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -135,6 +135,9 @@
 	RowUnreadable(key string, err error)
 	// FeedAnswered is called when the table service answers a call of a feed.
 	FeedAnswered(feed string)
+	// FeedRestored is called when the table service was restored from an older copy,
+	// before the feed delivers the contents of that copy. The era is the new one.
+	FeedRestored(feed string, era int64)
 	// FeedFailed is called when a call of a feed fails.
 	FeedFailed(feed string, err error)
 }
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -174,6 +174,21 @@
 	log.WithFields(log.Fields{"feed": feed, "others_answered": othersAnswered}).Info(logPrefix + "table service answers again")
 }
 
+// FeedRestored implements Watcher. A backend server may be missing from the restored
+// copy, as after an outage, until it registers again.
+func (f *Front) FeedRestored(feed string, era int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	f.feedSteadySince[feed] = now
+	if feed == FeedBackends {
+		f.backends.recordOutageEnd(now)
+	}
+	f.metrics.Count("feed_restores_" + feed)
+	f.metrics.SetGauge("store_era", float64(era))
+	log.WithFields(log.Fields{"feed": feed, "era": era}).Warn(logPrefix + "table service was restored from an older copy")
+}
+
 // storeAnsweringFor returns how long the feed of backend servers has answered
 // without interruption, or 0 if it does not answer. The caller must hold f.mu.
 func (f *Front) storeAnsweringFor() time.Duration {
