Do not use a backend server that had left before a restore

A restored copy lists servers that had left since it was made; requests went to them, and to one that had said it leaves (the copy calls it ready). The front remembers incarnations (ID, Born) that have left for a minute. Their entries in the first list after a restore are withheld until they are written again, are gone, or 10 s have passed; an incarnation that had said it leaves stays withheld.

--- /dev/null
+++ b/peridotfront/departed.go
@@ -0,0 +1,115 @@
+package peridotfront
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"peridotstack/peridotsite"
+)
+
+const (
+	// departureMemory is how long the incarnation of a backend server that has left is
+	// remembered. The copy from which a table service is restored is some seconds old.
+	departureMemory = time.Minute
+	// withholdTime is the maximum time after a restore for which an entry of a backend
+	// server that had left is not used. By then the platform has removed the entry of a
+	// server that sends no heartbeats.
+	withholdTime = 10 * time.Second
+)
+
+// departure records that an incarnation of a backend server has left.
+type departure struct {
+	born int64
+	at   time.Duration
+	// wasLeaving is set if the backend server had said that it leaves.
+	wasLeaving bool
+}
+
+// withheldBackend is a registered backend server that is not used until the given
+// time, unless its entry is written again.
+type withheldBackend struct {
+	peridotsite.Backend
+	until time.Duration
+}
+
+// recordRestore records that the table service was restored from an older copy at
+// now.
+func (b *backends) recordRestore(now time.Duration) {
+	b.recordOutageEnd(now)
+	b.afterRestore = true
+}
+
+// withhold returns the registered backend servers without those whose entry only a
+// restored copy has brought back: their incarnation had left before. An incarnation
+// that had said that it leaves stays withheld.
+func (b *backends) withhold(now time.Duration, list []peridotsite.Backend) []peridotsite.Backend {
+	var usable []peridotsite.Backend
+	withheld := make(map[string]withheldBackend)
+	for _, s := range list {
+		if until := b.withheldUntil(now, s); now < until {
+			withheld[s.ID] = withheldBackend{s, until}
+			continue
+		}
+		usable = append(usable, s)
+	}
+	for id, w := range withheld {
+		if _, before := b.withheld[id]; !before {
+			log.WithFields(log.Fields{"backend": id, "born": w.Born}).Info(logPrefix + "not using a backend server that had left before the restore")
+		}
+	}
+	b.withheld, b.afterRestore = withheld, false
+	return usable
+}
+
+// withheldUntil returns the time until which a registered backend server is withheld,
+// or 0.
+func (b *backends) withheldUntil(now time.Duration, s peridotsite.Backend) time.Duration {
+	d, departed := b.departed[s.ID]
+	w, before := b.withheld[s.ID]
+	switch {
+	case !departed || d.born != s.Born || s.Born == 0 || s.Leaving:
+		return 0
+	case d.wasLeaving:
+		return d.at + departureMemory
+	case b.afterRestore:
+		return now + withholdTime
+	case before && w.Backend == s:
+		return w.until
+	}
+	return 0
+}
+
+// recordDepartures remembers the backend servers that were in use before and are not
+// in use any more.
+func (b *backends) recordDepartures(now time.Duration, before map[string]peridotsite.Backend) {
+	if b.departed == nil {
+		b.departed = make(map[string]departure)
+	}
+	for id, s := range before {
+		if current, used := b.byID[id]; !used || current.Born != s.Born {
+			b.departed[id] = departure{born: s.Born, at: now, wasLeaving: s.Leaving}
+		}
+	}
+	for id, d := range b.departed {
+		s, used := b.byID[id]
+		isBack := used && s.Born == d.born && !d.wasLeaving
+		if isBack || now-d.at >= departureMemory {
+			delete(b.departed, id)
+		}
+	}
+}
+
+// releaseWithheld uses the backend servers that are still registered at the end of
+// the time for which they were withheld. It reports whether there were any.
+func (b *backends) releaseWithheld(now time.Duration) bool {
+	released := false
+	for id, w := range b.withheld {
+		if now >= w.until {
+			delete(b.withheld, id)
+			b.byID[id] = w.Backend
+			released = true
+		}
+	}
+	return released
+}
--- /dev/null
+++ b/peridotfront/departed_test.go
@@ -0,0 +1,90 @@
+package peridotfront
+
+import (
+	"testing"
+	"time"
+
+	"peridotstack/peridotsite"
+)
+
+// TestDepartedBackendStaysAway guards against requests to a backend server that had
+// left, because the older copy from which the table service was restored still lists
+// it.
+func TestDepartedBackendStaysAway(t *testing.T) {
+	a, b := peridotsite.Backend{ID: "a", Born: 1}, peridotsite.Backend{ID: "b", Born: 2}
+	draining, bornAgain, changed := b, b, b
+	draining.Leaving, bornAgain.Born, changed.Slots = true, 3, 7
+	tests := []struct {
+		name string
+		// last is the last entry of b before its removal. restored is set if the table
+		// service was restored after that.
+		last     peridotsite.Backend
+		restored bool
+		// back is set if b registered again before the restore.
+		back bool
+		// first and next are b's entries in the first list after that and 1 s later; the
+		// zero value is none.
+		first, next peridotsite.Backend
+		// want is whether b is in use after the first list, after the next one, and 20 s
+		// later if nothing changes.
+		want [3]bool
+	}{
+		{"registers again without a restore", b, false, false, b, b, [3]bool{true, true, true}},
+		{"in the copy, then removed", b, true, false, b, peridotsite.Backend{}, [3]bool{}},
+		{"in the copy, then written again", b, true, false, b, changed, [3]bool{false, true, true}},
+		{"in the copy, never written again", b, true, false, b, b, [3]bool{false, false, true}},
+		{"registers again before the restore", b, true, true, b, b, [3]bool{true, true, true}},
+		{"not in the copy, then registers", b, true, false, peridotsite.Backend{}, b, [3]bool{false, true, true}},
+		{"new incarnation", b, true, false, bornAgain, bornAgain, [3]bool{true, true, true}},
+		{"said that it leaves, ready in the copy", draining, true, false, b, b, [3]bool{}},
+		{"said that it leaves, written as ready", draining, true, false, b, changed, [3]bool{}},
+	}
+	for _, test := range tests {
+		l := &backends{}
+		now := time.Second
+		set := func(entry peridotsite.Backend) {
+			list := []peridotsite.Backend{a}
+			if entry.ID != "" {
+				list = append(list, entry)
+			}
+			l.setRegistered(now, l.withhold(now, list))
+		}
+		set(b)
+		set(test.last)
+		set(peridotsite.Backend{})
+		if test.back {
+			set(b)
+		}
+		if test.restored {
+			l.recordRestore(now)
+		}
+		for i, step := range []func(){
+			func() { set(test.first) },
+			func() { set(test.next) },
+			func() { now += 20 * time.Second },
+		} {
+			now += time.Second
+			step()
+			l.removeExpired(now)
+			if _, got := l.byID["b"]; got != test.want[i] {
+				t.Errorf("%s: step %d: got b used %v, want %v", test.name, i, got, test.want[i])
+			}
+			if _, ok := l.byID["a"]; !ok {
+				t.Errorf("%s: step %d: got a not used, want it used", test.name, i)
+			}
+		}
+	}
+}
+
+// TestDepartedBackendIsForgotten guards against a memory of backend servers that have
+// left which grows without bound.
+func TestDepartedBackendIsForgotten(t *testing.T) {
+	l := &backends{}
+	for i := range 100 {
+		now := time.Duration(i+1) * time.Second
+		l.setRegistered(now, []peridotsite.Backend{{ID: string(rune('a' + i)), Born: int64(i)}})
+	}
+	if got, want := len(l.departed), int(departureMemory/time.Second); got > want {
+		t.Errorf("got %d remembered, want at most %d", got, want)
+	}
+}
--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -266,6 +266,7 @@
 		f.metrics.SetGauge("feed_age_seconds_"+feed, (f.now() - at).Seconds())
 	}
 	f.metrics.SetGauge("backends", float64(len(f.backends.byID)))
+	f.metrics.SetGauge("backends_withheld", float64(len(f.backends.withheld)))
 	f.metrics.SetGauge("connections_dialed", float64(f.pool.DialCount()))
 	f.mu.Unlock()
 	f.metrics.SetGauge("fronts", float64(f.peers.frontCount()))
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -36,6 +36,14 @@
 	afterOutage bool
 	// outageEnd is when the last outage ended.
 	outageEnd time.Duration
+	// departed contains the incarnations that have left within departureMemory, by ID.
+	departed map[string]departure
+	// withheld contains the registered backend servers that are not in use because
+	// they had left before a restore, by ID.
+	withheld map[string]withheldBackend
+	// afterRestore is set from a restore of the table service until the next list of
+	// registered backend servers arrives.
+	afterRestore bool
 }
 
 // recordOutageEnd records that an outage of the table service ended at now.
@@ -61,15 +69,19 @@
 			byID[id], missingUntil[id] = s, until
 		}
 	}
+	before := b.byID
 	b.byID, b.missingUntil, b.afterOutage = byID, missingUntil, false
+	b.recordDepartures(now, before)
 }
 
-// removeExpired removes backend servers that did not register again in time. It
-// reports whether it removed any.
+// removeExpired removes backend servers that did not register again in time, and uses
+// those that were withheld for long enough. It reports whether there were any.
 func (b *backends) removeExpired(now time.Duration) bool {
-	expired := false
+	expired := b.releaseWithheld(now)
 	for id, until := range b.missingUntil {
 		if now >= until {
+			s := b.byID[id]
+			b.departed[id] = departure{born: s.Born, at: now, wasLeaving: s.Leaving}
 			delete(b.missingUntil, id)
 			delete(b.byID, id)
 			expired = true
@@ -106,6 +118,7 @@
 func (f *Front) SetBackends(list []peridotsite.Backend) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	list = f.backends.withhold(f.now(), list)
 	f.logBackends(list)
 	f.backends.setRegistered(f.now(), list)
 	f.updatePlacer()
@@ -182,7 +195,7 @@
 	now := f.now()
 	f.feedSteadySince[feed] = now
 	if feed == FeedBackends {
-		f.backends.recordOutageEnd(now)
+		f.backends.recordRestore(now)
 	}
 	f.metrics.Count("feed_restores_" + feed)
 	f.metrics.SetGauge("store_era", float64(era))
