Keep one holder of a lease across a restore of the table

After a restore the lease row is older or absent. Two holders sent orders at one time, took turns inside the lease, and used one fencing token: a contender counted from before the restore, took an absent row at once, or repeated a lost token. An older or absent row of a new era is watched for a whole lease; a commit of the last era proves nothing; tokens of an era begin above a million times its number; the holder renews over the older row while its grant lasts, for nobody else can have taken the lease by then.

--- a/peridotlease/lease.go
+++ b/peridotlease/lease.go
@@ -81,6 +81,8 @@
 	// grant is valid only while held is set.
 	held  bool
 	grant Grant
+	// grantEra is the era of the commit that acquired or last renewed the lease.
+	grantEra int64
 	// renewedAt is when the last acquisition or renewal that took effect was
 	// started.
 	renewedAt time.Time
@@ -112,9 +114,15 @@
 // The read may be stale: an older version than the newest known one is ignored. A
 // row that can't be decoded is ignored as well. If the row was written by the
 // pending commit, the lease is held from then on.
+//
+// In the first read of an era the row may be of an older version, or absent. The
+// outcome of a commit of the last era is then of no use. A grant stays valid, and is
+// renewed whatever the row says: another process can acquire the lease in this era
+// only after it has watched the row for the whole lease duration.
 func (l *Lease) HandleRead(row peridottable.Row, readAt time.Time) {
 	l.lastReadAt = readAt
-	if row.Version < l.row.Version || (row.Version == l.row.Version && !l.rowSeenAt.IsZero()) {
+	sameEra := row.Era == l.row.Era
+	if row.Era < l.row.Era || sameEra && (row.Version < l.row.Version || row.Version == l.row.Version && !l.rowSeenAt.IsZero()) {
 		return
 	}
 	value, err := DecodeRow(row.Value)
@@ -123,9 +131,11 @@
 	}
 	l.row, l.value, l.rowSeenAt = row, value, readAt
 	switch {
+	case !sameEra:
+		l.pending = nil
 	case l.pending != nil && row.WriterID == l.pending.txn.ID:
 		l.applyCommit(row.Version, readAt)
-	case value.Nonce != l.nonce:
+	case value.Nonce != l.nonce && row.Era == l.grantEra:
 		l.held = false
 	}
 }
@@ -141,7 +151,7 @@
 		if now.Before(l.renewedAt.Add(l.terms.RenewInterval)) {
 			return peridottable.Txn{}, false
 		}
-		return l.startCommit(now, l.value.Token, false), true
+		return l.startCommit(now, l.grant.Token, false), true
 	}
 	l.held = false
 	// Acquire the lease only after a read at or after acquireAt: the holder may have
@@ -150,17 +160,23 @@
 	if now.Before(acquireAt) || l.lastReadAt.Before(acquireAt) {
 		return peridottable.Txn{}, false
 	}
-	return l.startCommit(now, l.value.Token+1, true), true
+	return l.startCommit(now, max(l.value.Token, l.row.Era*tokensPerEra)+1, true), true
 }
 
 // FreeAt returns when this process may acquire the lease, given the newest known
 // row. A released lease, and one held under this process's own nonce, is free as
-// soon as the row is known.
+// soon as the row is known, unless the row is absent or was written in an older era:
+// another process may then hold the lease under a row that has been lost.
 func (l *Lease) FreeAt() time.Time {
-	if l.value.Holder == "" || l.value.Nonce == l.nonce {
+	isFree := l.value.Holder == "" || l.value.Nonce == l.nonce
+	if isFree && l.value.Era == l.row.Era {
 		return l.rowSeenAt
 	}
-	return l.rowSeenAt.Add(l.terms.Lengthen(l.value.ttl()))
+	ttl := l.value.ttl()
+	if isFree {
+		ttl = max(ttl, l.terms.TTL)
+	}
+	return l.rowSeenAt.Add(l.terms.Lengthen(ttl))
 }
 
 // Release returns the commit that releases the lease, or false if the lease is
@@ -170,7 +186,7 @@
 		return peridottable.Txn{}, false
 	}
 	l.held = false
-	return l.newTxn(Row{Token: l.value.Token, TTLMillis: l.value.TTLMillis}), true
+	return l.newTxn(Row{Token: l.grant.Token, TTLMillis: l.value.TTLMillis, Era: l.row.Era}), true
 }
 
 // HandleCommitResult processes the outcome, known at doneAt, of the commit that
@@ -181,7 +197,7 @@
 	switch {
 	case l.pending == nil:
 	case err == nil:
-		l.row = peridottable.Row{Key: RowKey(l.shard), Version: version, WriterID: l.pending.txn.ID, Value: l.pending.value.encode()}
+		l.row = peridottable.Row{Key: RowKey(l.shard), Version: version, Era: l.pending.txn.Era, WriterID: l.pending.txn.ID, Value: l.pending.value.encode()}
 		l.value, l.rowSeenAt = l.pending.value, doneAt
 		l.applyCommit(version, doneAt)
 	case peridottable.IsConflict(err):
@@ -212,7 +228,7 @@
 // startCommit returns the commit that writes this process as the holder, and
 // records it as pending.
 func (l *Lease) startCommit(now time.Time, token int64, isAcquisition bool) peridottable.Txn {
-	value := Row{Holder: l.holder, Nonce: l.nonce, Token: token, TTLMillis: l.terms.TTL.Milliseconds()}
+	value := Row{Holder: l.holder, Nonce: l.nonce, Token: token, TTLMillis: l.terms.TTL.Milliseconds(), Era: l.row.Era}
 	txn := l.newTxn(value)
 	l.pending = &pendingCommit{txn: txn, value: value, startedAt: now, isAcquisition: isAcquisition}
 	return txn
@@ -238,7 +254,7 @@
 	l.row.Version = version
 	committed := l.pending
 	l.pending = nil
-	l.renewedAt = committed.startedAt
+	l.renewedAt, l.grantEra = committed.startedAt, committed.txn.Era
 	if committed.isAcquisition {
 		l.grant = Grant{Shard: l.shard, Token: committed.value.Token, AcquiredAt: doneAt}
 	}
--- a/peridotlease/manager.go
+++ b/peridotlease/manager.go
@@ -232,7 +232,7 @@
 func (m *Manager) readRows(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rows, err := m.scanRows(ctx)
+	rows, err := m.readLeaseRows(ctx)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	readAt := m.now()
@@ -241,14 +241,42 @@
 			s.lease.lastReadAt = readAt
 			continue
 		}
-		s.lease.HandleRead(findRow(rows, RowKey(s.shard)), readAt)
+		if row, ok := rows[RowKey(s.shard)]; ok {
+			s.lease.HandleRead(row, readAt)
+		}
 	}
 	if err != nil {
 		m.countEvent("lease_read_failures")
 	}
 }
 
-// scanRows returns all lease rows.
+// readLeaseRows returns the lease rows of all shards by key. It reads each absent row
+// by itself, because a range does not tell the era in which the row is absent.
+func (m *Manager) readLeaseRows(ctx context.Context) (map[string]peridottable.Row, error) {
+	list, err := m.scanRows(ctx)
+	if err != nil {
+		return nil, err
+	}
+	rows := make(map[string]peridottable.Row, len(list))
+	for _, row := range list {
+		rows[row.Key] = row
+	}
+	m.mu.Lock()
+	leases := m.leases
+	m.mu.Unlock()
+	for _, s := range leases {
+		key := RowKey(s.shard)
+		if _, ok := rows[key]; ok {
+			continue
+		}
+		if rows[key], err = m.store.Get(ctx, key); err != nil {
+			return nil, err
+		}
+	}
+	return rows, nil
+}
+
+// scanRows returns all lease rows that exist.
 func (m *Manager) scanRows(ctx context.Context) ([]peridottable.Row, error) {
 	var rows []peridottable.Row
 	scanRange := peridottable.Range{Prefix: KeyPrefix, Limit: rowsPerPage}
@@ -268,16 +296,6 @@
 // rowsPerPage is the maximum number of rows that one Scan returns.
 const rowsPerPage = 500
 
-// findRow returns the row with a key, or a row of version 0 if it is absent.
-func findRow(rows []peridottable.Row, key string) peridottable.Row {
-	for _, row := range rows {
-		if row.Key == key {
-			return row
-		}
-	}
-	return peridottable.Row{Key: key}
-}
-
 // commitLease commits the acquisition or renewal of one lease, if one is due.
 func (m *Manager) commitLease(ctx context.Context, s *shardLease) {
 	m.mu.Lock()
--- a/peridotlease/row.go
+++ b/peridotlease/row.go
@@ -22,13 +22,19 @@
 	Holder string
 	// Nonce is unique to one start of the holder's process.
 	Nonce string
-	// Token is the fencing token. It increases by one each time the lease is
-	// acquired.
+	// Token is the fencing token. It increases each time the lease is acquired: by
+	// one, or to a number above Era*tokensPerEra if it is not.
 	Token int64
 	// TTLMillis is the duration of the lease after each renewal, in milliseconds.
 	TTLMillis int64
+	// Era is the era of the table in which the row was written.
+	Era int64 `json:",omitempty"`
 }
 
+// tokensPerEra is more than the number of times that a lease is acquired in one era
+// of the table, so that no later era repeats a token whose row was lost.
+const tokensPerEra = 1_000_000
+
 // DecodeRow decodes the value of a lease row. The empty value of an absent row
 // decodes to the zero Row. It returns an error if value is not valid JSON for a
 // Row.
