Report a usage window with one set of counts across a restore

The table service may lose the row of a seal after the report was sent. The next holder, or the same one after a lost answer, then sealed the window with the counts that it had by then, and the platform got two reports that differ. Each front keeps the latest seals. The holder announces its seals with its usage, sends the report two announcements later, and writes all seals it knows again in a new era or term. A holder that took over skips a window that ended before a restore if neither it nor the table knows a seal: its last holder may have been killed.

--- a/peridotfront/duties.go
+++ b/peridotfront/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"peridotstack/peridotclock"
 	"peridotstack/peridotlease"
-	"peridotstack/peridottable"
 	"peridotstack/peridotusage"
 	"peridotstack/peridotwait"
 )
@@ -63,6 +61,14 @@
 	reported map[peridotusage.Window]bool
 	// firstWindow is the first window that this holder must report.
 	firstWindow peridotusage.Window
+	// termStart is when the current term started, as a boot time.
+	termStart time.Time
+	// era is the era of the table service, seen first at the boot time eraSeenAt.
+	era       int64
+	eraSeenAt time.Time
+	// writtenEra and writtenToken are the era and term in which this front last wrote
+	// its seals again.
+	writtenEra, writtenToken int64
 }
 
 // newDuties returns the duties of f. Call start to run them.
@@ -94,6 +100,7 @@
 func (d *duties) serve(ctx context.Context) {
 	for ctx.Err() == nil {
 		d.lease.SetInstances(append(d.front.peers.aliveInstances(), d.front.settings.Instance))
+		d.observeEra()
 		heldGauge := 0.0
 		if holder, ok := d.currentHolder(); ok {
 			heldGauge = 1
@@ -123,6 +130,7 @@
 func (d *duties) startTerm(token int64) {
 	f := d.front
 	d.grantToken, d.reported = token, make(map[peridotusage.Window]bool)
+	d.termStart = peridotclock.BootTime()
 	f.mu.Lock()
 	d.firstWindow = f.tally.WindowAt(f.trueTime().Add(-f.settings.UsageReportDue - f.settings.UsageWindow))
 	f.mu.Unlock()
@@ -141,16 +149,22 @@
 	lastSettled := f.tally.WindowAt(now.Add(-settleTime(f.peers.frontCount(), f.settings.UsageReportDue))) - 1
 	f.tally.DeleteOld(current)
 	f.mu.Unlock()
+	d.rewriteSeals(ctx)
 	for w := max(d.firstWindow, lastSettled-announcedUsageWindows); w <= lastSettled; w++ {
 		if d.reported[w] {
 			continue
 		}
 		counts, err := d.sealWindow(ctx, w)
 		if err != nil {
+			f.metrics.Count("usage_seal_failures")
 			log.WithError(err).WithField("window", int64(w)).Warn(logPrefix + "cannot seal usage window")
 			return
 		}
-		if _, ok := d.currentHolder(); !ok || len(counts) == 0 {
+		if len(counts) == 0 {
+			d.reported[w] = true
+			continue
+		}
+		if _, ok := d.currentHolder(); !ok || !d.isAnnounced(w) {
 			continue
 		}
 		if err := f.platform.ReportUsage(ctx, holder, int64(w), counts); err != nil {
@@ -171,39 +185,3 @@
 	announceInterval := roundsPerAnnouncement * sendInterval(fronts)
 	return min(max(minSettleTime, time.Duration(settleFactor*float64(announceInterval))+settleSlack), due/2)
 }
-
-// sealWindow stores the final counts of a window in the table service and returns
-// them. If the window is sealed already, it returns the stored counts, so every
-// holder that reports the window reports the same counts.
-func (d *duties) sealWindow(ctx context.Context, w peridotusage.Window) (map[string]int64, error) {
-	f := d.front
-	f.mu.Lock()
-	counts := f.tally.Sum(w)
-	f.mu.Unlock()
-	key := usagePrefix + w.String()
-	data, err := json.Marshal(counts)
-	if err != nil {
-		return nil, err
-	}
-	_, err = f.platform.Commit(ctx, peridottable.Txn{
-		ID:      f.self.Incarnation,
-		Era:     peridottable.AnyEra,
-		Checks:  []peridottable.Check{{Key: key}},
-		Puts:    []peridottable.Put{{Key: key, Value: data}},
-		Deletes: []string{usagePrefix + (w - 100).String()},
-	})
-	if err == nil {
-		return counts, nil
-	}
-	// Another holder, or an earlier commit of this one whose answer was lost, may
-	// have sealed the window already.
-	row, readErr := f.platform.Get(ctx, key)
-	if readErr != nil {
-		return nil, readErr
-	}
-	if row.Version == 0 {
-		return nil, err
-	}
-	var sealedCounts map[string]int64
-	return sealedCounts, json.Unmarshal(row.Value, &sealedCounts)
-}
--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -73,8 +73,13 @@
 	placer      *peridotplace.Placer
 	retryBudget *peridotretry.WindowBudget
 	tally       *peridotusage.Tally
-	backends    backends
-	peers       *peers
+	// seals contains the final counts of the latest usage windows, and sealedAt the
+	// value of now when this front, as the holder of the duties, learned those of a
+	// window.
+	seals    *peridotusage.Seals
+	sealedAt map[peridotusage.Window]time.Duration
+	backends backends
+	peers    *peers
 	// lostFeeds is true for each feed whose last call failed.
 	lostFeeds map[string]bool
 	// feedAnsweredAt contains the value of now when each feed last answered.
@@ -111,6 +116,8 @@
 		placer:          peridotplace.New(xxhash.Sum64String(self.Incarnation), s.Domain),
 		retryBudget:     &peridotretry.WindowBudget{Ratio: s.RetryRatio * retryBudgetShare, Slack: 0, Window: s.RetryWindow},
 		tally:           peridotusage.NewTally(self, s.UsageWindow, keptUsageWindows),
+		seals:           peridotusage.NewSeals(keptUsageWindows),
+		sealedAt:        make(map[peridotusage.Window]time.Duration),
 		lostFeeds:       make(map[string]bool),
 		feedAnsweredAt:  make(map[string]time.Duration),
 		feedSteadySince: make(map[string]time.Duration),
--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -25,9 +25,11 @@
 	Address    string      `cbor:"2,keyasint"`
 	Loads      []load      `cbor:"3,keyasint,omitempty"`
 	Placements []placement `cbor:"4,keyasint,omitempty"`
-	// Usage contains the requests per account in one window; nil if the message
-	// carries a load report instead.
+	// Usage contains the requests per account in one window, and Seal a part of the
+	// final counts of a sealed one. Both are nil if the message carries a load report
+	// instead.
 	Usage *usage `cbor:"5,keyasint,omitempty"`
+	Seal  *seal  `cbor:"8,keyasint,omitempty"`
 	// Peers contains the addresses of the other fronts from which the sender
 	// currently receives datagrams.
 	Peers []string `cbor:"6,keyasint,omitempty"`
@@ -62,6 +64,15 @@
 	Counts      map[string]int64
 }
 
+// seal contains a part of the final counts of a sealed window, which has Accounts
+// accounts in all.
+type seal struct {
+	_        struct{} `cbor:",toarray"`
+	Window   int64
+	Accounts int
+	Counts   map[string]int64
+}
+
 // serverHash returns the hash that identifies a backend server in datagrams.
 func serverHash(id string) uint32 {
 	return uint32(xxhash.Sum64String(id))
@@ -104,19 +115,39 @@
 	return r
 }
 
-// splitUsage splits the counts of windows into parts of at most
-// maxAccountsPerDatagram accounts, each of which fits into a datagram.
+// splitUsage splits the counts of windows into parts that each fit into a datagram.
 func splitUsage(incarnation string, windows map[peridotusage.Window]map[string]int64) []*usage {
 	var list []*usage
 	for w, counts := range windows {
-		var part *usage
-		for account, n := range counts {
-			if part == nil || len(part.Counts) == maxAccountsPerDatagram {
-				part = &usage{Incarnation: incarnation, Window: int64(w), Counts: make(map[string]int64)}
-				list = append(list, part)
-			}
-			part.Counts[account] = n
+		for _, part := range splitCounts(counts) {
+			list = append(list, &usage{Incarnation: incarnation, Window: int64(w), Counts: part})
+		}
+	}
+	return list
+}
+
+// splitSeals splits the final counts of windows into parts that each fit into a
+// datagram.
+func splitSeals(windows map[peridotusage.Window]map[string]int64) []*seal {
+	var list []*seal
+	for w, counts := range windows {
+		for _, part := range splitCounts(counts) {
+			list = append(list, &seal{Window: int64(w), Accounts: len(counts), Counts: part})
+		}
+	}
+	return list
+}
+
+// splitCounts splits counts into parts of at most maxAccountsPerDatagram accounts.
+func splitCounts(counts map[string]int64) []map[string]int64 {
+	var list []map[string]int64
+	var part map[string]int64
+	for account, n := range counts {
+		if part == nil || len(part) == maxAccountsPerDatagram {
+			part = make(map[string]int64)
+			list = append(list, part)
 		}
+		part[account] = n
 	}
 	return list
 }
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -140,15 +140,17 @@
 
 // messages returns the messages of one round. The first contains the load of this
 // front. An announcement adds the addresses of the fronts that are alive, and
-// further messages with the usage that this front counted.
+// further messages with the usage that this front counted and the windows that it
+// sealed.
 func (p *peers) messages(announce bool) []*message {
 	f := p.front
 	first := p.newMessage()
 	f.mu.Lock()
 	first.addReport(f.placer.Report(f.now(), maxPlacementsPerDatagram))
 	first.StoreAnsweringMillis = uint32(f.storeAnsweringFor().Milliseconds())
-	var windows map[peridotusage.Window]map[string]int64
+	var windows, sealed map[peridotusage.Window]map[string]int64
 	if announce {
+		sealed = f.ownSeals()
 		windows = f.tally.OwnCounts(f.tally.WindowAt(f.trueTime()), announcedUsageWindows)
 	}
 	f.mu.Unlock()
@@ -164,6 +166,11 @@
 		m.Usage = u
 		messages = append(messages, m)
 	}
+	for _, s := range splitSeals(sealed) {
+		m := p.newMessage()
+		m.Seal = s
+		messages = append(messages, m)
+	}
 	return messages
 }
 
@@ -271,6 +278,12 @@
 		f.tally.Merge(from, peridotusage.Window(m.Usage.Window), m.Usage.Counts)
 		return
 	}
+	if m.Seal != nil {
+		if !f.seals.Merge(peridotusage.Window(m.Seal.Window), m.Seal.Accounts, m.Seal.Counts) {
+			f.metrics.Count("usage_seal_contradictions")
+		}
+		return
+	}
 	f.placer.Observe(f.now(), m.From, m.report(f.backends.idByHash))
 }
 
@@ -285,7 +298,7 @@
 	}
 	isNew := state.heardAt == 0
 	state.heardAt, state.instance = now, m.From
-	if m.Usage == nil {
+	if m.Usage == nil && m.Seal == nil {
 		state.storeAnswering = m.StoreAnsweringMillis > 0
 		state.storeSteadySince = now - time.Duration(m.StoreAnsweringMillis)*time.Millisecond
 	}
