--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -44,7 +44,8 @@
 	// rosterInterval is the time between two reads of the roster, the list of fronts
 	// in the table service.
 	rosterInterval = 10 * time.Second
-	// rosterRetryInterval is the pause after a failed read or write of the roster.
+	// rosterRetryInterval is the time between two checks whether the roster must be
+	// read or written, also after a failure.
 	rosterRetryInterval = 500 * time.Millisecond
 	// rosterPrefix is the key prefix of the rows of the roster.
 	rosterPrefix = "front/"
@@ -323,19 +324,25 @@
 	}
 }
 
-// followRoster adds this front to the roster and reads the roster periodically until
-// ctx is done.
+// followRoster adds this front to the roster, again in each new era of the table
+// service, and reads the roster periodically until ctx is done.
 func (p *peers) followRoster(ctx context.Context) {
 	registered := false
+	var registeredEra int64
+	var readAt time.Duration
 	for ctx.Err() == nil {
-		pause := rosterInterval
-		if !registered {
-			registered = p.registerSelf(ctx)
+		now := p.front.now()
+		if era := p.front.platform.Era(); !registered || era != registeredEra {
+			registered, registeredEra = p.registerSelf(ctx), era
+			readAt = 0
 		}
-		if !p.readRoster(ctx) || !registered {
-			pause = rosterRetryInterval
+		if readAt == 0 || now-readAt >= rosterInterval {
+			readAt = 0
+			if p.readRoster(ctx) && registered {
+				readAt = now
+			}
 		}
-		peridotwait.Sleep(ctx, pause)
+		peridotwait.Sleep(ctx, rosterRetryInterval)
 	}
 }
 
@@ -350,8 +357,10 @@
 	})
 	if err != nil {
 		f.metrics.Count("roster_write_failures")
+		return false
 	}
-	return err == nil
+	log.WithField("era", f.platform.Era()).Info(logPrefix + "added this front to the roster")
+	return true
 }
 
 // readRoster adds the fronts in the roster. It reports whether it could read the
