Set the metric store_era also at a front that starts in a later era

The gauge was set only when a feed heard of a restore, so a front that started after one showed no era, and the alert on fronts that differ would have fired for good. It is now set with the other gauges, from the newest era that an answer has shown. No test of its own; the race runs of peridotfront, platform and peridottable pass.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -273,6 +273,7 @@
 		f.metrics.SetGauge("feed_age_seconds_"+feed, (f.now() - at).Seconds())
 	}
 	f.metrics.SetGauge("backends", float64(len(f.backends.byID)))
+	f.metrics.SetGauge("store_era", float64(f.platform.Era()))
 	f.metrics.SetGauge("backends_withheld", float64(len(f.backends.withheld)))
 	f.metrics.SetGauge("connections_dialed", float64(f.pool.DialCount()))
 	f.mu.Unlock()
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -198,7 +198,6 @@
 		f.backends.recordRestore(now)
 	}
 	f.metrics.Count("feed_restores_" + feed)
-	f.metrics.SetGauge("store_era", float64(era))
 	log.WithFields(log.Fields{"feed": feed, "era": era}).Warn(logPrefix + "table service was restored from an older copy")
 }
 
