Derive fencing tokens of a new era from the version of the lease row

Two holders could still use one token: a commit of the last era, performed late, put an older token into the row of the new era, and the next acquisition counted from it. In an era above 0 the token is the era times 2^40 plus the version that the commit checks, which only rises in an era whatever the row holds.

--- a/peridotlease/lease.go
+++ b/peridotlease/lease.go
@@ -160,7 +160,17 @@
 	if now.Before(acquireAt) || l.lastReadAt.Before(acquireAt) {
 		return peridottable.Txn{}, false
 	}
-	return l.startCommit(now, max(l.value.Token, l.row.Era*tokensPerEra)+1, true), true
+	return l.startCommit(now, l.nextToken(), true), true
+}
+
+// nextToken returns the fencing token for an acquisition. In a new era the row cannot
+// tell the newest token: it may be an older one, and a late commit of the last era may
+// replace it. The version of the row, which the commit checks, only rises in an era.
+func (l *Lease) nextToken() int64 {
+	if l.row.Era == 0 {
+		return l.value.Token + 1
+	}
+	return max(l.value.Token, l.row.Era*tokensPerEra+l.row.Version) + 1
 }
 
 // FreeAt returns when this process may acquire the lease, given the newest known
--- a/peridotlease/row.go
+++ b/peridotlease/row.go
@@ -22,8 +22,8 @@
 	Holder string
 	// Nonce is unique to one start of the holder's process.
 	Nonce string
-	// Token is the fencing token. It increases each time the lease is acquired: by
-	// one, or to a number above Era*tokensPerEra if it is not.
+	// Token is the fencing token. It increases each time the lease is acquired: by one
+	// in era 0, and in later eras to Era*tokensPerEra plus the version of the row.
 	Token int64
 	// TTLMillis is the duration of the lease after each renewal, in milliseconds.
 	TTLMillis int64
@@ -31,9 +31,9 @@
 	Era int64 `json:",omitempty"`
 }
 
-// tokensPerEra is more than the number of times that a lease is acquired in one era
-// of the table, so that no later era repeats a token whose row was lost.
-const tokensPerEra = 1_000_000
+// tokensPerEra is more than the versions of the table in one era, so that no later era
+// repeats a token whose row was lost.
+const tokensPerEra = 1 << 40
 
 // DecodeRow decodes the value of a lease row. The empty value of an absent row
 // decodes to the zero Row. It returns an error if value is not valid JSON for a
