--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -41,6 +41,14 @@
 	software, peerSoftware softwareRecord
 	// departures tells which incarnations have said that they leave.
 	departures departures
+	// removed contains the incarnations that have left within removalMemory, by ID.
+	removed map[string]removal
+	// withheld contains the registered backend servers that are not in use because
+	// they had left before a restore, by ID.
+	withheld map[string]withheldBackend
+	// afterRestore is set from a restore of the table service until the next list of
+	// registered backend servers arrives.
+	afterRestore bool
 }
 
 // recordOutageEnd records that an outage of the table service ended at now.
@@ -67,17 +75,21 @@
 			byID[id], missingUntil[id] = s, until
 		}
 	}
+	before := b.byID
 	b.byID, b.missingUntil, b.afterOutage = byID, missingUntil, false
 	b.recordSoftware(now)
+	b.recordRemovals(now, before)
 }
 
-// removeExpired removes backend servers that did not register again in time. It
-// reports whether it removed any.
+// removeExpired removes backend servers that did not register again in time, and uses
+// those that were withheld for long enough. It reports whether there were any.
 func (b *backends) removeExpired(now time.Duration) bool {
 	b.recordSoftware(now)
-	expired := false
+	expired := b.releaseWithheld(now)
 	for id, until := range b.missingUntil {
 		if now >= until {
+			s := b.byID[id]
+			b.removed[id] = removal{born: s.Born, at: now, wasLeaving: s.Leaving}
 			delete(b.missingUntil, id)
 			delete(b.byID, id)
 			expired = true
@@ -118,6 +130,7 @@
 	for range overruled {
 		f.metrics.Count("ready_rows_overruled")
 	}
+	list = f.backends.withhold(f.now(), list)
 	f.logBackends(list)
 	f.backends.setRegistered(f.now(), list)
 	f.updatePlacer()
@@ -186,6 +199,20 @@
 	log.WithFields(log.Fields{"feed": feed, "others_answered": othersAnswered}).Info(logPrefix + "table service answers again")
 }
 
+// FeedRestored implements Watcher. A backend server may be missing from the restored
+// copy, as after an outage, until it registers again.
+func (f *Front) FeedRestored(feed string, era int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	f.feedSteadySince[feed] = now
+	if feed == FeedBackends {
+		f.backends.recordRestore(now)
+	}
+	f.metrics.Count("feed_restores_" + feed)
+	log.WithFields(log.Fields{"feed": feed, "era": era}).Warn(logPrefix + "table service was restored from an older copy")
+}
+
 // storeAnsweringFor returns how long the feed of backend servers has answered
 // without interruption, or 0 if it does not answer. The caller must hold f.mu.
 func (f *Front) storeAnsweringFor() time.Duration {
