Give each front in the tests of peridotfront an address of its own

TestStateCopiedFromPeer failed now and then with "got no configuration at the new front within 30s". newFront chose a port that was free for UDP, and the front listens on its TCP twin too, which may be taken; the test dropped the error. Each front now gets a loopback address (peridotloopback) that no other test of the machine uses, with a port below the range of outgoing connections, and an error of a part of a front fails the test.

--- a/peridotfront/duties_test.go
+++ b/peridotfront/duties_test.go
@@ -13,10 +13,13 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/pkg/errors"
 
 	"peridotstack/peridotclock"
+	"peridotstack/peridotloopback"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottable"
+	"peridotstack/peridottree"
 	"peridotstack/peridotverdict"
 )
 
@@ -81,23 +84,34 @@
 // testUsageWindow is the length of the usage windows in these tests.
 const testUsageWindow = 500 * time.Millisecond
 
-// newFront returns a front on a loopback address that uses platform c.
+// newFront returns a front on a loopback address of its own that uses platform c.
 func newFront(t *testing.T, c *fakePlatform, name string) *Front {
 	t.Helper()
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
 	clock := &peridotclock.SharedClock{}
 	now := peridotclock.BootTime()
 	clock.Observe(time.Second, now, now)
 	return New(Settings{
-		Instance: name, PeerAddress: conn.LocalAddr().String(), LeaseTTL: 3 * time.Second,
+		Instance: name, PeerAddress: net.JoinHostPort(peridotloopback.Host(t), "7660"), LeaseTTL: 3 * time.Second,
 		UsageWindow: testUsageWindow, UsageReportDue: 4 * time.Second, RetryWindow: time.Second,
 	}, c, nil, clock)
 }
 
+// run runs parts of a front until ctx is done and fails the test if one of them returns
+// an error. It returns a function that waits until they have ended.
+func run(ctx context.Context, t *testing.T, parts ...func(context.Context) error) (wait func()) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for _, part := range parts {
+		wg.Go(func() {
+			if err := part(ctx); err != nil && !errors.Is(err, peridottree.ErrFinished) {
+				t.Errorf("part of a front: got error %v, want none", err)
+			}
+		})
+	}
+	t.Cleanup(wg.Wait)
+	return wg.Wait
+}
+
 // TestUsageReportedOnce guards against windows that are reported with different
 // counts. Three fronts count requests. Twice, the front that reports is stopped in
 // the middle of a window, and answers of the table service and the platform are lost.
@@ -111,18 +125,16 @@
 	for i := range fronts {
 		f := newFront(t, c, fmt.Sprint("front-", i))
 		ctx, stop := context.WithCancel(t.Context())
-		var parts sync.WaitGroup
-		parts.Go(func() { _ = f.peers.serve(ctx) })
-		parts.Go(func() { _ = f.anchorClock(ctx) })
-		parts.Go(func() {
+		wait := run(ctx, t, f.peers.serve, f.anchorClock, func(ctx context.Context) error {
 			d := newDuties(f)
 			d.start(ctx)
 			<-ctx.Done()
 			d.wg.Wait()
+			return nil
 		})
 		stops[f.settings.Instance] = func() {
 			stop()
-			parts.Wait()
+			wait()
 		}
 		defer stops[f.settings.Instance]()
 		all = append(all, f)
--- a/peridotfront/origins_test.go
+++ b/peridotfront/origins_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -31,11 +30,10 @@
 	t.Helper()
 	f = newFront(t, c, name)
 	ctx, stop := context.WithCancel(t.Context())
-	var parts sync.WaitGroup
-	parts.Go(func() { _ = f.peers.serve(ctx) }) // Ends with the test.
+	wait := run(ctx, t, f.peers.serve)
 	kill = func() {
 		stop()
-		parts.Wait()
+		wait()
 	}
 	t.Cleanup(kill)
 	return f, kill
--- a/peridotfront/snapshot_test.go
+++ b/peridotfront/snapshot_test.go
@@ -24,11 +24,10 @@
 	// The old front knows the address of the new one and sends it datagrams.
 	old.peers.addAddress(mustParseAddrPort(t, fresh.settings.PeerAddress))
 	for _, f := range []*Front{old, fresh} {
-		go func() { _ = f.peers.serve(t.Context()) }() // Ends with the test.
-		go func() { _ = f.serveSnapshots(t.Context()) }()
+		run(t.Context(), t, f.peers.serve, f.serveSnapshots)
 	}
 	fresh.FeedFailed(FeedConfig, errors.New("away"))
-	go func() { _ = fresh.copyPeerState(t.Context()) }()
+	run(t.Context(), t, fresh.copyPeerState)
 	peridotawait.Until(t, "configuration at the new front", fresh.ready)
 	got := fresh.config.Load()
 	if account, ok := got.AccountOf("k"); got.Version != 7 || !ok || account != "a" || got.Route("h", "/x") == nil {
