Stop holders in TestUsageReportedOnce by what has happened, not by rounds

The test failed now and then with "got reports from 2 holders, want 3" or "window N: got 22 requests, want 25 or up to 5% less". Both are faults of the test. It stopped holders after fixed numbers of rounds and ended after 12 s: without load the third holder reported first 0.8 to 1.0 s before the end, so slower rounds on a busy machine leave it no report. And a holder stopped just after a window began takes with it what it counted since its last announcement, up to 0.2 s before, also of the window before, which the test held complete.

Shown in trials that stopped the holder within 30 ms after a window began and just before an announcement: in the runs that failed, only the window before that of the stop was short (22 of 25, 22 of 25), the stopped front knew all of its 8 or 9 requests, and the others 3 fewer in all.

Each of the three holders now reports six windows, with an answer of the table service and of the platform lost during each term, and is stopped once the others know the previous window completely; no count is excused besides that of the window of the stop, as before.

--- a/peridotfront/duties_test.go
+++ b/peridotfront/duties_test.go
@@ -15,11 +15,13 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/pkg/errors"
 
+	"peridotstack/peridotawait"
 	"peridotstack/peridotclock"
 	"peridotstack/peridotloopback"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottable"
 	"peridotstack/peridottree"
+	"peridotstack/peridotusage"
 	"peridotstack/peridotverdict"
 )
 
@@ -81,6 +83,41 @@
 	return reports[len(reports)-1].holder.Instance
 }
 
+// windowsOfHolder returns the number of windows reported by the holder that was the n-th
+// to report.
+func (c *fakePlatform) windowsOfHolder(n int) int {
+	var holders []string
+	windows := make(map[int64]bool)
+	for _, r := range c.sentReports() {
+		if !slices.Contains(holders, r.holder.Instance) {
+			holders = append(holders, r.holder.Instance)
+		}
+		if len(holders) == n && r.holder.Instance == holders[n-1] {
+			windows[r.window] = true
+		}
+	}
+	return len(windows)
+}
+
+// allKnow reports whether all fronts know n requests of account a in the window.
+func allKnow(fronts []*Front, window, n int64) bool {
+	for _, f := range fronts {
+		f.mu.Lock()
+		known := f.tally.Sum(peridotusage.Window(window))["a"]
+		f.mu.Unlock()
+		if known != n {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	// windowsBeforeLoss is the number of windows that a holder reports before answers are
+	// lost, and windowsPerHolder the number that it reports before it is stopped.
+	windowsBeforeLoss, windowsPerHolder = 3, 6
+)
+
 // testUsageWindow is the length of the usage windows in these tests.
 const testUsageWindow = 500 * time.Millisecond
 
@@ -113,15 +150,14 @@
 }
 
 // TestUsageReportedOnce guards against windows that are reported with different
-// counts. Three fronts count requests. Twice, the front that reports is stopped in
-// the middle of a window, and answers of the table service and the platform are lost.
+// counts. Three fronts count requests. Each reports for some windows, during which
+// answers of the table service and the platform are lost, and the first two are then
+// stopped.
 func TestUsageReportedOnce(t *testing.T) {
 	const fronts = 3
 	c := &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}
 	stops := make(map[string]func())
-	counted := make(map[int64]int64)
-	incomplete := make(map[int64]bool)
-	var all []*Front
+	counter := &requestCounter{counted: make(map[int64]int64)}
 	for i := range fronts {
 		f := newFront(t, c, fmt.Sprint("front-", i))
 		ctx, stop := context.WithCancel(t.Context())
@@ -137,39 +173,73 @@
 			wait()
 		}
 		defer stops[f.settings.Instance]()
-		all = append(all, f)
+		counter.fronts = append(counter.fronts, f)
 	}
-	end := time.Now().Add(12 * time.Second)
-	for round := 0; time.Now().Before(end); round++ {
-		time.Sleep(20 * time.Millisecond)
-		f := all[round%len(all)]
-		at, ok := f.clock.TrueTime(peridotclock.BootTime())
-		if !ok {
-			continue
+	var incomplete []int64
+	for holders := 1; holders <= fronts; holders++ {
+		counter.countUntil(t, fmt.Sprint("windows of holder ", holders), func(int64) bool { return c.windowsOfHolder(holders) >= windowsBeforeLoss })
+		c.LoseAnswers(1)
+		c.mu.Lock()
+		c.lostReportAnswers = 1
+		c.mu.Unlock()
+		counter.countUntil(t, fmt.Sprint("more windows of holder ", holders), func(int64) bool { return c.windowsOfHolder(holders) >= windowsPerHolder })
+		if holders == fronts {
+			break
 		}
-		f.mu.Lock()
-		f.tally.Add("a", at)
-		counted[int64(f.tally.WindowAt(at))]++
-		f.mu.Unlock()
-		switch round {
-		case 150, 330:
-			c.LoseAnswers(1)
-			c.mu.Lock()
-			c.lostReportAnswers = 1
-			c.mu.Unlock()
-		case 200, 380:
-			// The requests that the stopped front counted since its last datagram are
-			// lost, so the count of this window may be too low.
-			incomplete[int64(f.tally.WindowAt(at))] = true
-			holder := c.holder()
-			stops[holder]()
-			all = slices.DeleteFunc(all, func(f *Front) bool { return f.settings.Instance == holder })
+		stopped := c.holder()
+		rest := slices.DeleteFunc(slices.Clone(counter.fronts), func(f *Front) bool { return f.settings.Instance == stopped })
+		// The requests that the stopped front counted since its last datagram are lost, so
+		// the count of this window may be too low. That of the window before may not, so
+		// the other fronts must know it.
+		window := counter.countUntil(t, "previous window at the other fronts", func(window int64) bool { return allKnow(rest, window-1, counter.counted[window-1]) })
+		incomplete = append(incomplete, window)
+		stops[stopped]()
+		counter.fronts = rest
+	}
+	for _, window := range incomplete {
+		delete(counter.counted, window)
+	}
+	checkReports(t, c.sentReports(), counter.counted)
+}
+
+// requestCounter counts requests at some fronts in turn.
+type requestCounter struct {
+	fronts []*Front
+	rounds int
+	// counted is the number of requests by window.
+	counted map[int64]int64
+}
+
+// countUntil counts a request every 20 ms until done returns true for the window of the
+// last one, and returns that window.
+func (r *requestCounter) countUntil(t *testing.T, what string, done func(window int64) bool) int64 {
+	t.Helper()
+	end := time.Now().Add(peridotawait.Timeout)
+	for time.Now().Before(end) {
+		time.Sleep(20 * time.Millisecond)
+		if window, ok := r.count(); ok && done(window) {
+			return window
 		}
 	}
-	for window := range incomplete {
-		delete(counted, window)
+	t.Fatalf("got no %s within %v, want them", what, peridotawait.Timeout)
+	return 0
+}
+
+// count counts a request at the next front and returns its window, or false if the clock
+// of the front is not anchored yet.
+func (r *requestCounter) count() (int64, bool) {
+	f := r.fronts[r.rounds%len(r.fronts)]
+	r.rounds++
+	at, ok := f.clock.TrueTime(peridotclock.BootTime())
+	if !ok {
+		return 0, false
 	}
-	checkReports(t, c.sentReports(), counted)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tally.Add("a", at)
+	window := int64(f.tally.WindowAt(at))
+	r.counted[window]++
+	return window, true
 }
 
 func checkReports(t *testing.T, reports []sentReport, counted map[int64]int64) {
