--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -77,9 +77,14 @@
 	placer      *peridotplace.Placer
 	retryBudget *peridotretry.WindowBudget
 	tally       *peridotusage.Tally
-	backends    backends
-	peers       *peers
-	origins     *origins
+	// seals contains the final counts of the latest usage windows, and sealedAt the
+	// value of now when this front, as the holder of the duties, learned those of a
+	// window.
+	seals    *peridotusage.Seals
+	sealedAt map[peridotusage.Window]time.Duration
+	backends backends
+	peers    *peers
+	origins  *origins
 	// lostFeeds is true for each feed whose last call failed.
 	lostFeeds map[string]bool
 	// feedAnsweredAt contains the value of now when each feed last answered.
@@ -116,12 +121,15 @@
 		placer:          peridotplace.New(xxhash.Sum64String(self.Incarnation), s.Domain),
 		retryBudget:     &peridotretry.WindowBudget{Ratio: s.RetryRatio * retryBudgetShare, Slack: 0, Window: s.RetryWindow},
 		tally:           peridotusage.NewTally(self, s.UsageWindow, keptUsageWindows),
+		seals:           peridotusage.NewSeals(keptUsageWindows),
+		sealedAt:        make(map[peridotusage.Window]time.Duration),
 		lostFeeds:       make(map[string]bool),
 		feedAnsweredAt:  make(map[string]time.Duration),
 		feedSteadySince: make(map[string]time.Duration),
 	}
 	f.closing, f.startClosing = context.WithCancel(context.Background())
 	f.backends.byID = make(map[string]peridotsite.Backend)
+	f.backends.departures = make(departures)
 	f.peers = newPeers(f)
 	f.origins = newOrigins(f)
 	for _, option := range options {
@@ -283,6 +291,8 @@
 		f.metrics.SetGauge("feed_age_seconds_"+feed, (f.now() - at).Seconds())
 	}
 	f.metrics.SetGauge("backends", float64(len(f.backends.byID)))
+	f.metrics.SetGauge("store_era", float64(f.platform.Era()))
+	f.metrics.SetGauge("backends_withheld", float64(len(f.backends.withheld)))
 	f.metrics.SetGauge("connections_dialed", float64(f.pool.DialCount()))
 	f.mu.Unlock()
 	f.metrics.SetGauge("fronts", float64(f.peers.frontCount()))
--- a/peridotfront/gossip_test.go
+++ b/peridotfront/gossip_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/netip"
+	"reflect"
 	"slices"
+	"strings"
 	"testing"
 
 	"peridotstack/peridotplace"
@@ -115,3 +117,18 @@
 		t.Error("message with unknown servers: got no peer, want front-1")
 	}
 }
+
+// TestMessageFieldNumbers guards against two fields of a datagram with the same number:
+// the encoder then omits both.
+func TestMessageFieldNumbers(t *testing.T) {
+	seen := make(map[string]string)
+	fields := reflect.TypeFor[message]()
+	for i := range fields.NumField() {
+		field := fields.Field(i)
+		number, _, _ := strings.Cut(field.Tag.Get("cbor"), ",")
+		if other, ok := seen[number]; ok {
+			t.Errorf("%s and %s: got number %s for both, want different ones", other, field.Name, number)
+		}
+		seen[number] = field.Name
+	}
+}
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -44,7 +44,8 @@
 	// rosterInterval is the time between two reads of the roster, the list of fronts
 	// in the table service.
 	rosterInterval = 10 * time.Second
-	// rosterRetryInterval is the pause after a failed read or write of the roster.
+	// rosterRetryInterval is the time between two checks whether the roster must be
+	// read or written, also after a failure.
 	rosterRetryInterval = 500 * time.Millisecond
 	// rosterPrefix is the key prefix of the rows of the roster.
 	rosterPrefix = "front/"
@@ -149,15 +150,16 @@
 // messages returns the messages of one round. The first contains the load of this
 // front. An announcement adds the software versions that this front has seen, the
 // addresses of the fronts that are alive, and further messages with the usage that this
-// front counted.
+// front counted and the windows that it sealed.
 func (p *peers) messages(announce bool) []*message {
 	f := p.front
 	first := p.newMessage()
 	f.mu.Lock()
 	first.addReport(f.placer.Report(f.now(), maxPlacementsPerDatagram))
 	first.StoreAnsweringMillis = uint32(f.storeAnsweringFor().Milliseconds())
-	var windows map[peridotusage.Window]map[string]int64
+	var windows, sealed map[peridotusage.Window]map[string]int64
 	if announce {
+		sealed = f.ownSeals()
 		windows = f.tally.OwnCounts(f.tally.WindowAt(f.trueTime()), announcedUsageWindows)
 		first.Software = f.backends.software.ages(f.now())
 	}
@@ -174,6 +176,11 @@
 		m.Usage = u
 		messages = append(messages, m)
 	}
+	for _, s := range splitSeals(sealed) {
+		m := p.newMessage()
+		m.Seal = s
+		messages = append(messages, m)
+	}
 	return messages
 }
 
@@ -327,6 +334,12 @@
 		f.tally.Merge(from, peridotusage.Window(m.Usage.Window), m.Usage.Counts)
 		return
 	}
+	if m.Seal != nil {
+		if !f.seals.Merge(peridotusage.Window(m.Seal.Window), m.Seal.Accounts, m.Seal.Counts) {
+			f.metrics.Count("usage_seal_contradictions")
+		}
+		return
+	}
 	f.backends.observeSoftware(f.now(), m.Software)
 	f.placer.Observe(f.now(), m.From, m.report(f.backends.idByHash))
 }
@@ -345,7 +358,7 @@
 		p.changes++
 	}
 	state.heardAt, state.instance = now, m.From
-	if m.Usage == nil {
+	if m.Usage == nil && m.Seal == nil {
 		state.announcedSoftware = state.announcedSoftware || len(m.Software) > 0
 		state.storeAnswering = m.StoreAnsweringMillis > 0
 		state.storeSteadySince = now - time.Duration(m.StoreAnsweringMillis)*time.Millisecond
@@ -372,19 +385,25 @@
 	}
 }
 
-// followRoster adds this front to the roster and reads the roster periodically until
-// ctx is done.
+// followRoster adds this front to the roster, again in each new era of the table
+// service, and reads the roster periodically until ctx is done.
 func (p *peers) followRoster(ctx context.Context) {
 	registered := false
+	var registeredEra int64
+	var readAt time.Duration
 	for ctx.Err() == nil {
-		pause := rosterInterval
-		if !registered {
-			registered = p.registerSelf(ctx)
+		now := p.front.now()
+		if era := p.front.platform.Era(); !registered || era != registeredEra {
+			registered, registeredEra = p.registerSelf(ctx), era
+			readAt = 0
 		}
-		if !p.readRoster(ctx) || !registered {
-			pause = rosterRetryInterval
+		if readAt == 0 || now-readAt >= rosterInterval {
+			readAt = 0
+			if p.readRoster(ctx) && registered {
+				readAt = now
+			}
 		}
-		peridotwait.Sleep(ctx, pause)
+		peridotwait.Sleep(ctx, rosterRetryInterval)
 	}
 }
 
@@ -394,12 +413,15 @@
 	f := p.front
 	_, err := f.platform.Commit(ctx, peridottable.Txn{
 		ID:   f.self.Incarnation,
+		Era:  peridottable.AnyEra,
 		Puts: []peridottable.Put{{Key: rosterPrefix + f.settings.Instance, Value: []byte(f.settings.PeerAddress)}},
 	})
 	if err != nil {
 		f.metrics.Count("roster_write_failures")
+		return false
 	}
-	return err == nil
+	log.WithField("era", f.platform.Era()).Info(logPrefix + "added this front to the roster")
+	return true
 }
 
 // readRoster adds the fronts in the roster. It reports whether it could read the
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -101,6 +101,11 @@
 	NotRun bool
 	// Misdirected is set if the address now belongs to another backend server.
 	Misdirected bool
+	// Leaving is set if the backend server leaves and must get no new requests.
+	Leaving bool
+	// RetryAfter is how long a backend server that did not run the request wants no
+	// other one; 0 means that it does not say.
+	RetryAfter time.Duration
 }
 
 // DutyHolder identifies the holder of the duties lease in a call to the platform.
@@ -115,6 +120,8 @@
 // service, feeds of its contents and the usage API.
 type Platform interface {
 	peridottable.Store
+	// Era returns the newest era of the table service that an answer has shown.
+	Era() int64
 	// WatchConfig calls w with each configuration until ctx is done.
 	WatchConfig(ctx context.Context, w Watcher) error
 	// WatchBackends calls w with each list of registered backend servers until ctx is
@@ -136,6 +143,9 @@
 	RowUnreadable(key string, err error)
 	// FeedAnswered is called when the table service answers a call of a feed.
 	FeedAnswered(feed string)
+	// FeedRestored is called when the table service was restored from an older copy,
+	// before the feed delivers the contents of that copy. The era is the new one.
+	FeedRestored(feed string, era int64)
 	// FeedFailed is called when a call of a feed fails.
 	FeedFailed(feed string, err error)
 }
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"peridotstack/peridotlink"
 	"peridotstack/peridotplace"
@@ -66,6 +67,8 @@
 			answer.Abandon()
 			return nil, AnswerHead{}, peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.MayHaveRun, "the answer belongs to another request")
 		}
+		x.recordLeaving(to, head)
+		x.recordHold(to, head)
 		return answer, head, nil
 	}
 }
@@ -98,10 +101,12 @@
 	return b, ok
 }
 
-// acceptsRequests reports whether a backend server is known and not leaving.
+// acceptsRequests reports whether a backend server is known and neither leaving nor
+// held.
 func (f *Front) acceptsRequests(id string) bool {
-	b, ok := f.backend(id)
-	return ok && !b.Leaving
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placer.Accepts(f.now(), id)
 }
 
 // canRun reports whether the route permits another run after the given number of runs.
@@ -145,6 +150,9 @@
 // further tries.
 func (x *exchange) recordFailure(backend string, err *peridotverdict.Error) {
 	x.lastErr = err
+	if errors.Is(err, peridotlink.ErrTooLong) {
+		x.front.metrics.Count("answers_too_long")
+	}
 	x.triedBackends = append(x.triedBackends, backend)
 	to, _ := x.front.backend(backend)
 	fields := log.Fields{"request": x.call.ID, "backend": backend, "software": to.SoftwareVersion, "last_event": x.lastEventID, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -36,6 +36,8 @@
 	domain string
 
 	servers map[string]*server
+	// holds holds the ends of the holds, also those of servers that are not listed.
+	holds map[incarnation]time.Duration
 	// groups holds the servers of each group, ordered by ID.
 	groups map[groupKey][]*server
 	// rings holds the ring of each group with more than maxCandidates servers.
@@ -101,6 +103,7 @@
 		random:         rand.New(rand.NewPCG(seed, seed)),
 		domain:         domain,
 		servers:        make(map[string]*server),
+		holds:          make(map[incarnation]time.Duration),
 		groups:         make(map[groupKey][]*server),
 		peers:          make(map[string]*peer),
 		meanSlotMillis: make(map[string]float64),
@@ -116,6 +119,7 @@
 		s := p.servers[b.ID]
 		if s == nil || s.Born != b.Born || s.Address != b.Address || s.SoftwareVersion != b.SoftwareVersion {
 			s = newServer(now)
+			s.heldUntil = p.holds[incarnation{b.ID, b.Born}]
 		}
 		s.update(now, b, config.Service(b.Service))
 		servers[b.ID] = s
@@ -142,6 +146,14 @@
 	}
 }
 
+// SetLeaving marks an incarnation of a server as leaving, so that no request is placed
+// there. The next list of backend servers must say the same.
+func (p *Placer) SetLeaving(id string, born int64) {
+	if s := p.servers[id]; s != nil && s.Born == born {
+		s.Leaving = true
+	}
+}
+
 // Report returns the loads that this instance has sent to the backend servers, and
 // the most recent pending placements, at most limit of them. It drops the other pending
 // placements.
