Resume an answer at each loss of its connection

LOST: an answer that had resumed well and lost the connection to its agent again was given up with peer_lost although the agent still had it: the 5 s (1 s) to resume it counted from the first loss. Now only the time counts in which the agent is out of reach, and a resume that lasted 1 s or brought a chunk starts the count anew. An agent that closes each connection at once is still given up. TestEachLossIsResumed failed before: a second loss after 6 s got status 502, peer_lost, after 6.1 s and 1 resume.

--- a/peridotentry/agent_test.go
+++ b/peridotentry/agent_test.go
@@ -112,23 +112,29 @@
 // the key of its client account.
 func entryWith(t *testing.T, agents ...*scriptedAgent) (*Entry, string) {
 	t.Helper()
+	var endpoints []agentEndpoint
+	for _, s := range agents {
+		endpoints = append(endpoints, agentEndpoint{s.instance, serveAgent(t, s), s.model, s.service})
+	}
+	return entryToEndpoints(t, endpoints...)
+}
+
+// serveAgent returns the loopback address at which it serves an agent.
+func serveAgent(t *testing.T, agent peridotwire.Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &peridotwire.Server{Listener: listener, Handler: agent}
 	ctx, stop := context.WithCancel(context.Background())
 	var serving sync.WaitGroup
+	serving.Go(func() { _ = server.Serve(ctx) })
 	t.Cleanup(func() {
 		stop()
 		serving.Wait()
 	})
-	var endpoints []agentEndpoint
-	for _, s := range agents {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		server := &peridotwire.Server{Listener: listener, Handler: s}
-		serving.Go(func() { _ = server.Serve(ctx) })
-		endpoints = append(endpoints, agentEndpoint{s.instance, listener.Addr().String(), s.model, s.service})
-	}
-	return entryToEndpoints(t, endpoints...)
+	return listener.Addr().String()
 }
 
 // entryToEndpoints is like entryWith, but for agents that are already listening.
--- a/peridotentry/exchange.go
+++ b/peridotentry/exchange.go
@@ -25,11 +25,14 @@
 	maxAnswerBytes = 8 << 20
 	// resumeDelay is the time before each attempt to resume an answer.
 	resumeDelay = 100 * time.Millisecond
-	// maxResumeTime bounds the time spent on resuming an answer that only one agent
-	// can provide. maxRepeatableResumeTime is the bound if the request can run on
-	// another backend server instead.
+	// maxResumeTime bounds the time for which an agent may be out of reach while an
+	// answer that only it can provide is resumed. maxRepeatableResumeTime is the bound
+	// if the request can run on another backend server instead.
 	maxResumeTime           = 5 * time.Second
 	maxRepeatableResumeTime = time.Second
+	// minReachTime is how long a resume must last to show, even without a chunk, that
+	// the agent is in reach again. An agent that closes each connection at once is not.
+	minReachTime = time.Second
 )
 
 // newRequestID returns a unique ID for a request that is sent to the given
@@ -134,18 +137,24 @@
 	return x.checker.Finish(end)
 }
 
-// runExchange runs an exchange until it ends. It sends the request and, if the
-// connection is lost, resumes the answer after the last chunk received. If
-// resumeOnly is set, it does not send the request and only resumes its answer.
+// runExchange runs an exchange until it ends. It sends the request and, whenever
+// the connection is lost, resumes the answer after the last chunk received, until
+// the agent has been out of reach for too long. If resumeOnly is set, it does not
+// send the request and only resumes its answer.
 func (e *Entry) runExchange(ctx context.Context, peer *peridotwire.Peer, x *exchange, resumeOnly bool) (*peridotstream.End, *peridotverdict.Error) {
 	e.pool.addExchange(x)
 	defer e.pool.removeExchange(x)
 	result, err := e.startExchange(ctx, peer, x, resumeOnly)
-	failedAt := time.Now()
-	for err != nil && err.Code == peridotverdict.PeerLost && ctx.Err() == nil && time.Since(failedAt) < x.resumeTimeLimit() {
+	outOfReach := time.Duration(0)
+	for err != nil && err.Code == peridotverdict.PeerLost && ctx.Err() == nil && outOfReach < x.resumeTimeLimit() {
 		e.metrics.Count("resumes")
 		peridotwait.Sleep(ctx, resumeDelay)
+		outOfReach += resumeDelay
+		resumedAt, received := time.Now(), x.receivedChunks()
 		result, err = e.resume(ctx, x)
+		if time.Since(resumedAt) >= minReachTime || x.receivedChunks() > received {
+			outOfReach = 0
+		}
 	}
 	if err != nil {
 		return nil, err
