Cancel a run that its replacement makes superfluous

LOST: after 1 s without its agent a request that may be repeated runs elsewhere, and its first run went on at the agent for up to 10 s (orphanGrace): two runs of one request at a time, and an engine busy for nobody. Nothing told the agent. Now the entry cancels a replaced run once its agent is in reach again; a caller's cancel that cannot be sent waits likewise. Until then both run, and a cancel that gets lost leaves the run to the 10 s. TestReplacedRunIsCanceled failed before: no cancel within 3 s of the agent's return.

--- a/peridotentry/answer.go
+++ b/peridotentry/answer.go
@@ -11,7 +11,6 @@
 
 	"peridotstack/peridotstream"
 	"peridotstack/peridotverdict"
-	"peridotstack/peridotwire"
 )
 
 // answer is the answer to one request of a caller. One or several tries write to
@@ -79,11 +78,7 @@
 	if !a.idempotent || a.resumable {
 		return
 	}
-	requestID := a.id()
-	instance, _ := agentOf(requestID)
-	if peer := e.pool.peerOf(instance); peer != nil {
-		_ = peer.Notify(context.Background(), peridotwire.MethodCancel, peridotwire.Cancel{RequestID: requestID})
-	}
+	e.pool.cancelRun(a.id())
 }
 
 // unfinishedError returns the error for an answer that was not complete when its
--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -51,6 +51,9 @@
 	// yet.
 	outstanding   int
 	inFlightBytes int
+	// unsentCancels lists the runs to cancel once there is a connection. A run whose
+	// cancel is lost ends when the agent has missed its reader for long enough.
+	unsentCancels []string
 	stop          context.CancelFunc
 }
 
@@ -187,9 +190,35 @@
 		_ = peer.Close()
 		return nil, err
 	}
+	p.sendCancels(l)
 	return peer, nil
 }
 
+// sendCancels cancels the runs whose cancels could not be sent before.
+func (p *pool) sendCancels(l *link) {
+	p.mu.Lock()
+	runs := l.unsentCancels
+	l.unsentCancels = nil
+	p.mu.Unlock()
+	for _, requestID := range runs {
+		p.cancelRun(requestID)
+	}
+}
+
+// cancelRun notifies the agent that no caller waits for a run. If the agent is out of
+// reach, it does so on the next connection.
+func (p *pool) cancelRun(requestID string) {
+	instance, _ := agentOf(requestID)
+	if peer := p.peerOf(instance); peer != nil && peer.Notify(context.Background(), peridotwire.MethodCancel, peridotwire.Cancel{RequestID: requestID}) == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.links[instance]; ok {
+		l.unsentCancels = append(l.unsentCancels, requestID)
+	}
+}
+
 // keepAlive pings an agent until the connection is lost, a ping fails or ctx is
 // done, and then closes the connection.
 func (p *pool) keepAlive(ctx context.Context, l *link, peer *peridotwire.Peer) {
--- a/peridotentry/resume_test.go
+++ b/peridotentry/resume_test.go
@@ -82,3 +82,69 @@
 	}
 	return s.scriptedAgent.HandleRequest(ctx, p, method, params)
 }
+
+// TestReplacedRunIsCanceled guards against two runs of one request at a time: the agent
+// of the first run is out of reach until the request has run elsewhere, and must be told
+// then that no caller waits for it.
+func TestReplacedRunIsCanceled(t *testing.T) {
+	canceled := make(chan string, 1)
+	first, second := pairOfAgents(closeConn)
+	first.service, second.service = "", ""
+	handlers := []*outageAgent{{scriptedAgent: first, canceled: canceled}, {scriptedAgent: second, canceled: canceled}}
+	var endpoints []agentEndpoint
+	for _, h := range handlers {
+		endpoints = append(endpoints, agentEndpoint{instance: h.instance, address: serveAgent(t, h), model: testModel})
+	}
+	e, key := entryToEndpoints(t, endpoints...)
+	if w := ask(e, key, completionsPath, completionRequestBody); w.Code != http.StatusOK {
+		t.Fatalf("got status %d, body %q, want the answer of the second agent", w.Code, w.Body)
+	}
+	var want string
+	for _, h := range handlers {
+		if h.pings.Load() > 0 && h.outage.Load() {
+			want = h.receivedRuns()[0].RequestID
+			h.outage.Store(false)
+		}
+	}
+	select {
+	case got := <-canceled:
+		if got != want {
+			t.Errorf("canceled: got %q, want %q", got, want)
+		}
+	case <-time.After(3 * pingInterval):
+		t.Errorf("got no cancel of %q within %v after the agent is in reach again, want one", want, 3*pingInterval)
+	}
+}
+
+// outageAgent is an agent that answers no ping after its connection was closed by a
+// request, until outage is false again.
+type outageAgent struct {
+	*scriptedAgent
+	canceled chan string
+	pings    atomic.Int64
+	outage   atomic.Bool
+}
+
+func (s *outageAgent) HandleRequest(ctx context.Context, p *peridotwire.Peer, method string, params json.RawMessage) (any, error) {
+	if method == peridotwire.MethodPing {
+		s.pings.Add(1)
+		if s.outage.Load() {
+			return closeConn(p, peridotwire.Run{})
+		}
+	}
+	if method != peridotwire.MethodRun {
+		return s.scriptedAgent.HandleRequest(ctx, p, method, params)
+	}
+	answer, err := s.scriptedAgent.HandleRequest(ctx, p, method, params)
+	if answer == nil { // The connection was closed.
+		s.outage.Store(true)
+	}
+	return answer, err
+}
+
+func (s *outageAgent) HandleNotification(_ *peridotwire.Peer, method string, params json.RawMessage) {
+	var c peridotwire.Cancel
+	if method == peridotwire.MethodCancel && json.Unmarshal(params, &c) == nil {
+		s.canceled <- c.RequestID
+	}
+}
--- a/peridotentry/retry.go
+++ b/peridotentry/retry.go
@@ -42,6 +42,10 @@
 			return nil, finalErr
 		}
 		e.metrics.CountRetry(err.Code)
+		if err.Code == peridotverdict.PeerLost {
+			// The agent may still run the try that the next one replaces.
+			e.pool.cancelRun(c.run.RequestID)
+		}
 		attempt.EarlierMayHaveRun = attempt.EarlierMayHaveRun || err.Verdict != peridotverdict.NotRun
 		attempt.Tried = append(attempt.Tried, choice.Instance)
 		choice = next
