Give up an unreachable run only for a certain replacement

LOST: a request that may be repeated was given up 1 s after its agent got out of reach, and the retry budget, the number of tries and the other agents were asked afterwards. Where one of them said no, its caller got peer_lost although the run went on. Now the retry is decided, chosen and charged first; until that succeeds the answer is resumed, for 5 s. TestOnlyRunIsNotGivenUp (one agent, out of reach for 2 s) failed before: status 502 after 1.0 s. Now it passes, 5 of 5 runs under the race detector, beside TestRetry with a second agent. A spent budget was not run.

--- a/peridotentry/exchange.go
+++ b/peridotentry/exchange.go
@@ -27,7 +27,7 @@
 	resumeDelay = 100 * time.Millisecond
 	// maxResumeTime bounds the time for which an agent may be out of reach while an
 	// answer that only it can provide is resumed. maxRepeatableResumeTime is the bound
-	// if the request can run on another backend server instead.
+	// once it is certain that the request can run on another backend server instead.
 	maxResumeTime           = 5 * time.Second
 	maxRepeatableResumeTime = time.Second
 	// minReachTime is how long a resume must last to show, even without a chunk, that
@@ -62,6 +62,9 @@
 	timeline *peridotstream.Timeline
 	// onProgress, if not nil, is called with the number of chunks received so far.
 	onProgress func(chunks int)
+	// reserveReplacement, if not nil, reserves a retry on another backend server and
+	// reports whether there is one. The exchange ends once it has returned true.
+	reserveReplacement func() bool
 	// usageTarget is nil if the exchange only resumes an answer. The usage is
 	// counted by the instance that sent the request.
 	usageTarget *usageTarget
@@ -146,7 +149,7 @@
 	defer e.pool.removeExchange(x)
 	result, err := e.startExchange(ctx, peer, x, resumeOnly)
 	outOfReach := time.Duration(0)
-	for err != nil && err.Code == peridotverdict.PeerLost && ctx.Err() == nil && outOfReach < x.resumeTimeLimit() {
+	for err != nil && err.Code == peridotverdict.PeerLost && ctx.Err() == nil && !x.givenUp(outOfReach) {
 		e.metrics.Count("resumes")
 		peridotwait.Sleep(ctx, resumeDelay)
 		outOfReach += resumeDelay
@@ -182,12 +185,16 @@
 	return peridotverdict.New(peridotverdict.PeerLost, peridotverdict.MayHaveRun, "the agent lost the request", peridotverdict.Cause(err))
 }
 
-// resumeTimeLimit returns how long to try to resume the answer.
-func (x *exchange) resumeTimeLimit() time.Duration {
-	if x.request.Idempotent && x.receivedChunks() == 0 {
-		return maxRepeatableResumeTime
+// givenUp reports whether the answer is no longer resumed after its agent has been
+// out of reach for the given time.
+func (x *exchange) givenUp(outOfReach time.Duration) bool {
+	if outOfReach >= maxResumeTime {
+		return true
 	}
-	return maxResumeTime
+	if outOfReach < maxRepeatableResumeTime || !x.request.Idempotent || x.receivedChunks() > 0 {
+		return false
+	}
+	return x.reserveReplacement != nil && x.reserveReplacement()
 }
 
 // startExchange sends the request, or only resumes its answer if resumeOnly is
--- a/peridotentry/resume_test.go
+++ b/peridotentry/resume_test.go
@@ -12,14 +12,24 @@
 )
 
 // resumingAgent is an agent whose connection breaks at each request, and at the first
-// resume after pause. The second resume gets the complete answer.
+// resume after pause. The second resume gets the complete answer. After a request it
+// answers no ping for the time outage.
 type resumingAgent struct {
 	scriptedAgent
-	pause   time.Duration
-	resumes atomic.Int64
+	pause       time.Duration
+	resumes     atomic.Int64
+	outage      time.Duration
+	unreachable atomic.Bool
 }
 
 func (s *resumingAgent) HandleRequest(ctx context.Context, p *peridotwire.Peer, method string, params json.RawMessage) (any, error) {
+	if method == peridotwire.MethodRun && s.outage > 0 {
+		s.unreachable.Store(true)
+		time.AfterFunc(s.outage, func() { s.unreachable.Store(false) })
+	}
+	if method == peridotwire.MethodPing && s.unreachable.Load() {
+		return closeConn(p, peridotwire.Run{})
+	}
 	if method != peridotwire.MethodResume {
 		return s.scriptedAgent.HandleRequest(ctx, p, method, params)
 	}
@@ -148,3 +158,16 @@
 		s.canceled <- c.RequestID
 	}
 }
+
+// TestOnlyRunIsNotGivenUp guards against giving up the only run of a request that may be
+// repeated, although no other agent can take it: its agent is out of reach for longer
+// than maxRepeatableResumeTime and has the answer afterwards.
+func TestOnlyRunIsNotGivenUp(t *testing.T) {
+	s := &resumingAgent{scriptedAgent: scriptedAgent{instance: "a", model: testModel, onRun: closeConn}, outage: 2 * maxRepeatableResumeTime}
+	e, key := entryToEndpoints(t, agentEndpoint{instance: "a", address: serveAgent(t, s), model: testModel})
+	start := time.Now()
+	w := ask(e, key, completionsPath, completionRequestBody)
+	if w.Code != http.StatusOK || w.Body.String() != "body" {
+		t.Errorf("got status %d, body %q after %v, want the answer", w.Code, w.Body, time.Since(start))
+	}
+}
--- a/peridotentry/retry.go
+++ b/peridotentry/retry.go
@@ -24,19 +24,22 @@
 	for {
 		c.run.TimeoutMillis = timeLeft(ctx).Milliseconds()
 		c.run.RequestID = newRequestID(choice.Instance)
-		end, passedChunks, err := e.tryOnce(ctx, c, a, choice)
+		var reserved *peridotroute.Choice
+		end, passedChunks, err := e.tryOnce(ctx, c, a, choice, func() bool {
+			lost := peridotverdict.New(peridotverdict.PeerLost, peridotverdict.MayHaveRun, "the agent is out of reach")
+			next, ok := e.traffic.reserveRetry(c, failedAttempt(ctx, attempt, choice, lost, 0))
+			if ok {
+				reserved = &next
+			}
+			return ok
+		})
 		if err == nil {
 			e.traffic.recordSuccess(c.run.Account, choice.Instance)
 			e.traffic.settle(c, tokenCountsOf(&c.run, end))
 			return end, nil
 		}
-		attempt.Number++
-		attempt.Instance = choice.Instance
-		attempt.Err = err
-		attempt.PassedChunks = passedChunks
-		attempt.TimeLeft = timeLeft(ctx)
-		attempt.ExpectedDuration = choice.Finish
-		next, finalErr := e.nextTry(ctx, c, attempt)
+		attempt = failedAttempt(ctx, attempt, choice, err, passedChunks)
+		next, finalErr := e.nextTry(ctx, c, attempt, reserved)
 		if finalErr != nil {
 			e.settleFailed(c, finalErr, passedChunks)
 			return nil, finalErr
@@ -52,10 +55,24 @@
 	}
 }
 
-// nextTry waits for the delay before the next try and returns the choice of its
-// backend server. If there is no further try, it returns the final error of the
-// call.
-func (e *Entry) nextTry(ctx context.Context, c *call, attempt peridotretry.Attempt) (peridotroute.Choice, *peridotverdict.Error) {
+// failedAttempt returns a with the failure of the try that follows it.
+func failedAttempt(ctx context.Context, a peridotretry.Attempt, choice peridotroute.Choice, err *peridotverdict.Error, passedChunks int) peridotretry.Attempt {
+	a.Number++
+	a.Instance = choice.Instance
+	a.Err = err
+	a.PassedChunks = passedChunks
+	a.TimeLeft = timeLeft(ctx)
+	a.ExpectedDuration = choice.Finish
+	return a
+}
+
+// nextTry returns the choice of the backend server for the next try: the reserved
+// one, or another after a delay if reserved is nil. If there is no further try, it
+// returns the final error of the call.
+func (e *Entry) nextTry(ctx context.Context, c *call, attempt peridotretry.Attempt, reserved *peridotroute.Choice) (peridotroute.Choice, *peridotverdict.Error) {
+	if reserved != nil && attempt.PassedChunks == 0 && ctx.Err() == nil {
+		return *reserved, nil
+	}
 	d := e.traffic.decideRetry(attempt)
 	if !d.Retry {
 		return peridotroute.Choice{}, d.Err
@@ -73,8 +90,9 @@
 
 // tryOnce runs a call on one backend server. The second result is the number of
 // chunks appended to the answer. This try appends no more chunks after tryOnce
-// has returned.
-func (e *Entry) tryOnce(ctx context.Context, c *call, a *answer, choice peridotroute.Choice) (*peridotstream.End, int, *peridotverdict.Error) {
+// has returned. If its agent is out of reach, tryOnce returns early only once
+// reserveReplacement has returned true.
+func (e *Entry) tryOnce(ctx context.Context, c *call, a *answer, choice peridotroute.Choice, reserveReplacement func() bool) (*peridotstream.End, int, *peridotverdict.Error) {
 	a.setID(c.run.RequestID)
 	e.traffic.recordSent(c, choice)
 	defer e.traffic.recordTryEnd(c.run.RequestID)
@@ -93,6 +111,7 @@
 	c.run.UsageWindow = int64(target.cell.Window)
 	x := newExchange(c.run, 0, &a.timeline)
 	x.usageTarget = target
+	x.reserveReplacement = reserveReplacement
 	x.onProgress = func(chunks int) {
 		onFirstChunk()
 		if chunks == 1 || chunks%progressIntervalChunks == 0 {
--- a/peridotentry/traffic.go
+++ b/peridotentry/traffic.go
@@ -279,6 +279,17 @@
 	return choice, err
 }
 
+// reserveRetry decides whether a try that is to be given up can be retried, and
+// chooses a backend server for the retry. It returns false if there is no retry.
+func (t *traffic) reserveRetry(c *call, a peridotretry.Attempt) (peridotroute.Choice, bool) {
+	d := t.decideRetry(a)
+	if !d.Retry {
+		return peridotroute.Choice{}, false
+	}
+	choice, err := t.chooseForRetry(c, d.Exclude)
+	return choice, err == nil
+}
+
 // routeRequest returns the properties of a call that the router needs. Neither
 // requests nor servers have a role here, so engines of every role run complete
 // requests: the agents cannot transfer a KV cache between engines.
