Let a started answer go on at engines that were full once

Callers saw a started answer held to its deadline and then cut, with free engines: after a try was given up for silence, one refusal excluded an engine for good, and only the silent ones were readmitted. An answer that no engine could continue, or whose last run was broken off by its engine, was held as well. Change: where nothing can be placed, full engines come back once the placer's backoff is over; the wait ends if no registered engine could go on with the answer, and after a run that its engine broke off.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -92,7 +92,10 @@
 	// silentBackends contains those of triedBackends that were given up because they
 	// were silent. They may be tried again if no other is left.
 	silentBackends []string
-	// gaveUpTry is set once this instance has given up a try because its server was
+	// refusedBackends contains those of triedBackends that were full. They may be tried
+	// again for a started answer.
+	refusedBackends []string
+	// gaveUpTry is set if this instance gave up the last run because its server was
 	// silent.
 	gaveUpTry bool
 	// budgetSpent is set once a retry was not allowed for want of budget.
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -49,6 +50,7 @@
 			choice, ok = x.placePrompt(x.software)
 		}
 		if !ok && x.awaitRetry() {
+			x.readmitRefused()
 			continue
 		}
 		if !ok {
@@ -87,16 +89,27 @@
 }
 
 // awaitRetry waits for a short time until a started answer may go on at some engine. It
-// returns false if it cannot, or if no try was given up by this instance:
-// after a run that its engine broke off, the caller can resume the stream sooner itself.
+// returns false if it cannot go on anywhere, or if the last run was not given up by this
+// instance: after a run that its engine broke off, the caller can resume the stream
+// sooner itself.
 func (x *exchange) awaitRetry() bool {
-	if !x.gaveUpTry || !x.answerStarted || !x.resumable() || !x.canRun(x.runs) || x.ended() || x.remaining() < minRetryTime {
+	if !x.gaveUpTry || !x.answerStarted || !x.resumable() || !x.canRun(x.runs) || x.ended() || x.remaining() < minRetryTime || !x.hasEngine() {
 		return false
 	}
 	peridotwait.Sleep(x.ctx, stallCheckInterval)
 	return true
 }
 
+// hasEngine reports whether an engine is registered that could go on with the answer
+// sooner or later.
+func (x *exchange) hasEngine() bool {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	excluded := slices.DeleteFunc(slices.Clone(x.triedBackends), func(id string) bool { return slices.Contains(x.refusedBackends, id) })
+	return f.placer.HasRegistered(peridotplace.Alternative{Service: x.service.Name, SoftwareVersion: x.software, Generates: true, Exclude: excluded})
+}
+
 // placePrompt chooses the engines for the prompt, of the given software version unless
 // it is empty. It returns false if no engine accepts requests.
 func (x *exchange) placePrompt(software string) (peridotplace.Choice, bool) {
--- a/peridotfront/stall_test.go
+++ b/peridotfront/stall_test.go
@@ -68,3 +68,29 @@
 		t.Errorf("got %v excluded after the silent servers were readmitted, want only b", x.triedBackends)
 	}
 }
+
+// TestBrokenRunIsNotAwaited guards against holding a started answer whose last run was
+// broken off by its engine, because an earlier one was given up for silence.
+func TestBrokenRunIsNotAwaited(t *testing.T) {
+	x := newStallExchange(t)
+	x.logFields = log.Fields{}
+	x.config = (&peridotsite.Config{Version: 2, Services: []peridotsite.Service{{Name: "s", Engine: &peridotsite.Engine{}}}}).BuildIndex()
+	x.front.SetConfig(x.config)
+	x.route.Attempts, x.answerStarted, x.lastEventID = 4, true, 1
+	lost := func(verdict peridotverdict.Verdict) *peridotverdict.Error {
+		return peridotverdict.New(peridotverdict.PeerLost, verdict, "lost")
+	}
+	x.silentFor = time.Second // As stop sets it for the try at a.
+	x.recordFailure("a", lost(peridotverdict.MayHaveRun))
+	if !x.awaitRetry() {
+		t.Error("after a silent engine: got the end of the answer, want it to wait")
+	}
+	x.recordFailure("c", lost(peridotverdict.NotRun))
+	if !x.awaitRetry() {
+		t.Error("after an engine without the run: got the end of the answer, want it to wait")
+	}
+	x.recordFailure("d", lost(peridotverdict.MayHaveRun))
+	if x.awaitRetry() {
+		t.Error("after a run that its engine broke off: got a wait, want the end of the answer")
+	}
+}
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -148,8 +148,13 @@
 	x.triedBackends = append(x.triedBackends, backend)
 	to, _ := x.front.backend(backend)
 	fields := log.Fields{"request": x.call.ID, "backend": backend, "software": to.SoftwareVersion, "last_event": x.lastEventID, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}
+	if err.Verdict == peridotverdict.NotRun && err.Code == peridotverdict.Overloaded {
+		x.refusedBackends = append(x.refusedBackends, backend)
+	}
+	if x.silentFor > 0 || err.Verdict != peridotverdict.NotRun {
+		x.gaveUpTry = x.silentFor > 0
+	}
 	if x.silentFor > 0 {
-		x.gaveUpTry = true
 		x.silentBackends = append(x.silentBackends, backend)
 		fields["silent_ms"], x.logFields["silent_ms"] = x.silentFor, x.silentFor
 		x.silentFor = 0 // The next failure may come before its try begins.
@@ -168,6 +173,22 @@
 	return true
 }
 
+// readmitRefused lets the backend servers be tried again that were full, once the placer
+// considers them usable again.
+func (x *exchange) readmitRefused() {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	x.refusedBackends = slices.DeleteFunc(x.refusedBackends, func(id string) bool {
+		if !f.placer.Usable(now, id) {
+			return false
+		}
+		x.triedBackends = slices.DeleteFunc(x.triedBackends, func(tried string) bool { return tried == id })
+		return true
+	})
+}
+
 // failureOutcome returns the outcome of a try that failed with err.
 func (x *exchange) failureOutcome(err *peridotverdict.Error) peridotplace.Outcome {
 	switch {
--- a/peridotplace/alternative.go
+++ b/peridotplace/alternative.go
@@ -27,6 +27,20 @@
 	})
 }
 
+// HasRegistered reports whether a registered server that is not leaving fulfills a,
+// even if it must not get a request now.
+func (p *Placer) HasRegistered(a Alternative) bool {
+	return slices.ContainsFunc(p.groups[groupKey{a.Service, a.SoftwareVersion}], func(s *server) bool {
+		return !s.Leaving && !slices.Contains(a.Exclude, s.ID) && (!a.Generates || s.generates())
+	})
+}
+
+// Usable reports whether a server is registered and may get a request now.
+func (p *Placer) Usable(now time.Duration, id string) bool {
+	s := p.servers[id]
+	return s != nil && s.usable(now)
+}
+
 // generates reports whether the server is an engine that generates answers.
 func (s *server) generates() bool {
 	return s.engine != nil && s.Role != peridotsite.Prefill
