Accept busy sound servers as a replacement

Callers got 504 from a server that never answers although another one was sound: one run of more than 600 ms made a plain server look silent, since its only sign of life is the end of a request, and an engine in a long first prefill likewise. Change: HasAlternative doesn't ask a plain server for signs of life, and an engine that is in its first prefill only after the estimate and 600 ms. Place is as before.

--- a/peridotplace/alternative.go
+++ b/peridotplace/alternative.go
@@ -19,11 +19,13 @@
 	Exclude []string
 }
 
-// HasAlternative reports whether a usable server fulfills a. In contrast to Place and
-// PlacePlain, it accepts neither unusable servers nor trials.
+// HasAlternative reports whether a server fulfills a that may get requests and has not
+// failed often. In contrast to Place and PlacePlain, it accepts neither other servers nor
+// trials; in contrast to both, it accepts a busy server that has no reason to send
+// anything yet.
 func (p *Placer) HasAlternative(now time.Duration, a Alternative) bool {
 	return slices.ContainsFunc(p.groups[groupKey{a.Service, a.SoftwareVersion}], func(s *server) bool {
-		return s.usable(now) && !s.failing() && !slices.Contains(a.Exclude, s.ID) && (!a.Generates || s.generates())
+		return s.canReplace(now) && !slices.Contains(a.Exclude, s.ID) && (!a.Generates || s.generates())
 	})
 }
 
@@ -41,6 +43,12 @@
 	return s != nil && s.usable(now)
 }
 
+// canReplace reports whether the server can replace another one now. A plain server sends
+// nothing before the end of a request, so its silence says nothing.
+func (s *server) canReplace(now time.Duration) bool {
+	return s.reachable(now) && !s.failing() && (s.engine == nil || !s.unresponsive(now) || s.firstTokenPending(now))
+}
+
 // generates reports whether the server is an engine that generates answers.
 func (s *server) generates() bool {
 	return s.engine != nil && s.Role != peridotsite.Prefill
--- a/peridotplace/alternative_test.go
+++ b/peridotplace/alternative_test.go
@@ -10,7 +10,10 @@
 // TestHasAlternative guards against giving up a silent server for one that cannot take
 // over its requests.
 func TestHasAlternative(t *testing.T) {
-	const now = time.Second
+	const (
+		now        = time.Second
+		longPrompt = 60000 // tokens, which take 0.4 s
+	)
 	for _, test := range []struct {
 		name            string
 		prefillEngines  int
@@ -36,6 +39,20 @@
 		{name: "other engine silent, too", decodeEngines: 2, prepare: func(p *Placer, _ []peridotsite.Backend, _ *peridotsite.Config) {
 			p.Begin(0, "w1")
 		}},
+		{name: "other engine in a long prefill", decodeEngines: 2, prepare: func(p *Placer, _ []peridotsite.Backend, _ *peridotsite.Config) {
+			p.BeginPrefill(0, "w1", nil, longPrompt)
+		}, want: true},
+		{name: "other engine in a long prefill after an answer", decodeEngines: 2, prepare: func(p *Placer, _ []peridotsite.Backend, _ *peridotsite.Config) {
+			p.BeginPrefill(0, "w1", nil, longPrompt)
+			p.Progress(0, p.Begin(0, "w1"))
+		}},
+		{name: "other engine overdue with a prefill", decodeEngines: 2, prepare: func(p *Placer, _ []peridotsite.Backend, _ *peridotsite.Config) {
+			p.BeginPrefill(0, "w1", nil, longPrompt/5)
+		}},
+		{name: "other engine silent since a prefill", decodeEngines: 2, prepare: func(p *Placer, _ []peridotsite.Backend, _ *peridotsite.Config) {
+			p.Done(0, p.BeginPrefill(0, "w1", nil, longPrompt), Canceled)
+			p.Begin(0, "w1")
+		}},
 		{name: "service removed from the configuration", decodeEngines: 2, prepare: func(p *Placer, list []peridotsite.Backend, _ *peridotsite.Config) {
 			p.SetBackends(0, list, (&peridotsite.Config{Version: 2}).BuildIndex())
 		}},
@@ -65,3 +82,15 @@
 		})
 	}
 }
+
+// TestBusyPlainServerIsAlternative guards against keeping a request at a dark server
+// because the only other one has been working on a long request for a while.
+func TestBusyPlainServerIsAlternative(t *testing.T) {
+	p, list, config := newFleet(0, 2)
+	list[0].Service, list[1].Service = "plain", "plain"
+	p.SetBackends(0, list, config)
+	p.Begin(0, "w1")
+	if !p.HasAlternative(time.Second, Alternative{Service: "plain", Exclude: []string{"w0"}}) {
+		t.Error("got no alternative, want the busy server")
+	}
+}
--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -54,6 +54,9 @@
 	f.estimatedWaitMillis = s.backlogMillis(now) + peerPrefillMillis
 	f.startedIdle = s.unconfirmedMillis == 0
 	f.prefillMillis, f.uncachedTokens = s.estimatePrefillMillis(uncachedTokens), uncachedTokens
+	if s.activeRequests() == 1 {
+		s.firstTokenDue = now + fromMillis(f.estimatedWaitMillis+f.prefillMillis)
+	}
 	s.remainingMillis += f.prefillMillis
 	s.unconfirmedMillis += f.prefillMillis
 	p.recordParts(s, parts)
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -67,6 +67,9 @@
 	// lastProgress is when the server last answered, or when it got a request while it
 	// had no active ones.
 	lastProgress time.Duration
+	// firstTokenDue is when the first token is expected of a prompt that the engine got
+	// while it had no active requests; zero once the engine has answered since.
+	firstTokenDue time.Duration
 }
 
 // newServer returns a server that is idle and has the expected speed.
@@ -117,7 +120,12 @@
 
 // usable reports whether the server may get a request now.
 func (s *server) usable(now time.Duration) bool {
-	return !s.Leaving && now >= s.backoffUntil && !s.unresponsive(now) && (!s.failing() || s.trialDue(now))
+	return s.reachable(now) && !s.unresponsive(now) && (!s.failing() || s.trialDue(now))
+}
+
+// reachable reports whether the server is neither leaving nor in a backoff.
+func (s *server) reachable(now time.Duration) bool {
+	return !s.Leaving && now >= s.backoffUntil
 }
 
 // failing reports whether most of the recent requests to the server failed.
@@ -137,6 +145,12 @@
 	return s.activeRequests() > 0 && now-s.lastProgress > silenceTimeout
 }
 
+// firstTokenPending reports whether the engine has been silent only because it has not
+// finished its first prefill, within the estimate and silenceTimeout.
+func (s *server) firstTokenPending(now time.Duration) bool {
+	return now-s.firstTokenDue <= silenceTimeout
+}
+
 // activeRequests returns the number of this instance's requests that hold a slot at the
 // server or wait for one ahead of the demoted requests. Demoted requests without a first
 // token are not counted.
@@ -146,7 +160,7 @@
 
 func (s *server) addRequest(now time.Duration) {
 	if s.activeRequests() == 0 {
-		s.lastProgress = now
+		s.lastProgress, s.firstTokenDue = now, 0
 	}
 	s.running++
 }
@@ -154,7 +168,7 @@
 // recordAnswer records that the server sent an answer or a part of one, and ends its
 // backoff.
 func (s *server) recordAnswer(now time.Duration) {
-	s.lastProgress = max(s.lastProgress, now)
+	s.lastProgress, s.firstTokenDue = max(s.lastProgress, now), 0
 	s.backoff, s.backoffUntil = 0, 0
 }
 
