Postpone the end of a silence at each late timer

Sound servers were given up, and callers' answers moved, after two pauses of the front in a row, as the CPU limit of a container causes them: only the first late timer of a silence was forgiven. Change: each late timer postpones the end of the silence, by a second in all, so that a front that is always late still replaces dark servers.

--- a/peridotfront/stall.go
+++ b/peridotfront/stall.go
@@ -18,6 +18,10 @@
 // while, and may not have read yet what the server has sent.
 const maxTimerDelay = 20 * time.Millisecond
 
+// maxPostponement bounds the time for which late timers postpone the end of a silence, so
+// that dark servers are replaced also by a front that is always late.
+const maxPostponement = time.Second
+
 // stallWatch cancels a try whose server sends nothing for too long, but only once
 // another server can replace it: the silent server may still go on. Its methods are
 // called by the handler of the request; only expire runs in another goroutine.
@@ -38,9 +42,6 @@
 	since time.Duration
 	// expiresAt is the value of Front.now at which the timer is to call expire.
 	expiresAt time.Duration
-	// postponed is set once the end of this silence was postponed because the timer was
-	// late.
-	postponed bool
 	// alternative describes the servers that can replace the silent one.
 	alternative peridotplace.Alternative
 	// replaceable is set if another run could continue the answer.
@@ -73,7 +74,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.limit, w.since = limit, w.exchange.front.now()
-	w.postponed, w.kept = false, false
+	w.kept = false
 	w.replaceable = w.exchange.resumable()
 	w.alternative.SoftwareVersion = w.exchange.software
 	w.setTimer(w.since, limit)
@@ -122,8 +123,7 @@
 	case w.limit == 0:
 	case silentFor < w.limit:
 		w.setTimer(now, w.limit-silentFor)
-	case now-w.expiresAt > maxTimerDelay && !w.postponed:
-		w.postponed = true
+	case now-w.expiresAt > maxTimerDelay && silentFor < w.limit+maxPostponement:
 		w.setTimer(now, stallCheckInterval)
 	case w.reserveReplacement():
 		w.silentFor = silentFor
--- a/peridotfront/stall_test.go
+++ b/peridotfront/stall_test.go
@@ -94,3 +94,41 @@
 		t.Error("after a run that its engine broke off: got a wait, want the end of the answer")
 	}
 }
+
+// TestLateTimersCancelNothing guards against giving up a sound server after two pauses
+// of the front in a row, as the CPU limit of a container causes them.
+func TestLateTimersCancelNothing(t *testing.T) {
+	const limit = 20 * time.Millisecond
+	x := newStallExchange(t)
+	ctx, watch := x.watchStall("stream", peridotsite.Backend{ID: "a"})
+	defer watch.stop()
+	watch.start(limit)
+	for range 2 {
+		watch.mu.Lock()
+		time.Sleep(2*stallCheckInterval + limit)
+		watch.mu.Unlock()
+		time.Sleep(stallCheckInterval / 5)
+	}
+	if ctx.Err() != nil {
+		t.Fatal("right after the second pause: got the try canceled, want time to read")
+	}
+}
+
+// TestLateFrontReplacesDarkServer guards against waiting for a dark server for good at a
+// front whose timers are always late.
+func TestLateFrontReplacesDarkServer(t *testing.T) {
+	x := newStallExchange(t)
+	ctx, watch := x.watchStall("stream", peridotsite.Backend{ID: "a"})
+	defer watch.stop()
+	start := time.Now()
+	watch.start(20 * time.Millisecond)
+	for ctx.Err() == nil && time.Since(start) < 2*maxPostponement {
+		watch.mu.Lock()
+		time.Sleep(2 * stallCheckInterval)
+		watch.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+	if elapsed := time.Since(start); ctx.Err() == nil || elapsed < maxPostponement {
+		t.Errorf("got canceled %v after %v, want it canceled after about %v", ctx.Err() != nil, elapsed, maxPostponement)
+	}
+}
