Answer requests whose handler panicked, and unlock the front

A caller whose request was read whole got neither an answer nor a refusal if the handler panicked; a panic in the placer left Front.mu locked, so that the front served nothing any more. Change: without a started answer the request gets 502 "internal" with MayHaveRun, else the connection is closed as before; the placer is called under a deferred Unlock. Before: TestPanicIsAnswered (from the review) "EOF, want an answer with status 502"; TestPanicLeavesFrontUnlocked "got the front locked", 5 cases, and the sixth with the old lines copied into the test. After: 5 of 5 runs with -race.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -112,7 +112,7 @@
 	defer f.activeRequests.Add(-1)
 	f.lastRequestAt.Store(f.now())
 	x := &exchange{front: f, writer: w, request: r, arrivedAt: peridotclock.BootTime(), logFields: log.Fields{}}
-	defer x.logPanic()
+	defer x.answerPanic()
 	x.call = f.protocol.DecodeCall(r)
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -133,9 +133,10 @@
 	}
 }
 
-// logPanic logs and counts a panic of the handler. It panics again with
+// answerPanic logs and counts a panic of the handler. It refuses the request, which may
+// have run, if no answer has been started. Otherwise it panics again with
 // http.ErrAbortHandler, which closes the connection of the caller.
-func (x *exchange) logPanic() {
+func (x *exchange) answerPanic() {
 	value := recover()
 	if value == nil {
 		return
@@ -146,6 +147,12 @@
 		x.logFields["panic"] = fmt.Sprint(value)
 		x.logFields["stack"] = string(stack[:min(len(stack), maxStackBytes)])
 		x.log(log.ErrorLevel, "handler panicked", 0)
+		if !x.answerStarted {
+			clear(x.writer.Header())
+			x.writer.Header().Set("Connection", "close") // The body may not have been read.
+			x.refuse(peridotverdict.New(peridotverdict.Internal, peridotverdict.MayHaveRun, "internal error"))
+			return
+		}
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/peridotfront/plain.go
+++ b/peridotfront/plain.go
@@ -91,9 +91,7 @@
 	if limit := x.tryTimeout(); limit > 0 {
 		watch.start(limit)
 	}
-	f.mu.Lock()
-	flight := f.placer.Begin(f.now(), to.ID)
-	f.mu.Unlock()
+	flight := f.beginFlight(to.ID)
 	x.tries++
 	x.logFields["backend"] = to.ID
 	answer, head, err := x.send(ctx, to, RequestHead{})
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -177,12 +177,7 @@
 	if !ok {
 		return nil, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine is not registered any more")
 	}
-	f.mu.Lock()
-	flight := f.placer.BeginPrefill(f.now(), c.PrefillBackend, x.call.Parts, c.UncachedTokens)
-	if x.late {
-		f.placer.Demote(flight)
-	}
-	f.mu.Unlock()
+	flight := x.beginPrefill(c.PrefillBackend, c.UncachedTokens)
 	x.logFields["reader"] = c.PrefillBackend
 	x.tries++
 	ctx, watch := x.watchStall("prefill", to)
@@ -197,10 +192,7 @@
 		f.endFlight(flight, x.failureOutcome(err))
 		return nil, err
 	}
-	f.mu.Lock()
-	f.placer.FinishPrefill(f.now(), flight)
-	f.placer.Done(f.now(), flight, peridotplace.Answered)
-	f.mu.Unlock()
+	f.endPrefill(flight)
 	return &kvSource{backend: to, handle: handle}, nil
 }
 
@@ -304,20 +296,15 @@
 		return softwareChangedError(to)
 	}
 	requestHead := RequestHead{Urgency: x.urgency()}
-	f.mu.Lock()
 	var flight *peridotplace.Flight
 	if source == nil {
-		flight = f.placer.BeginPrefill(f.now(), c.Backend, x.call.Parts, c.UncachedTokens)
+		flight = x.beginPrefill(c.Backend, c.UncachedTokens)
 		x.tries++
 	} else {
-		flight = f.placer.BeginDecode(f.now(), c.Backend, x.call.Parts)
+		flight = x.beginDecode(c.Backend)
 		requestHead.KVSource = f.protocol.KVSource(source.backend.Address, source.handle)
 		requestHead.Urgency = UrgencyHigh
 	}
-	if requestHead.Urgency == UrgencyLow {
-		f.placer.Demote(flight)
-	}
-	f.mu.Unlock()
 	x.logFields["backend"] = c.Backend
 	x.logFields["software"] = to.SoftwareVersion
 	x.logFields["late"] = x.late
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -155,19 +155,23 @@
 // recordProgress records that an event has arrived. It counts the run on the first
 // event.
 func (s *stream) recordProgress() {
-	x := s.exchange
-	f := x.front
+	s.reportProgress()
+	if !s.hasEvents {
+		s.hasEvents = true
+		s.exchange.countRun()
+	}
+}
+
+// reportProgress reports to the placer that an event has arrived.
+func (s *stream) reportProgress() {
+	f := s.exchange.front
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if s.hasEvents {
 		f.placer.Progress(f.now(), s.flight)
 	} else {
 		f.placer.FinishPrefill(f.now(), s.flight)
 	}
-	f.mu.Unlock()
-	if !s.hasEvents {
-		s.hasEvents = true
-		x.countRun()
-	}
 }
 
 // finish completes the answer. A stream without events is a complete answer too.
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -202,6 +202,43 @@
 	return peridotplace.Failed
 }
 
+// beginFlight reports to the placer that a plain request is sent to a backend server.
+func (f *Front) beginFlight(backend string) *peridotplace.Flight {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placer.Begin(f.now(), backend)
+}
+
+// beginPrefill reports to the placer that the prompt is sent to an engine, which must
+// read uncachedTokens of it.
+func (x *exchange) beginPrefill(backend string, uncachedTokens int) *peridotplace.Flight {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	flight := f.placer.BeginPrefill(f.now(), backend, x.call.Parts, uncachedTokens)
+	if x.late {
+		f.placer.Demote(flight)
+	}
+	return flight
+}
+
+// beginDecode reports to the placer that the request is sent to an engine, which fetches
+// the KV cache of the prompt.
+func (x *exchange) beginDecode(backend string) *peridotplace.Flight {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placer.BeginDecode(f.now(), backend, x.call.Parts)
+}
+
+// endPrefill reports to the placer that an engine has run a prefill.
+func (f *Front) endPrefill(flight *peridotplace.Flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.placer.FinishPrefill(f.now(), flight)
+	f.placer.Done(f.now(), flight, peridotplace.Answered)
+}
+
 // endFlight reports the end of a flight to the placer.
 func (f *Front) endFlight(flight *peridotplace.Flight, outcome peridotplace.Outcome) {
 	f.mu.Lock()
