Count a retry that had to wait in the window in which it is sent

The retry reserved for a silent try was sent, after a wait for an engine or the budget, in a later window than the one that it was counted in: more retries in a window than the fronts may send, which then lack for other callers' requests. Change: awaitRetry drops the reservation; the retry is counted again. Before: TestReservedRetryIsCountedWhenSent "got 2 retries sent in one window, want 1".

--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -96,6 +96,7 @@
 	if !x.gaveUpTry || !x.answerStarted || !x.resumable() || !x.canRun(x.runs) || x.ended() || x.remaining() < minRetryTime || !x.hasEngine() {
 		return false
 	}
+	x.retryReserved = false // It was counted in a window that may pass before it is sent.
 	peridotwait.Sleep(x.ctx, stallCheckInterval)
 	return true
 }
--- a/peridotfront/stall_test.go
+++ b/peridotfront/stall_test.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// newStartedExchange is like newStallExchange for a started answer of an engine.
+func newStartedExchange(t *testing.T) *exchange {
+	t.Helper()
+	x := newStallExchange(t)
+	x.logFields = log.Fields{}
+	x.config = (&peridotsite.Config{Version: 2, Services: []peridotsite.Service{{Name: "s", Engine: &peridotsite.Engine{}}}}).BuildIndex()
+	x.service = x.config.Service("s")
+	x.front.SetConfig(x.config)
+	x.route.Attempts, x.answerStarted, x.lastEventID = 4, true, 1
+	return x
+}
+
 // TestLateTimerCancelsNothing guards against giving up sound servers after a pause of
 // the front itself, whose timers expire before it has read what the servers sent.
 func TestLateTimerCancelsNothing(t *testing.T) {
@@ -72,11 +84,7 @@
 // TestBrokenRunIsNotAwaited guards against holding a started answer whose last run was
 // broken off by its engine, because an earlier one was given up for silence.
 func TestBrokenRunIsNotAwaited(t *testing.T) {
-	x := newStallExchange(t)
-	x.logFields = log.Fields{}
-	x.config = (&peridotsite.Config{Version: 2, Services: []peridotsite.Service{{Name: "s", Engine: &peridotsite.Engine{}}}}).BuildIndex()
-	x.front.SetConfig(x.config)
-	x.route.Attempts, x.answerStarted, x.lastEventID = 4, true, 1
+	x := newStartedExchange(t)
 	lost := func(verdict peridotverdict.Verdict) *peridotverdict.Error {
 		return peridotverdict.New(peridotverdict.PeerLost, verdict, "lost")
 	}
@@ -132,3 +140,35 @@
 		t.Errorf("got canceled %v after %v, want it canceled after about %v", ctx.Err() != nil, elapsed, maxPostponement)
 	}
 }
+
+// TestReservedRetryIsCountedWhenSent guards against more retries in a window than the
+// budget allows, because a reserved one is sent after its window has passed.
+func TestReservedRetryIsCountedWhenSent(t *testing.T) {
+	const window = 200 * time.Millisecond
+	x := newStartedExchange(t)
+	f := x.front
+	f.retryBudget.Ratio, f.retryBudget.Slack, f.retryBudget.Window = 0, 1, window
+	x.tries, x.runs = 1, 1
+	ctx, watch := x.watchStall("stream", peridotsite.Backend{ID: "a"})
+	watch.start(time.Millisecond)
+	<-ctx.Done()
+	watch.stop()
+	x.recordFailure("a", peridotverdict.New(peridotverdict.PeerLost, peridotverdict.MayHaveRun, "silent"))
+	for start := time.Now(); time.Since(start) < window*3/2; {
+		if !x.awaitRetry() {
+			t.Fatal("got the end of the answer, want it to wait")
+		}
+	}
+	sent := 0
+	f.mu.Lock()
+	if f.retryBudget.AllowRepeat(f.now(), x.service.Name) { // Another request.
+		sent++
+	}
+	f.mu.Unlock()
+	if x.allowTry() {
+		sent++
+	}
+	if sent != 1 {
+		t.Errorf("got %d retries sent in one window, want 1", sent)
+	}
+}
