Space refused trials, and risk only repeatable requests

A failing server that turned its trials away got one each 100 ms, each of which cost a retry that other callers' requests lacked; and requests that must not run twice were sent to it as trials, so that their callers got a 502. Change: a refused trial moves the time of the next one like a failed one; a mutating request or a stream that cannot be resumed goes to a failing server only if no other is left.

--- a/peridotfront/plain.go
+++ b/peridotfront/plain.go
@@ -65,11 +65,15 @@
 
 // placePlain chooses the server for a request to a plain service. It returns false if
 // no server accepts requests.
-func (x *exchange) placePlain() (string, bool) {
+func (x *exchange) placePlain() (id string, ok bool) {
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.placer.PlacePlain(f.now(), x.service.Name, x.triedBackends)
+	x.withServers(func(exclude []string) bool {
+		id, ok = f.placer.PlacePlain(f.now(), x.service.Name, exclude)
+		return ok
+	})
+	return id, ok
 }
 
 // finishPlain sends errorAnswer, the last error answer of a backend server, to the
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -113,11 +113,17 @@
 
 // placePrompt chooses the engines for the prompt, of the given software version unless
 // it is empty. It returns false if no engine accepts requests.
-func (x *exchange) placePrompt(software string) (peridotplace.Choice, bool) {
+func (x *exchange) placePrompt(software string) (choice peridotplace.Choice, ok bool) {
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.placer.Place(f.now(), peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Exclude: x.triedBackends, Late: x.late, SendTime: x.sendTime()})
+	prompt := peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Late: x.late, SendTime: x.sendTime()}
+	x.withServers(func(exclude []string) bool {
+		prompt.Exclude = exclude
+		choice, ok = f.placer.Place(f.now(), prompt)
+		return ok
+	})
+	return choice, ok
 }
 
 // sendTime returns the time that the network link of this instance takes to send
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -189,6 +189,19 @@
 	})
 }
 
+// withServers calls place with the backend servers that must not be chosen, and returns
+// its result. A request that must not run twice goes to a failing server only if place
+// finds no other. The caller must hold Front.mu.
+func (x *exchange) withServers(place func(exclude []string) bool) bool {
+	if !x.route.Idempotent() {
+		failing := x.front.placer.Failing(x.service.Name)
+		if len(failing) > 0 && place(append(failing, x.triedBackends...)) {
+			return true
+		}
+	}
+	return place(x.triedBackends)
+}
+
 // failureOutcome returns the outcome of a try that failed with err.
 func (x *exchange) failureOutcome(err *peridotverdict.Error) peridotplace.Outcome {
 	switch {
--- a/peridotplace/alternative.go
+++ b/peridotplace/alternative.go
@@ -37,6 +37,18 @@
 	})
 }
 
+// Failing returns the IDs of the servers of a service at which most of the recent
+// requests failed.
+func (p *Placer) Failing(service string) []string {
+	var ids []string
+	for _, s := range p.groups[groupKey{service: service}] {
+		if s.failing() {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
 // Usable reports whether a server is registered and may get a request now.
 func (p *Placer) Usable(now time.Duration, id string) bool {
 	s := p.servers[id]
--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -233,6 +233,9 @@
 	case Refused:
 		s.recordAnswer(now)
 		s.backoffUntil = now + refusedBackoff
+		if s.failing() {
+			s.delayTrial(now) // A refused trial costs a retry, too.
+		}
 	case Failed:
 		s.recordAnswer(now)
 		s.recordOutcome(now, true)
--- a/peridotplace/recovery_test.go
+++ b/peridotplace/recovery_test.go
@@ -65,6 +65,27 @@
 	}
 }
 
+// TestRefusedTrialsAreFew guards against spending the retry budget on trials at a
+// failing server that turns each of them away.
+func TestRefusedTrialsAreFew(t *testing.T) {
+	p, _, _ := newFleet(0, 2)
+	for _, f := range beginMany(p, 0, "w0", 10) {
+		p.Done(0, f, Unavailable)
+	}
+	beginMany(p, 0, "w1", 60)
+	trials := 0
+	for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+		p.Progress(now, &Flight{server: p.servers["w1"]})
+		if choice, _ := p.Place(now, Prompt{Service: service, Tokens: 200}); choice.Backend == "w0" {
+			trials++
+			p.Done(now, p.Begin(now, "w0"), Refused)
+		}
+	}
+	if trials < 2 || trials > 6 {
+		t.Errorf("got %d trials in a minute, want 2 to 6", trials)
+	}
+}
+
 // beginMany begins n requests at a server.
 func beginMany(p *Placer, now time.Duration, backend string, n int) []*Flight {
 	var flights []*Flight
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -188,6 +188,12 @@
 		return
 	}
 	s.failureRate += (1 - s.failureRate) * smoothingFactor
+	s.delayTrial(now)
+}
+
+// delayTrial sets the time of the next trial after a failure or a refused trial, unless
+// that time is still to come.
+func (s *server) delayTrial(now time.Duration) {
 	if now >= s.trialAt {
 		s.trialInterval = min(max(2*s.trialInterval, minTrialInterval), maxTrialInterval)
 		s.trialAt = now + s.trialInterval
