Separate the choice of the engines from the tries

Readability only, no change of behaviour: callers see nothing. Change: nextEngines chooses, tryPrompt tries; retryState holds the fields with their invariants; canRetry holds the conditions. Run: the tests of peridotfront and platform with -race, which pass as before.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -66,9 +66,7 @@
 	tries int
 	// runs is the number of tries that may have run the request.
 	runs int
-	// triedBackends contains the backend servers that must not be tried again. It must
-	// not change during a try.
-	triedBackends []string
+	retryState
 	// answerStarted is set once the head of the answer has been sent to the caller.
 	answerStarted bool
 	// lastEventID is the ID of the last stream event sent to the caller; 0 if none.
@@ -84,26 +82,36 @@
 	// late is set while the request is expected to miss its objective and is queued
 	// with low urgency.
 	late bool
-	// silentFor is how long the server of the last try had sent nothing when this
-	// instance gave the try up; 0 if the try ended otherwise.
-	silentFor time.Duration
-	// retryReserved is set if the next retry has been counted against the retry budget.
-	retryReserved bool
+	// budgetSpent is set once a retry was not allowed for want of budget.
+	budgetSpent bool
+	// lastErr is the error of the last failed try; nil if none has failed.
+	lastErr *peridotverdict.Error
+	// logFields contains the fields of the request's log line.
+	logFields log.Fields
+}
+
+// retryState says which backend servers were tried and what became of the last try. Only
+// the handler of the request uses it.
+type retryState struct {
+	// triedBackends contains the backend servers that must not be tried again. It must
+	// not change during a try.
+	triedBackends []string
 	// silentBackends contains those of triedBackends that were given up because they
 	// were silent. They may be tried again if no other is left.
 	silentBackends []string
 	// refusedBackends contains those of triedBackends that were full. They may be tried
 	// again for a started answer.
 	refusedBackends []string
+	// silentFor is how long the server of the last try had sent nothing when this
+	// instance gave the try up; 0 if the try ended otherwise. stallWatch.stop sets it,
+	// and recordFailure takes it back.
+	silentFor time.Duration
+	// retryReserved is set if the next retry has been counted against the retry budget.
+	// stallWatch.stop sets it together with silentFor; the retry or a wait ends it.
+	retryReserved bool
 	// gaveUpTry is set if this instance gave up the last run because its server was
-	// silent.
+	// silent. A try that did not run leaves it as it is.
 	gaveUpTry bool
-	// budgetSpent is set once a retry was not allowed for want of budget.
-	budgetSpent bool
-	// lastErr is the error of the last failed try; nil if none has failed.
-	lastErr *peridotverdict.Error
-	// logFields contains the fields of the request's log line.
-	logFields log.Fields
 }
 
 // ServeHTTP serves one request from a caller.
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -43,6 +43,25 @@
 		x.giveUp(err)
 		return
 	}
+	for {
+		choice, ok := x.nextEngines()
+		if !ok {
+			return
+		}
+		err := x.tryPrompt(choice)
+		if err == nil {
+			return
+		}
+		if x.ended() {
+			x.giveUp(err)
+			return
+		}
+	}
+}
+
+// nextEngines returns the engines for the next try once it may begin. If the request is
+// not tried again, it answers the caller and returns false.
+func (x *exchange) nextEngines() (peridotplace.Choice, bool) {
 	for {
 		x.late = false // Another engine may still meet the objective.
 		choice, ok := x.placePrompt(x.software)
@@ -56,44 +75,43 @@
 		if !ok {
 			x.countNoServer()
 			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(noBackendRetryAfter)))
-			return
+			return choice, false
 		}
 		choice, err := x.admit(choice)
 		if err != nil {
 			x.refuse(err)
-			return
-		}
-		if !x.allowTry() {
-			if x.awaitRetry() {
-				continue
-			}
-			x.giveUp(x.lastErr)
-			return
+			return choice, false
 		}
-		var source *kvSource
-		source, err = x.prefill(choice)
-		if err == nil {
-			err = x.generate(choice, source)
-			if err == nil {
-				return
-			}
-			x.recordFailure(choice.Backend, err)
-		} else {
-			x.recordFailure(choice.PrefillBackend, err)
+		if x.allowTry() {
+			return choice, true
 		}
-		if x.ended() {
-			x.giveUp(err)
-			return
+		if !x.awaitRetry() {
+			x.giveUp(x.lastErr)
+			return choice, false
 		}
 	}
 }
 
+// tryPrompt makes the engines of c run the prefill and generate the answer. It returns
+// nil once the caller has received a complete answer.
+func (x *exchange) tryPrompt(c peridotplace.Choice) *peridotverdict.Error {
+	source, err := x.prefill(c)
+	if err != nil {
+		x.recordFailure(c.PrefillBackend, err)
+		return err
+	}
+	if err = x.generate(c, source); err != nil {
+		x.recordFailure(c.Backend, err)
+	}
+	return err
+}
+
 // awaitRetry waits for a short time until a started answer may go on at some engine. It
 // returns false if it cannot go on anywhere, or if the last run was not given up by this
 // instance: after a run that its engine broke off, the caller can resume the stream
 // sooner itself.
 func (x *exchange) awaitRetry() bool {
-	if !x.gaveUpTry || !x.answerStarted || !x.resumable() || !x.canRun(x.runs) || x.ended() || x.remaining() < minRetryTime || !x.hasEngine() {
+	if !x.gaveUpTry || !x.answerStarted || !x.canRetry() || !x.hasEngine() {
 		return false
 	}
 	x.retryReserved = false // It was counted in a window that may pass before it is sent.
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -109,10 +109,16 @@
 	return runs == 0 || x.route.Idempotent() && runs < x.route.Attempts
 }
 
+// canRetry reports whether enough time remains for a retry, the answer can be continued
+// and the route permits another run.
+func (x *exchange) canRetry() bool {
+	return !x.ended() && x.remaining() >= minRetryTime && x.resumable() && x.canRun(x.runs)
+}
+
 // allowTry reports whether the request may be sent to a backend server now. It
-// always allows the first try. It allows a retry only if enough time remains, the
-// route permits another run and the retry budget is not exhausted, and counts the
-// retry against the budget unless it was reserved.
+// always allows the first try. It allows a retry only if canRetry does and the retry
+// budget is not exhausted, and counts the retry against the budget unless it was
+// reserved.
 func (x *exchange) allowTry() bool {
 	f := x.front
 	f.mu.Lock()
@@ -121,10 +127,7 @@
 		f.retryBudget.RecordRequest(f.now(), x.service.Name)
 		return true
 	}
-	if x.ended() || x.remaining() < minRetryTime {
-		return false
-	}
-	if !x.resumable() || !x.canRun(x.runs) {
+	if !x.canRetry() {
 		return false
 	}
 	if x.retryReserved {
