Record a failure for the engine that failed

If an engine left during a prefill, another one generated the answer; when that failed, the failure was recorded for the one that had left, so that the failed one got the caller's request again and cost another retry. Change: the replacement is chosen before generate, and recordFailure names it. Before: TestFailureIsRecordedForReplacement "got [a left] excluded, want [a b]". After: 5 of 5 runs with -race.

--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -100,6 +100,7 @@
 		x.recordFailure(c.PrefillBackend, err)
 		return err
 	}
+	c = x.replaceLeft(c, source)
 	if err = x.generate(c, source); err != nil {
 		x.recordFailure(c.Backend, err)
 	}
@@ -297,20 +298,26 @@
 	}()
 }
 
+// replaceLeft returns c with another engine to generate the answer if that of c left
+// while another one was running the prefill.
+func (x *exchange) replaceLeft(c peridotplace.Choice, source *kvSource) peridotplace.Choice {
+	if x.front.acceptsRequests(c.Backend) {
+		return c
+	}
+	software := x.software
+	if source != nil {
+		software = source.backend.SoftwareVersion
+	}
+	if other, found := x.placePrompt(software); found {
+		c.Backend = other.Backend
+	}
+	return c
+}
+
 // generate makes an engine generate the answer and forwards it to the caller. It
 // returns nil once the caller has received a complete answer.
 func (x *exchange) generate(c peridotplace.Choice, source *kvSource) *peridotverdict.Error {
 	f := x.front
-	if !f.acceptsRequests(c.Backend) {
-		// The engine left while another one was running the prefill.
-		software := x.software
-		if source != nil {
-			software = source.backend.SoftwareVersion
-		}
-		if other, found := x.placePrompt(software); found {
-			c.Backend = other.Backend
-		}
-	}
 	to, ok := f.backend(c.Backend)
 	if !ok || to.Leaving {
 		x.freeKV(source)
--- a/peridotfront/stall_test.go
+++ b/peridotfront/stall_test.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"peridotstack/peridotclock"
+	"peridotstack/peridotplace"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottable"
 	"peridotstack/peridotverdict"
@@ -172,3 +173,16 @@
 		t.Errorf("got %d retries sent in one window, want 1", sent)
 	}
 }
+
+// TestFailureIsRecordedForReplacement guards against trying an engine again that failed,
+// because its failure was recorded for the engine that it replaced.
+func TestFailureIsRecordedForReplacement(t *testing.T) {
+	x := newStartedExchange(t)
+	x.triedBackends = []string{"a"}
+	if err := x.tryPrompt(peridotplace.Choice{Backend: "left"}); err == nil {
+		t.Fatal("got no error, want that b cannot be reached")
+	}
+	if want := []string{"a", "b"}; !slices.Equal(x.triedBackends, want) {
+		t.Errorf("got %v excluded, want %v", x.triedBackends, want)
+	}
+}
