Compute the clock's anchor from a precise reading

The first front proposed the anchor of true time from its first reading of the store's clock, which may be off by half of a round trip of up to 200 ms, and all fronts keep that anchor. It also read the time of day some time after it had read its own clock. The proposer now waits up to 3 s for an anchor that is off by 10 ms at most, and logs the bound with the anchor; then it takes what it has.

--- a/peridotclock/clock.go
+++ b/peridotclock/clock.go
@@ -77,6 +77,14 @@
 	return c.serviceTime + now.Sub(c.readAt), true
 }
 
+// MaxError returns the largest error of ServiceTime that the delays of the exchange can
+// cause, half of its round trip, or false if no reading was recorded.
+func (c *SharedClock) MaxError() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.roundTrip / 2, c.hasReading
+}
+
 // SetAnchor sets the true time at which the service's clock was zero.
 func (c *SharedClock) SetAnchor(zero time.Time) {
 	c.mu.Lock()
--- a/peridotclock/clock_test.go
+++ b/peridotclock/clock_test.go
@@ -44,6 +44,24 @@
 	}
 }
 
+func TestMaxError(t *testing.T) {
+	boot := time.Unix(100, 0)
+	c := &SharedClock{}
+	if got, ok := c.MaxError(); ok {
+		t.Errorf("without a reading: got %v, want none", got)
+	}
+	for _, test := range []struct{ roundTrip, want time.Duration }{
+		{180 * time.Millisecond, 90 * time.Millisecond},
+		{20 * time.Millisecond, 10 * time.Millisecond},
+		{60 * time.Millisecond, 10 * time.Millisecond}, // The more precise reading stays.
+	} {
+		c.Observe(10*time.Second, boot.Add(-test.roundTrip), boot)
+		if got, ok := c.MaxError(); !ok || got != test.want {
+			t.Errorf("after a round trip of %v: got %v (%v), want %v", test.roundTrip, got, ok, test.want)
+		}
+	}
+}
+
 func TestBootTimeHasNoMonotonicReading(t *testing.T) {
 	a, b := BootTime(), BootTime()
 	if b.Before(a) {
--- a/peridotfront/clock.go
+++ b/peridotfront/clock.go
@@ -23,6 +23,11 @@
 	// anchor if the table service may have lost one. A running front stores its anchor
 	// again before: it hears of the new era after a feed call of at most 1.8 s.
 	anchorProposalDelay = 3 * time.Second
+	// maxAnchorError is the error above which a front waits for a better reading of the
+	// table service's clock before it proposes an anchor, for preciseReadingWait at most.
+	// The error of an anchor stays in all usage windows.
+	maxAnchorError     = 10 * time.Millisecond
+	preciseReadingWait = 3 * time.Second
 )
 
 // anchorClock sets the anchor that converts the table service's clock to true
@@ -37,11 +42,12 @@
 		case err != nil:
 		case !anchor.IsZero():
 			f.clock.SetAnchor(anchor)
-			log.WithField("anchor", anchor).Info(logPrefix + "anchored the clock to true time")
+			readingError, _ := f.clock.MaxError()
+			log.WithFields(log.Fields{"anchor": anchor, "max_error_ms": readingError.Milliseconds()}).Info(logPrefix + "anchored the clock to true time")
 			f.keepAnchor(ctx, anchor, era)
 			return nil
 		case era == 0 || f.now()-startedAt >= anchorProposalDelay:
-			f.proposeAnchor(ctx, era)
+			f.proposeAnchor(ctx, era, f.now()-startedAt < preciseReadingWait)
 		}
 		peridotwait.Sleep(ctx, anchorRetryInterval)
 	}
@@ -94,12 +100,24 @@
 }
 
 // proposeAnchor stores an anchor computed from this machine's time of day, unless
-// another front has stored one.
-func (f *Front) proposeAnchor(ctx context.Context, era int64) {
-	now := peridotclock.BootTime()
-	if serviceTime, ok := f.clock.ServiceTime(now); ok {
-		f.storeAnchor(ctx, era, time.Now().Add(-serviceTime))
+// another front has stored one. If mustBePrecise is set, it does nothing if the error
+// of the anchor may be above maxAnchorError.
+func (f *Front) proposeAnchor(ctx context.Context, era int64, mustBePrecise bool) {
+	readingError, ok := f.clock.MaxError()
+	if !ok {
+		return
 	}
+	before := peridotclock.BootTime()
+	timeOfDay := time.Now()
+	serviceTime, _ := f.clock.ServiceTime(before)
+	// The process may have been delayed between the two clocks.
+	maxError := readingError + peridotclock.BootTime().Sub(before)
+	if mustBePrecise && maxError > maxAnchorError {
+		return
+	}
+	anchor := timeOfDay.Add(-serviceTime)
+	log.WithFields(log.Fields{"anchor": anchor, "max_error_ms": maxError.Milliseconds()}).Info(logPrefix + "proposes an anchor of the clock")
+	f.storeAnchor(ctx, era, anchor)
 }
 
 // storeAnchor stores an anchor unless there is one.
