--- a/peridotfront/review_software_test.go
+++ b/peridotfront/review_software_test.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 
+	"peridotstack/peridotorigin"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottable"
 )
@@ -157,3 +160,34 @@
 		r.observeSoftware(time.Hour, nil)
 	}
 }
+
+// TestManyLookupsAtOnce guards against streams that are refused because a front that was
+// started again, whose callers all come back at once, loses its questions or the answers.
+func TestManyLookupsAtOnce(t *testing.T) {
+	for _, n := range []int{300, 1000, 2000, maxLookups} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			fronts, _ := startFronts(t, newPlatform(), 5)
+			started := fronts[4]
+			for _, f := range fronts[:4] {
+				for i := range n {
+					f.origins.mu.Lock()
+					f.origins.table.Record(f.now(), peridotorigin.KeyOf(fmt.Sprint(i)), "v1")
+					f.origins.mu.Unlock()
+				}
+			}
+			var found atomic.Int64
+			var group sync.WaitGroup
+			for i := range n {
+				group.Go(func() {
+					if _, ok := started.findOrigin(t.Context(), fmt.Sprint(i)); ok {
+						found.Add(1)
+					}
+				})
+			}
+			group.Wait()
+			if got := found.Load(); got != int64(n) {
+				t.Errorf("found %d of %d origins that all four other fronts know", got, n)
+			}
+		})
+	}
+}
