Let a starting front guess a version only on the word of fronts that know the past

A version of more than 64 bytes, which no datagram could carry, makes a registration unreadable. TestOnlySoftwareNeedsTableService and TestStartingFrontGathersSoftware have fronts that read the roster; their cases are the same and two more.

--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -46,6 +46,8 @@
 	Answer *originAnswer `cbor:"10,keyasint,omitempty"`
 	// Software contains software versions that the sender has seen registered.
 	Software []softwareAge `cbor:"16,keyasint,omitempty"`
+	// KnowsPast is set if Software contains those that left before the sender started.
+	KnowsPast bool `cbor:"17,keyasint,omitempty"`
 }
 
 // load is the encoded form of a peridotplace.Load.
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -83,6 +83,8 @@
 	// announcedSoftware is set once the front has announced the software versions that
 	// it has seen.
 	announcedSoftware bool
+	// knowsPast is set once it has said that it knows what had served before it started.
+	knowsPast bool
 }
 
 func newPeers(f *Front) *peers {
@@ -161,7 +163,9 @@
 	if announce {
 		sealed = f.ownSeals()
 		windows = f.tally.OwnCounts(f.tally.WindowAt(f.trueTime()), announcedUsageWindows)
-		first.Software = f.backends.software.ages(f.now())
+		ages := f.backends.software.ages(f.now())
+		first.Software = ages[:min(len(ages), maxSoftwareAges)]
+		first.KnowsPast = f.knowsPastSoftware()
 	}
 	f.mu.Unlock()
 	messages := []*message{first}
@@ -260,17 +264,28 @@
 	return false
 }
 
-// softwareAnnouncers returns the number of the other fronts that are known, and how many
-// of them have announced the software versions that they have seen.
-func (p *peers) softwareAnnouncers() (announced, known int) {
+// softwareAnnouncers counts the other fronts that have announced software versions.
+type softwareAnnouncers struct {
+	// known is the number of all other fronts that are known, announced that of those
+	// that have announced the software versions that they have seen, and knowPast that of
+	// those that knew then what had served before.
+	known, announced, knowPast int
+}
+
+// softwareAnnouncers counts the other fronts that have announced software versions.
+func (p *peers) softwareAnnouncers() softwareAnnouncers {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	a := softwareAnnouncers{known: len(p.byAddress)}
 	for _, state := range p.byAddress {
 		if state.announcedSoftware {
-			announced++
+			a.announced++
+		}
+		if state.knowsPast {
+			a.knowPast++
 		}
 	}
-	return announced, len(p.byAddress)
+	return a
 }
 
 // aliveInstances returns the names of the other fronts that are alive.
@@ -360,6 +375,7 @@
 	state.heardAt, state.instance = now, m.From
 	if m.Usage == nil && m.Seal == nil {
 		state.announcedSoftware = state.announcedSoftware || len(m.Software) > 0
+		state.knowsPast = state.knowsPast || m.KnowsPast
 		state.storeAnswering = m.StoreAnsweringMillis > 0
 		state.storeSteadySince = now - time.Duration(m.StoreAnsweringMillis)*time.Millisecond
 	}
--- a/peridotfront/review_software_test.go
+++ b/peridotfront/resumption_test.go
@@ -16,7 +16,7 @@
 	"peridotstack/peridottable"
 )
 
-func newReviewFront(t *testing.T, instance string) *Front {
+func newBareFront(t *testing.T, instance string) *Front {
 	t.Helper()
 	return newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, instance)
 }
@@ -44,7 +44,7 @@
 // TestLongSoftwareVersionIsAnnounced guards against one registration with a long version
 // that keeps all announcements, and the loads in them, from being sent.
 func TestLongSoftwareVersionIsAnnounced(t *testing.T) {
-	f := newReviewFront(t, "front-0")
+	f := newBareFront(t, "front-0")
 	f.SetBackends(withVersions("v1", strings.Repeat("v", maxDatagramBytes)))
 	if _, err := f.peers.messages(true)[0].encode(); err != nil {
 		t.Errorf("got error %v, want an announcement", err)
@@ -54,7 +54,7 @@
 // TestOnlySoftwareNeedsRoster guards against a front that has just started, has not read
 // the list of the other fronts, and takes the registered version for the only one.
 func TestOnlySoftwareNeedsRoster(t *testing.T) {
-	f := newReviewFront(t, "front-0")
+	f := newBareFront(t, "front-0")
 	f.FeedAnswered(FeedBackends)
 	f.SetBackends(withVersions("v1"))
 	if got, ok := f.onlySoftware("llm"); ok && !f.peers.hasReadRoster() {
@@ -65,10 +65,11 @@
 // TestStartedFrontsDoNotVouch guards against two fronts that have just started and take
 // each other's announcements as the record of the time before.
 func TestStartedFrontsDoNotVouch(t *testing.T) {
-	a, b := newReviewFront(t, "front-a"), newReviewFront(t, "front-b")
+	a, b := newBareFront(t, "front-a"), newBareFront(t, "front-b")
 	old := mustParseAddrPort(t, "10.0.0.9:7660")
 	for _, f := range []*Front{a, b} {
 		f.startedAt = f.startedAt.Add(-softwareGatherTime - time.Second)
+		f.peers.rosterRead = true
 		f.SetBackends(withVersions("v2"))
 		f.peers.addAddress(old) // Known from the roster, and silent.
 	}
@@ -84,7 +85,7 @@
 // TestVersionHoldsOnAnyStreamRoute guards against a stream that goes on at any version
 // where the configuration of the route is not resumable, or is not any more.
 func TestVersionHoldsOnAnyStreamRoute(t *testing.T) {
-	f := newReviewFront(t, "front-0")
+	f := newBareFront(t, "front-0")
 	f.SetBackends(withVersions("v1", "v2"))
 	f.recordOrigin("begun", "v1")
 	x := &exchange{
@@ -99,7 +100,7 @@
 // TestUnnamedVersionIsChosen guards against a stream of servers without a named version
 // for which servers of other versions are chosen, and tried in vain.
 func TestUnnamedVersionIsChosen(t *testing.T) {
-	f := newReviewFront(t, "front-0")
+	f := newBareFront(t, "front-0")
 	f.SetConfig((&peridotsite.Config{Version: 1, Services: []peridotsite.Service{{Name: "llm", Engine: &peridotsite.Engine{Slots: 8, CacheTokens: 1000, TokenBytes: 1}}}}).BuildIndex())
 	list := withVersions("", "v2", "v3", "v4")
 	for i := range list {
@@ -126,7 +127,7 @@
 // TestResumedStreamStaysKnown guards against the origin of a stream that expires although
 // the stream has been resumed lately.
 func TestResumedStreamStaysKnown(t *testing.T) {
-	f := newReviewFront(t, "front-0")
+	f := newBareFront(t, "front-0")
 	f.recordOrigin("begun", "v1")
 	f.startedAt = f.startedAt.Add(-100 * time.Second)
 	f.recordOrigin("begun", "v1") // Resumed.
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"peridotstack/peridotorigin"
 	"peridotstack/peridotsite"
 	"peridotstack/peridotverdict"
 )
@@ -17,8 +18,8 @@
 	// announcements of all other fronts before those of some must do. An announcement
 	// comes about every 200 ms.
 	softwareGatherTime = 2 * time.Second
-	// maxSoftwareAges limits the number of software versions that are sent to other
-	// fronts. One takes about 20 bytes in a datagram.
+	// maxSoftwareAges limits the number of software versions in one datagram. One takes
+	// about 20 bytes.
 	maxSoftwareAges = 32
 	// softwareRetryAfter is the Retry-After if the software version of a resumed stream
 	// is unknown. By then other fronts have sent several datagrams.
@@ -41,14 +42,18 @@
 	Millis           uint32
 }
 
-// ages returns the latest entries of the record, at most maxSoftwareAges.
+// ages returns the entries of the record, the oldest first: a front knows the software
+// versions that are registered itself. It omits versions that are too long to be sent.
 func (r softwareRecord) ages(now time.Duration) []softwareAge {
 	var list []softwareAge
 	for s, at := range r {
+		if len(s.version) > peridotorigin.MaxVersionBytes {
+			continue
+		}
 		list = append(list, softwareAge{Service: s.service, Version: s.version, Millis: uint32((now - at).Milliseconds())})
 	}
-	slices.SortFunc(list, func(a, b softwareAge) int { return cmp.Compare(a.Millis, b.Millis) })
-	return list[:min(len(list), maxSoftwareAges)]
+	slices.SortFunc(list, func(a, b softwareAge) int { return cmp.Compare(b.Millis, a.Millis) })
+	return list
 }
 
 // removeExpired removes the entries older than softwareMemory.
@@ -75,6 +80,9 @@
 // observeSoftware records the software versions that another front has seen. They are
 // not passed on: the ages would grow by less than the time that passes.
 func (b *backends) observeSoftware(now time.Duration, list []softwareAge) {
+	if len(list) == 0 {
+		return
+	}
 	b.recordSoftware(now)
 	for _, a := range list {
 		s, at := serviceSoftware{a.Service, a.Version}, now-time.Duration(a.Millis)*time.Millisecond
@@ -117,10 +125,17 @@
 }
 
 // knowsPastSoftware reports whether this front has run for softwareMemory or has heard
-// from the other fronts which software versions have served.
+// from the other fronts which software versions have served: from all that are known, or
+// after softwareGatherTime from one that knew the past itself.
 func (f *Front) knowsPastSoftware() bool {
-	announced, known := f.peers.softwareAnnouncers()
-	return announced == known || announced > 0 && f.now() > softwareGatherTime || f.now() > softwareMemory
+	if f.now() > softwareMemory {
+		return true
+	}
+	if !f.peers.hasReadRoster() {
+		return false // Other fronts may exist.
+	}
+	a := f.peers.softwareAnnouncers()
+	return a.announced == a.known || a.knowPast > 0 && f.now() > softwareGatherTime
 }
 
 // resumption is the result of a request that resumes a stream, in metrics and logs.
@@ -178,7 +193,9 @@
 	if x.resumesStream() {
 		x.countResumption(x.resumption)
 	}
-	x.front.recordOrigin(x.streamID(), software)
+	if x.route.Idempotent() || x.resumesStream() {
+		x.front.recordOrigin(x.streamID(), software)
+	}
 }
 
 // streamID returns the ID of the request that brought the first event of the stream,
--- a/peridotfront/software_test.go
+++ b/peridotfront/software_test.go
@@ -83,6 +83,7 @@
 // service and takes the version that it knows for the only one.
 func TestOnlySoftwareNeedsTableService(t *testing.T) {
 	f := newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-0")
+	f.peers.rosterRead = true
 	f.FeedAnswered(FeedBackends)
 	f.SetBackends(withVersions("v1"))
 	if got, ok := f.onlySoftware("llm"); got != "v1" || !ok {
@@ -145,36 +146,43 @@
 // heard of the software versions that left before, and takes the registered one for the
 // only one.
 func TestStartingFrontGathersSoftware(t *testing.T) {
-	announcement := func(i int) *message {
-		return &message{From: fmt.Sprint("other-", i), Address: fmt.Sprint("10.0.0.", i, ":7660"), Software: []softwareAge{{Service: "llm", Version: "v1"}}}
+	announcement := func(i int, knowsPast bool) *message {
+		return &message{From: fmt.Sprint("other-", i), Address: fmt.Sprint("10.0.0.", i, ":7660"), Software: []softwareAge{{Service: "llm", Version: "v1"}}, KnowsPast: knowsPast}
 	}
 	tests := []struct {
 		name string
 		// known is the number of other fronts, of which announcing have sent an
 		// announcement and silent a datagram without one.
 		known, announcing, silent int
+		// rosterUnread is set if the front has not read the roster of the fronts yet, and
+		// othersStarted if the other fronts have just started, too.
+		rosterUnread, othersStarted bool
 		// uptime is the time since the start of the front.
 		uptime time.Duration
 		want   bool
 	}{
 		{name: "no other front", want: true},
+		{name: "roster not read", rosterUnread: true},
 		{name: "no other front heard", known: 2},
 		{name: "only loads heard", known: 2, silent: 2},
 		{name: "some announcements", known: 2, announcing: 1},
 		{name: "all announcements", known: 2, announcing: 2, want: true},
 		{name: "some announcements, another front is away", known: 2, announcing: 1, uptime: softwareGatherTime + time.Second, want: true},
+		{name: "all announcements, of fronts that have just started", known: 2, announcing: 2, othersStarted: true, want: true},
+		{name: "some announcements, of a front that has just started", known: 2, announcing: 1, othersStarted: true, uptime: softwareGatherTime + time.Second},
 		{name: "out of touch", known: 2, uptime: time.Minute},
 		{name: "out of touch for long", known: 2, uptime: softwareMemory + time.Second, want: true},
 	}
 	for _, test := range tests {
 		f := newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-0")
 		f.startedAt = f.startedAt.Add(-test.uptime)
+		f.peers.rosterRead = !test.rosterUnread
 		f.SetBackends(withVersions("v1"))
 		for i := range test.known {
 			f.peers.addAddress(mustParseAddrPort(t, fmt.Sprint("10.0.0.", i, ":7660")))
 		}
 		for i := range test.announcing {
-			f.peers.handleMessage(announcement(i))
+			f.peers.handleMessage(announcement(i, !test.othersStarted))
 		}
 		for i := range test.silent {
 			f.peers.handleMessage(&message{From: fmt.Sprint("other-", i), Address: fmt.Sprint("10.0.0.", i, ":7660")})
