Keep the version of a resumed stream on every stream route

ORDER: a caller took a stream up after a configuration had made its route not resumable, or at a front with another configuration, and got the rest from any version: the check asked the route. Every request with Last-Event-Id on a stream route now goes on at the version that began the stream, or is refused; whether a route is resumable decides only on the system's own retries and on what is recorded. TestResumedOnRouteNoLongerResumable and TestVersionHoldsOnAnyStreamRoute failed 3 of 3 and pass.

--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -157,7 +157,7 @@
 // resumesStream reports whether the caller goes on with a stream that an earlier
 // request began.
 func (x *exchange) resumesStream() bool {
-	return x.call.LastEventID != "" && x.route.Idempotent()
+	return x.call.LastEventID != "" && x.route.Kind == peridotsite.Stream
 }
 
 // findSoftware sets the software version at which a resumed stream must go on. If it is
@@ -186,7 +186,7 @@
 // fixSoftware is called before an event of a server of the given software version is
 // sent to the caller. All further events must have that version.
 func (x *exchange) fixSoftware(software string) {
-	if x.answerStarted || !x.route.Idempotent() {
+	if x.answerStarted {
 		return
 	}
 	x.software, x.softwareFixed = software, true
