--- a/peridotorigin/table.go
+++ b/peridotorigin/table.go
@@ -33,10 +33,10 @@
 type Table struct {
 	ttl   time.Duration
 	limit int
-	// versions contains the version of each stream in queue.
-	versions map[Key]string
+	// origins contains the origin of each stream.
+	origins map[Key]origin
 	// queue contains the streams in the order in which they were recorded, from index
-	// first on.
+	// first on. A stream that was renewed has more than one entry; only the last counts.
 	queue []tableEntry
 	first int
 	// interned contains each version in use once, with the number of its streams, so
@@ -44,6 +44,11 @@
 	interned map[string]*internedVersion
 }
 
+type origin struct {
+	version   string
+	expiresAt time.Duration
+}
+
 type tableEntry struct {
 	key Key
 	// expiresAt is the time at which the entry expires.
@@ -57,23 +62,32 @@
 
 // NewTable returns a table that keeps up to limit origins, each for ttl.
 func NewTable(ttl time.Duration, limit int) *Table {
-	return &Table{ttl: ttl, limit: limit, versions: make(map[Key]string), interned: make(map[string]*internedVersion)}
+	return &Table{ttl: ttl, limit: limit, origins: make(map[Key]origin), interned: make(map[string]*internedVersion)}
 }
 
-// Record adds the origin of a stream. The first version recorded for a stream stays. A
-// full table drops its oldest origin. Record reports whether it added the origin; it
-// refuses a version of more than MaxVersionBytes. The times of consecutive calls must
-// not decrease.
+// Record adds the origin of a stream. The first version recorded for a stream stays; if
+// it is recorded again in the second half of its time, because the stream was resumed,
+// its time begins anew. A full table drops its oldest origin. Record reports whether it
+// added or renewed the origin; it refuses a version of more than MaxVersionBytes. The
+// times of consecutive calls must not decrease.
 func (t *Table) Record(now time.Duration, key Key, version string) bool {
 	t.Expire(now)
-	if _, ok := t.versions[key]; ok || len(version) > MaxVersionBytes {
+	if len(version) > MaxVersionBytes {
 		return false
 	}
-	if t.Len() >= t.limit {
-		t.removeOldest()
+	o, known := t.origins[key]
+	switch {
+	case known && (o.version != version || o.expiresAt-now > t.ttl/2):
+		return false
+	case !known:
+		for t.Len() >= t.limit {
+			t.removeOldest()
+		}
+		o.version = t.intern(version)
 	}
-	t.versions[key] = t.intern(version)
-	t.queue = append(t.queue, tableEntry{key: key, expiresAt: now + t.ttl})
+	o.expiresAt = now + t.ttl
+	t.origins[key] = o
+	t.queue = append(t.queue, tableEntry{key: key, expiresAt: o.expiresAt})
 	return true
 }
 
@@ -81,8 +95,8 @@
 // doesn't contain the stream.
 func (t *Table) Version(now time.Duration, key Key) (string, bool) {
 	t.Expire(now)
-	version, ok := t.versions[key]
-	return version, ok
+	o, ok := t.origins[key]
+	return o.version, ok
 }
 
 // Expire removes the origins that have expired.
@@ -94,14 +108,17 @@
 
 // Len returns the number of origins in the table.
 func (t *Table) Len() int {
-	return len(t.queue) - t.first
+	return len(t.origins)
 }
 
-// removeOldest removes the origin that was recorded first. The table must not be empty.
+// removeOldest removes the first entry of the queue, and its origin unless that was
+// renewed. The queue must not be empty.
 func (t *Table) removeOldest() {
-	key := t.queue[t.first].key
-	t.release(t.versions[key])
-	delete(t.versions, key)
+	e := t.queue[t.first]
+	if o := t.origins[e.key]; o.expiresAt == e.expiresAt {
+		t.release(o.version)
+		delete(t.origins, e.key)
+	}
 	t.first++
 	if t.first > len(t.queue)/2 {
 		// Copying at most as many entries as were removed keeps the cost constant.
