Let a resumed stream go on at its service

LOST: on a route with several target services a resumed request drew the service anew, and found no server of the stream's software version there: of 40 requests each, 40 new streams began and 5 to 7 resumed ones went on while two servers of their version served. The origin of a stream now holds its service as well; a request goes on there as long as the route leads to it, and is refused otherwise.

--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -3,9 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
-	"peridotstack/peridotorigin"
 	"peridotstack/peridotsite"
 	"peridotstack/peridotverdict"
 )
@@ -21,6 +21,8 @@
 	// maxSoftwareAges limits the number of software versions in one datagram. One takes
 	// about 20 bytes.
 	maxSoftwareAges = 32
+	// maxAnnouncedBytes limits the length of a software version in a datagram.
+	maxAnnouncedBytes = 64
 	// softwareRetryAfter is the Retry-After if the software version of a resumed stream
 	// is unknown. By then other fronts have sent several datagrams.
 	softwareRetryAfter = 300 * time.Millisecond
@@ -47,7 +49,7 @@
 func (r softwareRecord) ages(now time.Duration) []softwareAge {
 	var list []softwareAge
 	for s, at := range r {
-		if len(s.version) > peridotorigin.MaxVersionBytes {
+		if len(s.version) > maxAnnouncedBytes {
 			continue
 		}
 		list = append(list, softwareAge{Service: s.service, Version: s.version, Millis: uint32((now - at).Milliseconds())})
@@ -168,8 +170,11 @@
 	}
 	f := x.front
 	x.resumption = resumedKnown
-	if x.call.Resumes != "" {
-		x.software, x.softwareFixed = f.findOrigin(x.ctx, x.call.Resumes)
+	if origin, ok := f.findOrigin(x.ctx, x.call.Resumes); ok {
+		if err := x.resumeAt(decodeOrigin(origin)); err != nil {
+			x.countResumption(resumptionNoServer)
+			return err
+		}
 	}
 	if !x.softwareFixed {
 		x.resumption = resumedSingle
@@ -183,6 +188,37 @@
 	return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the software version of the stream is unknown", peridotverdict.RetryAfter(softwareRetryAfter))
 }
 
+// resumeAt makes the request go on at the service and the software version that began
+// the stream. The service is empty if it is unknown. It returns an error if the route
+// does not lead to the service any more.
+func (x *exchange) resumeAt(service, software string) *peridotverdict.Error {
+	x.software, x.softwareFixed = software, true
+	if service == "" || service == x.service.Name {
+		return nil
+	}
+	isTarget := slices.ContainsFunc(x.route.Targets, func(t peridotsite.Target) bool { return t.Service == service })
+	if s := x.config.Service(service); isTarget && s != nil {
+		x.service = s
+		return nil
+	}
+	return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the route does not lead to the service of the stream any more", peridotverdict.RetryAfter(noBackendRetryAfter))
+}
+
+// encodeOrigin returns the text that is recorded for a stream.
+func encodeOrigin(service, software string) string {
+	return service + "\n" + software
+}
+
+// decodeOrigin returns the service, or an empty string if the text has none, and the
+// software version.
+func decodeOrigin(text string) (service, software string) {
+	service, software, ok := strings.Cut(text, "\n")
+	if !ok {
+		return "", text
+	}
+	return service, software
+}
+
 // fixSoftware is called before an event of a server of the given software version is
 // sent to the caller. All further events must have that version.
 func (x *exchange) fixSoftware(software string) {
@@ -194,7 +230,7 @@
 		x.countResumption(x.resumption)
 	}
 	if x.route.Idempotent() || x.resumesStream() {
-		x.front.recordOrigin(x.streamID(), software)
+		x.front.recordOrigin(x.streamID(), encodeOrigin(x.service.Name, software))
 	}
 }
 
--- a/peridotorigin/table.go
+++ b/peridotorigin/table.go
@@ -16,8 +16,9 @@
 	// 29,000 streams a second each one gets 145 origins a second, its own included, and
 	// keeps 17,400.
 	MaxOrigins = 1 << 17
-	// MaxVersionBytes limits the length of a software version.
-	MaxVersionBytes = 64
+	// MaxVersionBytes limits the length of a software version. The front records the name
+	// of the service with it, which has 200 bytes at most.
+	MaxVersionBytes = 280
 )
 
 // Key identifies a stream.
