Name the software version of servers that state none

LOST: for a stream of servers without a stated version, servers of all other versions were chosen one after another and rejected when the request was sent, each at the cost of a try and of retry budget: an empty version means any version where servers are chosen. Such servers now have the version 'unstated' inside a front.

--- a/peridotfront/resumption_test.go
+++ b/peridotfront/resumption_test.go
@@ -108,6 +108,8 @@
 	}
 	f.SetBackends(list)
 	x := &exchange{front: f, ctx: t.Context(), logFields: log.Fields{}, service: f.config.Load().Service("llm"), route: &peridotsite.Route{Kind: peridotsite.Stream, Resumable: true}, softwareFixed: true}
+	unnamed, _ := f.backend("i-")
+	x.software = unnamed.SoftwareVersion
 	var tried []string
 	for {
 		c, ok := x.placePrompt(x.software)
@@ -119,8 +121,8 @@
 		}
 		x.triedBackends = append(x.triedBackends, c.Backend)
 	}
-	if len(tried) > 0 {
-		t.Errorf("chose %v, which do not fit, want only i-", slices.Sorted(slices.Values(tried)))
+	if !slices.Contains(x.triedBackends, "i-") || len(tried) > 0 {
+		t.Errorf("chose %v, of them %v, which do not fit, want only i-", x.triedBackends, slices.Sorted(slices.Values(tried)))
 	}
 }
 
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -23,6 +23,8 @@
 	maxSoftwareAges = 32
 	// maxAnnouncedBytes limits the length of a software version in a datagram.
 	maxAnnouncedBytes = 64
+	// unstatedSoftware stands for the software version of servers that state none.
+	unstatedSoftware = "unstated"
 	// softwareRetryAfter is the Retry-After if the software version of a resumed stream
 	// is unknown. By then other fronts have sent several datagrams.
 	softwareRetryAfter = 300 * time.Millisecond
@@ -67,6 +69,16 @@
 	}
 }
 
+// nameSoftware returns the backend servers with a software version for those that state
+// none: an empty version means any version where servers are chosen.
+func nameSoftware(list []peridotsite.Backend) []peridotsite.Backend {
+	named := slices.Clone(list)
+	for i := range named {
+		named[i].SoftwareVersion = cmp.Or(named[i].SoftwareVersion, unstatedSoftware)
+	}
+	return named
+}
+
 // recordSoftware records the software versions of the known backend servers.
 func (b *backends) recordSoftware(now time.Duration) {
 	if b.software == nil {
--- a/peridotfront/software_test.go
+++ b/peridotfront/software_test.go
@@ -218,6 +218,7 @@
 	for _, test := range tests {
 		f := newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-0")
 		f.metrics = testMetrics()
+		f.peers.rosterRead = true
 		f.SetBackends(withVersions(test.versions...))
 		f.recordOrigin("begun", "v1")
 		x := &exchange{
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -126,7 +126,7 @@
 func (f *Front) SetBackends(list []peridotsite.Backend) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list, overruled := f.backends.departures.apply(f.now(), list)
+	list, overruled := f.backends.departures.apply(f.now(), nameSoftware(list))
 	for range overruled {
 		f.metrics.Count("ready_rows_overruled")
 	}
