--- /dev/null
+++ b/peridotfront/originlookup.go
@@ -0,0 +1,163 @@
+package peridotfront
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"peridotstack/peridotorigin"
+)
+
+const (
+	// lookupPollInterval is the time between two checks of a look-up for repeats, its
+	// timeout and newly known fronts.
+	lookupPollInterval = 10 * time.Millisecond
+	// maxLookups limits the number of look-ups in progress. After the failure of a
+	// front, the callers of all its streams come back at once.
+	maxLookups = 4096
+)
+
+// Results of look-ups in the metrics.
+const (
+	lookupOwn      = "own"
+	lookupFound    = "found"
+	lookupUnknown  = "unknown"
+	lookupTimedOut = "timed_out"
+	lookupCanceled = "canceled"
+	lookupRejected = "rejected"
+)
+
+// originLookup is a look-up in progress. Its lookup is guarded by origins.mu.
+type originLookup struct {
+	nonce  uint64
+	key    peridotorigin.Key
+	lookup *peridotorigin.Lookup
+	// changed gets a value when an answer arrives.
+	changed chan struct{}
+}
+
+// findOrigin returns the software version that began the stream of the given request. It
+// asks other fronts if this one doesn't know. It returns false if no front knows, if
+// none answers within 120 ms or none is known within 200 ms, or once ctx is done.
+func (f *Front) findOrigin(ctx context.Context, request string) (software string, ok bool) {
+	if request == "" {
+		return "", false
+	}
+	start := f.now()
+	software, result := f.origins.find(ctx, peridotorigin.KeyOf(request))
+	f.metrics.CountOriginLookup(result)
+	f.metrics.RecordDuration("origin_lookup", f.now()-start)
+	return software, result == lookupOwn || result == lookupFound
+}
+
+// find looks an origin up and returns its version and the result for the metrics.
+func (o *origins) find(ctx context.Context, key peridotorigin.Key) (version, result string) {
+	if version, ok := o.version(key); ok {
+		return version, lookupOwn
+	}
+	l := o.openLookup(key)
+	if l == nil {
+		return "", lookupRejected
+	}
+	defer o.closeLookup(l)
+	ticker := time.NewTicker(lookupPollInterval)
+	defer ticker.Stop()
+	for {
+		switch version, state := o.advanceLookup(l); state {
+		case peridotorigin.Found:
+			return version, lookupFound
+		case peridotorigin.Unknown:
+			return "", lookupUnknown
+		case peridotorigin.TimedOut:
+			return "", lookupTimedOut
+		}
+		select {
+		case <-l.changed:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return "", lookupCanceled
+		}
+	}
+}
+
+// version returns the version in this front's own table.
+func (o *origins) version(key peridotorigin.Key) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Version(o.front.now(), key)
+}
+
+// openLookup returns a new look-up, or nil if too many are in progress.
+func (o *origins) openLookup(key peridotorigin.Key) *originLookup {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.lookups) >= maxLookups {
+		return nil
+	}
+	l := &originLookup{nonce: rand.Uint64(), key: key, lookup: peridotorigin.NewLookup(o.front.now()), changed: make(chan struct{}, 1)}
+	o.lookups[l.nonce] = l
+	return l
+}
+
+func (o *origins) closeLookup(l *originLookup) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.lookups, l.nonce)
+}
+
+// advanceLookup sends the questions of a look-up that are due. It returns the state of
+// the look-up, and the version if that is Found.
+func (o *origins) advanceLookup(l *originLookup) (version string, state peridotorigin.LookupState) {
+	sets := o.fronts()
+	targets := sets.choose(l.key, peridotorigin.LookupFronts)
+	confirm := o.confirmTime(len(targets) < sets.known.Len())
+	o.mu.Lock()
+	now := o.front.now()
+	ask := l.lookup.Ask(now, targets, confirm)
+	state, version = l.lookup.State(now), l.lookup.Version()
+	if own, ok := o.table.Version(now, l.key); ok {
+		state, version = peridotorigin.Found, own // A copy arrived meanwhile.
+	}
+	o.mu.Unlock()
+	if state == peridotorigin.Waiting && len(ask) > 0 {
+		o.enqueue(&message{Question: &originQuestion{Nonce: l.nonce, Keys: []uint64{uint64(l.key)}}}, ask...)
+	}
+	return version, state
+}
+
+// confirmTime returns the time from the start of a look-up from which on answers that
+// an origin is unknown count. If all fronts are asked, the one that began the stream
+// is among them. If some are not, the copies may not have reached those that are asked.
+// Before the roster has been read, other fronts may exist.
+func (o *origins) confirmTime(omitsFronts bool) time.Duration {
+	switch {
+	case !o.front.peers.hasReadRoster():
+		return peridotorigin.FirstFrontTimeout + peridotorigin.LookupTimeout
+	case omitsFronts:
+		return peridotorigin.RepeatInterval
+	}
+	return 0
+}
+
+// applyAnswer passes an answer to the look-up that asked. It ignores answers to
+// look-ups that have ended. The caller must hold o.mu.
+func (o *origins) applyAnswer(now time.Duration, from netip.AddrPort, a *originAnswer) {
+	l := o.lookups[a.Nonce]
+	if l == nil {
+		return
+	}
+	for _, g := range a.Known {
+		if slices.Contains(g.Keys, uint64(l.key)) {
+			l.lookup.AnswerKnown(from, g.Version)
+		}
+	}
+	if slices.Contains(a.Unknown, uint64(l.key)) {
+		l.lookup.AnswerUnknown(from)
+	}
+	if l.lookup.State(now) == peridotorigin.Found {
+		o.table.Record(now, l.key, l.lookup.Version()) // The caller may come back here again.
+	}
+	notify(l.changed)
+}
--- a/peridotfront/resumption_test.go
+++ b/peridotfront/resumption_test.go
@@ -36,7 +36,7 @@
 	started := &backends{byID: make(map[string]peridotsite.Backend)}
 	started.setRegistered(now, registered)
 	started.observeSoftware(now, old.software.ages(now))
-	if got, ok := started.onlySoftware(now, "llm"); ok {
+	if got, ok := started.soleSoftware(now, "llm"); ok {
 		t.Errorf("got only version %q, want two known: v1 left 30 s ago", got)
 	}
 }
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -107,9 +107,9 @@
 	b.peerSoftware.removeExpired(now)
 }
 
-// onlySoftware returns the software version of a service if just one has served within
+// soleSoftware returns the software version of a service if just one has served within
 // softwareMemory.
-func (b *backends) onlySoftware(now time.Duration, service string) (version string, ok bool) {
+func (b *backends) soleSoftware(now time.Duration, service string) (version string, ok bool) {
 	b.recordSoftware(now)
 	for _, record := range []softwareRecord{b.software, b.peerSoftware} {
 		for s := range record {
@@ -135,7 +135,7 @@
 	if f.lostFeeds[FeedBackends] || !f.knowsPastSoftware() {
 		return "", false
 	}
-	return f.backends.onlySoftware(f.now(), service)
+	return f.backends.soleSoftware(f.now(), service)
 }
 
 // knowsPastSoftware reports whether this front has run for softwareMemory or has heard
--- a/peridotfront/software_test.go
+++ b/peridotfront/software_test.go
@@ -73,7 +73,7 @@
 	for _, test := range tests {
 		b := &backends{byID: make(map[string]peridotsite.Backend)}
 		test.prepare(b)
-		if got, ok := b.onlySoftware(now, "llm"); got != test.want || ok == test.isNone {
+		if got, ok := b.soleSoftware(now, "llm"); got != test.want || ok == test.isNone {
 			t.Errorf("%s: got %q, %v; want %q, %v", test.name, got, ok, test.want, !test.isNone)
 		}
 	}
@@ -137,7 +137,7 @@
 			t.Errorf("%s: got only version %q, want two known", f.settings.Instance, got)
 		}
 	}
-	if got, ok := byHearsay.backends.onlySoftware(byHearsay.now(), "llm"); got != "v1" || !ok {
+	if got, ok := byHearsay.backends.soleSoftware(byHearsay.now(), "llm"); got != "v1" || !ok {
 		t.Errorf("%s: got %q, %v; want v1 in its record, since the first front has not told it", byHearsay.settings.Instance, got, ok)
 	}
 }
