--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -66,9 +66,7 @@
 	tries int
 	// runs is the number of tries that may have run the request.
 	runs int
-	// triedBackends contains the backend servers that must not be tried again. It must
-	// not change during a try.
-	triedBackends []string
+	retryState
 	// answerStarted is set once the head of the answer has been sent to the caller.
 	answerStarted bool
 	// lastEventID is the ID of the last stream event sent to the caller; 0 if none.
@@ -84,17 +82,6 @@
 	// late is set while the request is expected to miss its objective and is queued
 	// with low urgency.
 	late bool
-	// silentFor is how long the server of the last try had sent nothing when this
-	// instance gave the try up; 0 if the try ended otherwise.
-	silentFor time.Duration
-	// retryReserved is set if the next retry has been counted against the retry budget.
-	retryReserved bool
-	// silentBackends contains those of triedBackends that were given up because they
-	// were silent. They may be tried again if no other is left.
-	silentBackends []string
-	// gaveUpTry is set once this instance has given up a try because its server was
-	// silent.
-	gaveUpTry bool
 	// budgetSpent is set once a retry was not allowed for want of budget.
 	budgetSpent bool
 	// lastErr is the error of the last failed try; nil if none has failed.
@@ -103,13 +90,37 @@
 	logFields log.Fields
 }
 
+// retryState says which backend servers were tried and what became of the last try. Only
+// the handler of the request uses it.
+type retryState struct {
+	// triedBackends contains the backend servers that must not be tried again. It must
+	// not change during a try.
+	triedBackends []string
+	// silentBackends contains those of triedBackends that were given up because they
+	// were silent. They may be tried again if no other is left.
+	silentBackends []string
+	// refusedBackends contains those of triedBackends that were full. They may be tried
+	// again for a started answer.
+	refusedBackends []string
+	// silentFor is how long the server of the last try had sent nothing when this
+	// instance gave the try up; 0 if the try ended otherwise. stallWatch.stop sets it,
+	// and recordFailure takes it back.
+	silentFor time.Duration
+	// retryReserved is set if the next retry has been counted against the retry budget.
+	// stallWatch.stop sets it together with silentFor; the retry or a wait ends it.
+	retryReserved bool
+	// gaveUpTry is set if this instance gave up the last run because its server was
+	// silent. A try that did not run leaves it as it is.
+	gaveUpTry bool
+}
+
 // ServeHTTP serves one request from a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.activeRequests.Add(1)
 	defer f.activeRequests.Add(-1)
 	f.lastRequestAt.Store(f.now())
 	x := &exchange{front: f, writer: w, request: r, arrivedAt: peridotclock.BootTime(), logFields: log.Fields{}}
-	defer x.logPanic()
+	defer x.answerPanic()
 	x.call = f.protocol.DecodeCall(r)
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -130,9 +141,10 @@
 	}
 }
 
-// logPanic logs and counts a panic of the handler. It panics again with
+// answerPanic logs and counts a panic of the handler. It refuses the request, which may
+// have run, if no answer has been started. Otherwise it panics again with
 // http.ErrAbortHandler, which closes the connection of the caller.
-func (x *exchange) logPanic() {
+func (x *exchange) answerPanic() {
 	value := recover()
 	if value == nil {
 		return
@@ -143,6 +155,12 @@
 		x.logFields["panic"] = fmt.Sprint(value)
 		x.logFields["stack"] = string(stack[:min(len(stack), maxStackBytes)])
 		x.log(log.ErrorLevel, "handler panicked", 0)
+		if !x.answerStarted {
+			clear(x.writer.Header())
+			x.writer.Header().Set("Connection", "close") // The body may not have been read.
+			x.refuse(peridotverdict.New(peridotverdict.Internal, peridotverdict.MayHaveRun, "internal error"))
+			return
+		}
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -42,6 +43,25 @@
 		x.giveUp(err)
 		return
 	}
+	for {
+		choice, ok := x.nextEngines()
+		if !ok {
+			return
+		}
+		err := x.tryPrompt(choice)
+		if err == nil {
+			return
+		}
+		if x.ended() {
+			x.giveUp(err)
+			return
+		}
+	}
+}
+
+// nextEngines returns the engines for the next try once it may begin. If the request is
+// not tried again, it answers the caller and returns false.
+func (x *exchange) nextEngines() (peridotplace.Choice, bool) {
 	for {
 		x.late = false // Another engine may still meet the objective.
 		choice, ok := x.placePrompt(x.software)
@@ -49,61 +69,80 @@
 			choice, ok = x.placePrompt(x.software)
 		}
 		if !ok && x.awaitRetry() {
+			x.readmitRefused()
 			continue
 		}
 		if !ok {
 			x.countNoServer()
 			x.giveUp(peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no engine takes the request", peridotverdict.RetryAfter(x.untilAccepted())))
-			return
+			return choice, false
 		}
 		choice, err := x.admit(choice)
 		if err != nil {
 			x.refuse(err)
-			return
-		}
-		if !x.allowTry() {
-			if x.awaitRetry() {
-				continue
-			}
-			x.giveUp(x.lastErr)
-			return
+			return choice, false
 		}
-		var source *kvSource
-		source, err = x.prefill(choice)
-		if err == nil {
-			err = x.generate(choice, source)
-			if err == nil {
-				return
-			}
-			x.recordFailure(choice.Backend, err)
-		} else {
-			x.recordFailure(choice.PrefillBackend, err)
+		if x.allowTry() {
+			return choice, true
 		}
-		if x.ended() {
-			x.giveUp(err)
-			return
+		if !x.awaitRetry() {
+			x.giveUp(x.lastErr)
+			return choice, false
 		}
 	}
 }
 
+// tryPrompt makes the engines of c run the prefill and generate the answer. It returns
+// nil once the caller has received a complete answer.
+func (x *exchange) tryPrompt(c peridotplace.Choice) *peridotverdict.Error {
+	source, err := x.prefill(c)
+	if err != nil {
+		x.recordFailure(c.PrefillBackend, err)
+		return err
+	}
+	c = x.replaceLeft(c, source)
+	if err = x.generate(c, source); err != nil {
+		x.recordFailure(c.Backend, err)
+	}
+	return err
+}
+
 // awaitRetry waits for a short time until a started answer may go on at some engine. It
-// returns false if it cannot, or if no try was given up by this instance:
-// after a run that its engine broke off, the caller can resume the stream sooner itself.
+// returns false if it cannot go on anywhere, or if the last run was not given up by this
+// instance: after a run that its engine broke off, the caller can resume the stream
+// sooner itself.
 func (x *exchange) awaitRetry() bool {
-	if !x.gaveUpTry || !x.answerStarted || !x.resumable() || !x.canRun(x.runs) || x.ended() || x.remaining() < minRetryTime {
+	if !x.gaveUpTry || !x.answerStarted || !x.canRetry() || !x.hasEngine() {
 		return false
 	}
+	x.retryReserved = false // It was counted in a window that may pass before it is sent.
 	peridotwait.Sleep(x.ctx, stallCheckInterval)
 	return true
 }
 
+// hasEngine reports whether an engine is registered that could go on with the answer
+// sooner or later.
+func (x *exchange) hasEngine() bool {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	excluded := slices.DeleteFunc(slices.Clone(x.triedBackends), func(id string) bool { return slices.Contains(x.refusedBackends, id) })
+	return f.placer.HasRegistered(peridotplace.Alternative{Service: x.service.Name, SoftwareVersion: x.software, Generates: true, Exclude: excluded})
+}
+
 // placePrompt chooses the engines for the prompt, of the given software version unless
 // it is empty. It returns false if no engine accepts requests.
-func (x *exchange) placePrompt(software string) (peridotplace.Choice, bool) {
+func (x *exchange) placePrompt(software string) (choice peridotplace.Choice, ok bool) {
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.placer.Place(f.now(), peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Exclude: x.triedBackends, Late: x.late, SendTime: x.sendTime()})
+	prompt := peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Late: x.late, SendTime: x.sendTime()}
+	x.withServers(func(exclude []string) bool {
+		prompt.Exclude = exclude
+		choice, ok = f.placer.Place(f.now(), prompt)
+		return ok
+	})
+	return choice, ok
 }
 
 // sendTime returns the time that the network link of this instance takes to send
@@ -164,12 +203,7 @@
 	if !ok {
 		return nil, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine is not registered any more")
 	}
-	f.mu.Lock()
-	flight := f.placer.BeginPrefill(f.now(), c.PrefillBackend, x.call.Parts, c.UncachedTokens)
-	if x.late {
-		f.placer.Demote(flight)
-	}
-	f.mu.Unlock()
+	flight := x.beginPrefill(c.PrefillBackend, c.UncachedTokens)
 	x.logFields["reader"] = c.PrefillBackend
 	x.tries++
 	ctx, watch := x.watchStall("prefill", to)
@@ -184,10 +218,7 @@
 		f.endFlight(flight, x.failureOutcome(err))
 		return nil, err
 	}
-	f.mu.Lock()
-	f.placer.FinishPrefill(f.now(), flight)
-	f.placer.Done(f.now(), flight, peridotplace.Answered)
-	f.mu.Unlock()
+	f.endPrefill(flight)
 	return &kvSource{backend: to, handle: handle}, nil
 }
 
@@ -267,20 +298,26 @@
 	}()
 }
 
+// replaceLeft returns c with another engine to generate the answer if that of c left or
+// was held while another one was running the prefill.
+func (x *exchange) replaceLeft(c peridotplace.Choice, source *kvSource) peridotplace.Choice {
+	if x.front.acceptsRequests(c.Backend) {
+		return c
+	}
+	software := x.software
+	if source != nil {
+		software = source.backend.SoftwareVersion
+	}
+	if other, found := x.placePrompt(software); found {
+		c.Backend = other.Backend
+	}
+	return c
+}
+
 // generate makes an engine generate the answer and forwards it to the caller. It
 // returns nil once the caller has received a complete answer.
 func (x *exchange) generate(c peridotplace.Choice, source *kvSource) *peridotverdict.Error {
 	f := x.front
-	if !f.acceptsRequests(c.Backend) {
-		// The engine left or was held while another one was running the prefill.
-		software := x.software
-		if source != nil {
-			software = source.backend.SoftwareVersion
-		}
-		if other, found := x.placePrompt(software); found {
-			c.Backend = other.Backend
-		}
-	}
 	to, ok := f.backend(c.Backend)
 	if !ok || !f.acceptsRequests(c.Backend) {
 		x.freeKV(source)
@@ -291,20 +328,15 @@
 		return softwareChangedError(to)
 	}
 	requestHead := RequestHead{Urgency: x.urgency()}
-	f.mu.Lock()
 	var flight *peridotplace.Flight
 	if source == nil {
-		flight = f.placer.BeginPrefill(f.now(), c.Backend, x.call.Parts, c.UncachedTokens)
+		flight = x.beginPrefill(c.Backend, c.UncachedTokens)
 		x.tries++
 	} else {
-		flight = f.placer.BeginDecode(f.now(), c.Backend, x.call.Parts)
+		flight = x.beginDecode(c.Backend)
 		requestHead.KVSource = f.protocol.KVSource(source.backend.Address, source.handle)
 		requestHead.Urgency = UrgencyHigh
 	}
-	if requestHead.Urgency == UrgencyLow {
-		f.placer.Demote(flight)
-	}
-	f.mu.Unlock()
 	x.logFields["backend"] = c.Backend
 	x.logFields["software"] = to.SoftwareVersion
 	x.logFields["late"] = x.late
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"peridotstack/peridotsite"
@@ -17,9 +18,13 @@
 	// announcements of all other fronts before those of some must do. An announcement
 	// comes about every 200 ms.
 	softwareGatherTime = 2 * time.Second
-	// maxSoftwareAges limits the number of software versions that are sent to other
-	// fronts. One takes about 20 bytes in a datagram.
+	// maxSoftwareAges limits the number of software versions in one datagram. One takes
+	// about 20 bytes.
 	maxSoftwareAges = 32
+	// maxAnnouncedBytes limits the length of a software version in a datagram.
+	maxAnnouncedBytes = 64
+	// unstatedSoftware stands for the software version of servers that state none.
+	unstatedSoftware = "unstated"
 	// softwareRetryAfter is the Retry-After if the software version of a resumed stream
 	// is unknown. By then other fronts have sent several datagrams.
 	softwareRetryAfter = 300 * time.Millisecond
@@ -41,14 +46,18 @@
 	Millis           uint32
 }
 
-// ages returns the latest entries of the record, at most maxSoftwareAges.
+// ages returns the entries of the record, the oldest first: a front knows the software
+// versions that are registered itself. It omits versions that are too long to be sent.
 func (r softwareRecord) ages(now time.Duration) []softwareAge {
 	var list []softwareAge
 	for s, at := range r {
+		if len(s.version) > maxAnnouncedBytes {
+			continue
+		}
 		list = append(list, softwareAge{Service: s.service, Version: s.version, Millis: uint32((now - at).Milliseconds())})
 	}
-	slices.SortFunc(list, func(a, b softwareAge) int { return cmp.Compare(a.Millis, b.Millis) })
-	return list[:min(len(list), maxSoftwareAges)]
+	slices.SortFunc(list, func(a, b softwareAge) int { return cmp.Compare(b.Millis, a.Millis) })
+	return list
 }
 
 // removeExpired removes the entries older than softwareMemory.
@@ -60,6 +69,16 @@
 	}
 }
 
+// nameSoftware returns the backend servers with a software version for those that state
+// none: an empty version means any version where servers are chosen.
+func nameSoftware(list []peridotsite.Backend) []peridotsite.Backend {
+	named := slices.Clone(list)
+	for i := range named {
+		named[i].SoftwareVersion = cmp.Or(named[i].SoftwareVersion, unstatedSoftware)
+	}
+	return named
+}
+
 // recordSoftware records the software versions of the known backend servers.
 func (b *backends) recordSoftware(now time.Duration) {
 	if b.software == nil {
@@ -75,6 +94,9 @@
 // observeSoftware records the software versions that another front has seen. They are
 // not passed on: the ages would grow by less than the time that passes.
 func (b *backends) observeSoftware(now time.Duration, list []softwareAge) {
+	if len(list) == 0 {
+		return
+	}
 	b.recordSoftware(now)
 	for _, a := range list {
 		s, at := serviceSoftware{a.Service, a.Version}, now-time.Duration(a.Millis)*time.Millisecond
@@ -117,10 +139,17 @@
 }
 
 // knowsPastSoftware reports whether this front has run for softwareMemory or has heard
-// from the other fronts which software versions have served.
+// from the other fronts which software versions have served: from all that are known, or
+// after softwareGatherTime from one that knew the past itself.
 func (f *Front) knowsPastSoftware() bool {
-	announced, known := f.peers.softwareAnnouncers()
-	return announced == known || announced > 0 && f.now() > softwareGatherTime || f.now() > softwareMemory
+	if f.now() > softwareMemory {
+		return true
+	}
+	if !f.peers.hasReadRoster() {
+		return false // Other fronts may exist.
+	}
+	a := f.peers.softwareAnnouncers()
+	return a.announced == a.known || a.knowPast > 0 && f.now() > softwareGatherTime
 }
 
 // resumption is the result of a request that resumes a stream, in metrics and logs.
@@ -142,7 +171,7 @@
 // resumesStream reports whether the caller goes on with a stream that an earlier
 // request began.
 func (x *exchange) resumesStream() bool {
-	return x.call.LastEventID != "" && x.route.Idempotent()
+	return x.call.LastEventID != "" && x.route.Kind == peridotsite.Stream
 }
 
 // findSoftware sets the software version at which a resumed stream must go on. If it is
@@ -153,8 +182,11 @@
 	}
 	f := x.front
 	x.resumption = resumedKnown
-	if x.call.Resumes != "" {
-		x.software, x.softwareFixed = f.findOrigin(x.ctx, x.call.Resumes)
+	if origin, ok := f.findOrigin(x.ctx, x.call.Resumes); ok {
+		if err := x.resumeAt(decodeOrigin(origin)); err != nil {
+			x.countResumption(resumptionNoServer)
+			return err
+		}
 	}
 	if !x.softwareFixed {
 		x.resumption = resumedSingle
@@ -168,17 +200,50 @@
 	return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the software version of the stream is unknown", peridotverdict.RetryAfter(softwareRetryAfter))
 }
 
+// resumeAt makes the request go on at the service and the software version that began
+// the stream. The service is empty if it is unknown. It returns an error if the route
+// does not lead to the service any more.
+func (x *exchange) resumeAt(service, software string) *peridotverdict.Error {
+	x.software, x.softwareFixed = software, true
+	if service == "" || service == x.service.Name {
+		return nil
+	}
+	isTarget := slices.ContainsFunc(x.route.Targets, func(t peridotsite.Target) bool { return t.Service == service })
+	if s := x.config.Service(service); isTarget && s != nil {
+		x.service = s
+		return nil
+	}
+	return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the route does not lead to the service of the stream any more", peridotverdict.RetryAfter(noBackendRetryAfter))
+}
+
+// encodeOrigin returns the text that is recorded for a stream.
+func encodeOrigin(service, software string) string {
+	return service + "\n" + software
+}
+
+// decodeOrigin returns the service, or an empty string if the text has none, and the
+// software version.
+func decodeOrigin(text string) (service, software string) {
+	service, software, ok := strings.Cut(text, "\n")
+	if !ok {
+		return "", text
+	}
+	return service, software
+}
+
 // fixSoftware is called before an event of a server of the given software version is
 // sent to the caller. All further events must have that version.
 func (x *exchange) fixSoftware(software string) {
-	if x.answerStarted || !x.route.Idempotent() {
+	if x.answerStarted {
 		return
 	}
 	x.software, x.softwareFixed = software, true
 	if x.resumesStream() {
 		x.countResumption(x.resumption)
 	}
-	x.front.recordOrigin(x.streamID(), software)
+	if x.route.Idempotent() || x.resumesStream() {
+		x.front.recordOrigin(x.streamID(), encodeOrigin(x.service.Name, software))
+	}
 }
 
 // streamID returns the ID of the request that brought the first event of the stream,
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -114,10 +114,16 @@
 	return runs == 0 || x.route.Idempotent() && runs < x.route.Attempts
 }
 
+// canRetry reports whether enough time remains for a retry, the answer can be continued
+// and the route permits another run.
+func (x *exchange) canRetry() bool {
+	return !x.ended() && x.remaining() >= minRetryTime && x.resumable() && x.canRun(x.runs)
+}
+
 // allowTry reports whether the request may be sent to a backend server now. It
-// always allows the first try. It allows a retry only if enough time remains, the
-// route permits another run and the retry budget is not exhausted, and counts the
-// retry against the budget unless it was reserved.
+// always allows the first try. It allows a retry only if canRetry does and the retry
+// budget is not exhausted, and counts the retry against the budget unless it was
+// reserved.
 func (x *exchange) allowTry() bool {
 	f := x.front
 	f.mu.Lock()
@@ -126,10 +132,7 @@
 		f.retryBudget.RecordRequest(f.now(), x.service.Name)
 		return true
 	}
-	if x.ended() || x.remaining() < minRetryTime {
-		return false
-	}
-	if !x.resumable() || !x.canRun(x.runs) {
+	if !x.canRetry() {
 		return false
 	}
 	if x.retryReserved {
@@ -156,8 +159,13 @@
 	x.triedBackends = append(x.triedBackends, backend)
 	to, _ := x.front.backend(backend)
 	fields := log.Fields{"request": x.call.ID, "backend": backend, "software": to.SoftwareVersion, "last_event": x.lastEventID, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}
+	if err.Verdict == peridotverdict.NotRun && err.Code == peridotverdict.Overloaded {
+		x.refusedBackends = append(x.refusedBackends, backend)
+	}
+	if x.silentFor > 0 || err.Verdict != peridotverdict.NotRun {
+		x.gaveUpTry = x.silentFor > 0
+	}
 	if x.silentFor > 0 {
-		x.gaveUpTry = true
 		x.silentBackends = append(x.silentBackends, backend)
 		fields["silent_ms"], x.logFields["silent_ms"] = x.silentFor, x.silentFor
 		x.silentFor = 0 // The next failure may come before its try begins.
@@ -176,6 +184,35 @@
 	return true
 }
 
+// readmitRefused lets the backend servers be tried again that were full, once the placer
+// considers them usable again.
+func (x *exchange) readmitRefused() {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	x.refusedBackends = slices.DeleteFunc(x.refusedBackends, func(id string) bool {
+		if !f.placer.Usable(now, id) {
+			return false
+		}
+		x.triedBackends = slices.DeleteFunc(x.triedBackends, func(tried string) bool { return tried == id })
+		return true
+	})
+}
+
+// withServers calls place with the backend servers that must not be chosen, and returns
+// its result. A request that must not run twice goes to a failing server only if place
+// finds no other. The caller must hold Front.mu.
+func (x *exchange) withServers(place func(exclude []string) bool) bool {
+	if !x.route.Idempotent() {
+		failing := x.front.placer.Failing(x.service.Name)
+		if len(failing) > 0 && place(append(failing, x.triedBackends...)) {
+			return true
+		}
+	}
+	return place(x.triedBackends)
+}
+
 // failureOutcome returns the outcome of a try that failed with err.
 func (x *exchange) failureOutcome(err *peridotverdict.Error) peridotplace.Outcome {
 	switch {
@@ -189,6 +226,43 @@
 	return peridotplace.Failed
 }
 
+// beginFlight reports to the placer that a plain request is sent to a backend server.
+func (f *Front) beginFlight(backend string) *peridotplace.Flight {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placer.Begin(f.now(), backend)
+}
+
+// beginPrefill reports to the placer that the prompt is sent to an engine, which must
+// read uncachedTokens of it.
+func (x *exchange) beginPrefill(backend string, uncachedTokens int) *peridotplace.Flight {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	flight := f.placer.BeginPrefill(f.now(), backend, x.call.Parts, uncachedTokens)
+	if x.late {
+		f.placer.Demote(flight)
+	}
+	return flight
+}
+
+// beginDecode reports to the placer that the request is sent to an engine, which fetches
+// the KV cache of the prompt.
+func (x *exchange) beginDecode(backend string) *peridotplace.Flight {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.placer.BeginDecode(f.now(), backend, x.call.Parts)
+}
+
+// endPrefill reports to the placer that an engine has run a prefill.
+func (f *Front) endPrefill(flight *peridotplace.Flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.placer.FinishPrefill(f.now(), flight)
+	f.placer.Done(f.now(), flight, peridotplace.Answered)
+}
+
 // endFlight reports the end of a flight to the placer.
 func (f *Front) endFlight(flight *peridotplace.Flight, outcome peridotplace.Outcome) {
 	f.mu.Lock()
