--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -67,6 +67,9 @@
 	// runs is the number of tries that may have run the request.
 	runs int
 	retryState
+	// headReceived is set if the head of the last try's answer came from a backend server
+	// that runs the request.
+	headReceived bool
 	// answerStarted is set once the head of the answer has been sent to the caller.
 	answerStarted bool
 	// lastEventID is the ID of the last stream event sent to the caller; 0 if none.
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotstack/peridotplace"
+	"peridotstack/peridotquarantine"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottable"
 )
@@ -56,6 +57,9 @@
 	MaxTokens int
 	// Parts are the parts of the prompt, in order.
 	Parts []peridotplace.Part
+	// SharedParts are the parts of the prompt but the last, which belongs to the request
+	// or its session alone.
+	SharedParts []peridotquarantine.Part
 }
 
 // RequestHead contains the values that the front sets in the head of a request to a
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		if err.Verdict != peridotverdict.NotRun {
 			x.runs++
+			s.inspectBreak(ctx, to, err)
 		}
 		return err
 	}
@@ -110,7 +111,7 @@
 		answer.Abandon()
 		return peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.MayHaveRun, "the answer bears no seal")
 	}
-	return s.forwardEvents(answer)
+	return s.forwardEvents(ctx, to, answer)
 }
 
 // forwardFailure sends an error answer of the engine to the caller. If the request
@@ -131,7 +132,7 @@
 }
 
 // forwardEvents forwards each complete event to the caller as it arrives.
-func (s *stream) forwardEvents(answer *peridotlink.Answer) *peridotverdict.Error {
+func (s *stream) forwardEvents(ctx context.Context, to peridotsite.Backend, answer *peridotlink.Answer) *peridotverdict.Error {
 	x := s.exchange
 	reader := bufio.NewReaderSize(answer.Body, streamBufferBytes)
 	for {
@@ -142,7 +143,9 @@
 		}
 		if err != nil {
 			answer.Abandon()
-			return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream broke off", peridotverdict.Cause(err))
+			failure := peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream broke off", peridotverdict.Cause(err))
+			s.inspectBreak(ctx, to, failure)
+			return failure
 		}
 		s.watch.pause() // A caller that reads slowly is no silence of the server.
 		s.recordProgress()
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -43,6 +43,7 @@
 // was sent.
 func (x *exchange) send(ctx context.Context, to peridotsite.Backend, requestHead RequestHead) (*peridotlink.Answer, AnswerHead, *peridotverdict.Error) {
 	f := x.front
+	x.headReceived = false
 	requestHead.Backend, requestHead.Account, requestHead.LastEventID = to.ID, x.account, x.resumeEventID()
 	for {
 		conn, err := f.pool.Get(ctx, to.Address, f.connLimit(x.service))
@@ -69,6 +70,7 @@
 		}
 		x.recordLeaving(to, head)
 		x.recordHold(to, head)
+		x.headReceived = !head.NotRun
 		return answer, head, nil
 	}
 }
@@ -158,7 +160,10 @@
 	}
 	x.triedBackends = append(x.triedBackends, backend)
 	to, _ := x.front.backend(backend)
-	fields := log.Fields{"request": x.call.ID, "backend": backend, "software": to.SoftwareVersion, "last_event": x.lastEventID, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining()}
+	fields := log.Fields{"request": x.call.ID, "backend": backend, "software": to.SoftwareVersion, "last_event": x.lastEventID, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining(), "head": x.headReceived}
+	if len(x.call.SharedParts) > 0 {
+		fields["parts"] = x.call.SharedParts
+	}
 	if err.Verdict == peridotverdict.NotRun && err.Code == peridotverdict.Overloaded {
 		x.refusedBackends = append(x.refusedBackends, backend)
 	}
