--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -71,8 +71,8 @@
 	// bodyBytes is the memory used by request bodies that have been read completely.
 	bodyBytes atomic.Int64
 
-	// mu guards the fields below, except for peers and origins, which have mutexes of
-	// their own.
+	// mu guards the fields below, except for peers, origins and quarantine, which have
+	// mutexes of their own.
 	mu          sync.Mutex
 	placer      *peridotplace.Placer
 	retryBudget *peridotretry.WindowBudget
@@ -80,11 +80,12 @@
 	// seals contains the final counts of the latest usage windows, and sealedAt the
 	// value of now when this front, as the holder of the duties, learned those of a
 	// window.
-	seals    *peridotusage.Seals
-	sealedAt map[peridotusage.Window]time.Duration
-	backends backends
-	peers    *peers
-	origins  *origins
+	seals      *peridotusage.Seals
+	sealedAt   map[peridotusage.Window]time.Duration
+	backends   backends
+	peers      *peers
+	origins    *origins
+	quarantine *quarantine
 	// lostFeeds is true for each feed whose last call failed.
 	lostFeeds map[string]bool
 	// feedAnsweredAt contains the value of now when each feed last answered.
@@ -132,6 +133,7 @@
 	f.backends.departures = make(departures)
 	f.peers = newPeers(f)
 	f.origins = newOrigins(f)
+	f.quarantine = newQuarantine(f)
 	for _, option := range options {
 		option(f)
 	}
@@ -165,6 +167,7 @@
 	tree.Add(peridottree.Component{Name: "peers", Run: f.peers.serve})
 	tree.Add(peridottree.Component{Name: "beliefs", Run: f.serveSnapshots})
 	tree.Add(peridottree.Component{Name: "hand-over", Run: f.copyPeerState})
+	tree.Add(peridottree.Component{Name: "quarantine", Run: f.quarantine.followRows})
 	tree.Add(peridottree.Component{Name: "clock", Run: f.anchorClock})
 	tree.Add(peridottree.Component{Name: "prune", Run: f.servePruning})
 	tree.ServeBackground(serveCtx)
@@ -259,9 +262,10 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// ready reports whether the front has a configuration and is not stopping.
+// ready reports whether the front has a configuration, knows which prompts to refuse and
+// is not stopping.
 func (f *Front) ready() bool {
-	return !f.stopping.Load() && f.config.Load() != nil
+	return !f.stopping.Load() && f.config.Load() != nil && f.quarantine.isLoaded()
 }
 
 // servePruning calls removeExpired periodically until ctx is done.
@@ -297,5 +301,6 @@
 	f.mu.Unlock()
 	f.metrics.SetGauge("fronts", float64(f.peers.frontCount()))
 	f.metrics.SetGauge("origins", float64(f.origins.removeExpired()))
+	f.quarantine.updateMetrics()
 	f.pool.Prune(time.Now(), func(address string) bool { return addresses[address] })
 }
--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -28,8 +28,8 @@
 	Loads      []load      `cbor:"3,keyasint,omitempty"`
 	Placements []placement `cbor:"4,keyasint,omitempty"`
 	// Usage contains the requests per account in one window, and Seal a part of the
-	// final counts of a sealed one. Both are nil if the message carries a load report
-	// instead.
+	// final counts of a sealed one. Both are nil if the message carries a load report or
+	// Quarantine instead.
 	Usage *usage `cbor:"5,keyasint,omitempty"`
 	Seal  *seal  `cbor:"11,keyasint,omitempty"`
 	// Peers contains the addresses of the other fronts from which the sender
@@ -44,12 +44,20 @@
 	Question *originQuestion `cbor:"9,keyasint,omitempty"`
 	// Answer answers a Question; nil if the message answers none.
 	Answer *originAnswer `cbor:"10,keyasint,omitempty"`
+	// Quarantine tells under which parts of prompts servers ended. It is nil if the message
+	// carries a load report instead.
+	Quarantine *quarantineReport `cbor:"12,keyasint,omitempty"`
 	// Software contains software versions that the sender has seen registered.
 	Software []softwareAge `cbor:"16,keyasint,omitempty"`
 	// KnowsPast is set if Software contains those that left before the sender started.
 	KnowsPast bool `cbor:"17,keyasint,omitempty"`
 }
 
+// hasReport reports whether the message carries a load report.
+func (m *message) hasReport() bool {
+	return m.Usage == nil && m.Seal == nil && m.Quarantine == nil
+}
+
 // load is the encoded form of a peridotplace.Load.
 type load struct {
 	_             struct{} `cbor:",toarray"`
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -105,6 +105,11 @@
 	// refusedBackends contains those of triedBackends that were full. They may be tried
 	// again for a started answer.
 	refusedBackends []string
+	// quarantinedBackends contains the backend servers to which the prompt must not be
+	// sent. checkQuarantine sets it before each choice of a server.
+	quarantinedBackends []string
+	// onTrial is set if the next try may send a prompt whose part may have ended servers.
+	onTrial bool
 	// silentFor is how long the server of the last try had sent nothing when this
 	// instance gave the try up; 0 if the try ended otherwise. stallWatch.stop sets it,
 	// and recordFailure takes it back.
@@ -189,6 +194,9 @@
 	if x.service == nil {
 		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the route's service is not configured", peridotverdict.RetryAfter(noBackendRetryAfter))
 	}
+	if x.service.Engine != nil && !f.quarantine.isLoaded() {
+		return peridotverdict.New(peridotverdict.ConfigStale, peridotverdict.NotRun, "this instance does not know yet which prompts to refuse", peridotverdict.RetryAfter(quarantineLoadRetryAfter))
+	}
 	x.timeout = defaultRequestTimeout
 	if x.route.Timeout > 0 {
 		x.timeout = x.route.Timeout
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -169,6 +169,11 @@
 	}
 	f.mu.Unlock()
 	messages := []*message{first}
+	if r := f.quarantine.report(announce); r != nil {
+		m := p.newMessage()
+		m.Quarantine = r
+		messages = append(messages, m)
+	}
 	if !announce {
 		return messages
 	}
@@ -305,6 +310,19 @@
 	return len(p.byAddress) + 1
 }
 
+// position returns the number of fronts that are alive, including this one, and the
+// index of this front among them in the order of their addresses.
+func (p *peers) position() (index, count int) {
+	count = 1
+	for address := range p.alivePeers() {
+		count++
+		if address.String() < p.front.settings.PeerAddress {
+			index++
+		}
+	}
+	return index, count
+}
+
 // receive handles datagrams from conn until ctx is done.
 func (p *peers) receive(ctx context.Context, conn *net.UDPConn) {
 	buffer := make([]byte, maxDatagramBytes+1)
@@ -342,6 +360,10 @@
 			p.addAddress(other)
 		}
 	}
+	if m.Quarantine != nil {
+		f.quarantine.handleReport(m.Quarantine)
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m.Usage != nil {
@@ -373,7 +395,7 @@
 		p.changes++
 	}
 	state.heardAt, state.instance = now, m.From
-	if m.Usage == nil && m.Seal == nil {
+	if m.hasReport() {
 		state.announcedSoftware = state.announcedSoftware || len(m.Software) > 0
 		state.knowsPast = state.knowsPast || m.KnowsPast
 		state.storeAnswering = m.StoreAnsweringMillis > 0
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -63,6 +63,10 @@
 // not tried again, it answers the caller and returns false.
 func (x *exchange) nextEngines() (peridotplace.Choice, bool) {
 	for {
+		if err := x.checkQuarantine(); err != nil {
+			x.giveUp(err)
+			return peridotplace.Choice{}, false
+		}
 		x.late = false // Another engine may still meet the objective.
 		choice, ok := x.placePrompt(x.software)
 		if !ok && x.readmitSilent() {
@@ -126,7 +130,7 @@
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	excluded := slices.DeleteFunc(slices.Clone(x.triedBackends), func(id string) bool { return slices.Contains(x.refusedBackends, id) })
+	excluded := slices.DeleteFunc(slices.Clone(x.excludedBackends()), func(id string) bool { return slices.Contains(x.refusedBackends, id) })
 	return f.placer.HasRegistered(peridotplace.Alternative{Service: x.service.Name, SoftwareVersion: x.software, Generates: true, Exclude: excluded})
 }
 
--- /dev/null
+++ b/peridotfront/quarantine.go
@@ -0,0 +1,328 @@
+package peridotfront
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"peridotstack/peridotlink"
+	"peridotstack/peridotquarantine"
+	"peridotstack/peridotsite"
+	"peridotstack/peridotverdict"
+	"peridotstack/peridotwait"
+)
+
+const (
+	// secondProbeDelay is the time between the two probes of a server that broke off a
+	// run. A process that ends closes its connections and its listener one by one.
+	secondProbeDelay = 100 * time.Millisecond
+	// quarantineLoadTime is how long after its start a front refuses prompts if it knows
+	// neither the stored accusations nor those of another front.
+	quarantineLoadTime = 2 * time.Second
+	// quarantineLoadRetryAfter is the Retry-After until then.
+	quarantineLoadRetryAfter = 100 * time.Millisecond
+	// trialSlot is the time for which one front may send a prompt on trial. It exceeds the
+	// time in which the other fronts learn how the trial ended.
+	trialSlot = time.Second
+	// trialRetryAfter is the Retry-After of a prompt that waits for the trial of another.
+	trialRetryAfter = 300 * time.Millisecond
+)
+
+// quarantine keeps prompts from backend servers that have a part under which servers
+// ended. It shares what it learns with the other fronts and the table service. Its methods
+// are safe for concurrent use. Front.mu may be locked when they are called, but they must
+// not lock it.
+type quarantine struct {
+	front *Front
+	// probe finds out whether a process listens at an address.
+	probe func(ctx context.Context, address string) peridotlink.Presence
+	// changed gets a value when the table service lacks a change.
+	changed chan struct{}
+
+	mu      sync.Mutex
+	table   *peridotquarantine.Table
+	pending peridotquarantine.Pending
+	news    quarantineNews
+	rows    quarantineRows
+	// loaded is set once the stored accusations, or those of another front, are known.
+	loaded bool
+	// lastTrialSlot is the number of the trialSlot, since 1970, of this front's last trial.
+	lastTrialSlot int64
+}
+
+func newQuarantine(f *Front) *quarantine {
+	return &quarantine{front: f, probe: f.pool.Probe, changed: make(chan struct{}, 1), table: peridotquarantine.NewTable()}
+}
+
+// softwareOf returns the software that a backend server runs.
+func softwareOf(b peridotsite.Backend) peridotquarantine.Software {
+	return peridotquarantine.Software{Service: b.Service, Version: b.SoftwareVersion}
+}
+
+// isLoaded reports whether the accusations are known that other fronts have stored, or
+// can't be had in time.
+func (q *quarantine) isLoaded() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.loaded || q.front.now() > quarantineLoadTime
+}
+
+// recordBegun records that an answer has begun on the parts.
+func (q *quarantine) recordBegun(parts []peridotquarantine.Part, at peridotquarantine.Software) {
+	if len(parts) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.refute(q.table.RecordBegun(parts, at))
+}
+
+// refute announces that parts are sound after all, and deletes the rows of their refuted
+// accusations. The caller must hold q.mu.
+func (q *quarantine) refute(refuted []peridotquarantine.Accusation) {
+	for _, a := range refuted {
+		q.rows.delete(a)
+		q.news.addSound(a.Part, a.At)
+		q.front.metrics.Count("prompt_accusations_refuted")
+		log.WithFields(log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version}).Info(logPrefix + "prompt part is sound")
+	}
+	if len(refuted) > 0 {
+		notify(q.changed)
+	}
+}
+
+// recordBreak records that a server broke off a run before its first event, and begins to
+// find out whether the server has ended.
+func (q *quarantine) recordBreak(s peridotquarantine.Suspicion, address string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.pending.Add(q.front.now(), s) {
+		go q.investigate(s, address)
+	}
+}
+
+// investigate probes a server that broke off a run. If nothing answers there, the next
+// lists of registrations decide.
+func (q *quarantine) investigate(s peridotquarantine.Suspicion, address string) {
+	line := log.WithFields(log.Fields{"backend": s.ID, "born": s.Born, "software": s.At.Version})
+	for probe := range 2 {
+		peridotwait.Sleep(context.Background(), time.Duration(probe)*secondProbeDelay)
+		switch q.probe(context.Background(), address) {
+		case peridotlink.NotListening:
+			line.Warn(logPrefix + "backend server ended before the first event")
+			q.confirm(s.End())
+			return
+		case peridotlink.PresenceUnknown:
+			line.Info(logPrefix + "backend server broke off a run and cannot be reached")
+			return
+		}
+	}
+	line.Info(logPrefix + "backend server still listens after it broke off a run")
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.pending.Take(s.End())
+}
+
+// recordBackends confirms the suspicions of servers that are not registered any more.
+func (q *quarantine) recordBackends(byID map[string]peridotsite.Backend) {
+	q.mu.Lock()
+	q.pending.Expire(q.front.now())
+	var ended []peridotquarantine.End
+	for _, s := range q.pending.Servers() {
+		if b, ok := byID[s.ID]; !ok || b.Born != s.Born {
+			ended = append(ended, s.End())
+		}
+	}
+	q.mu.Unlock()
+	for _, end := range ended {
+		q.confirm(end)
+	}
+}
+
+// confirm turns the suspicions of a server that has ended into accusations.
+func (q *quarantine) confirm(end peridotquarantine.End) {
+	now := q.front.trueTime()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	suspicions := q.pending.Take(end)
+	if len(suspicions) > 0 {
+		q.front.metrics.Count("backend_ends")
+	}
+	for _, s := range suspicions {
+		for _, a := range s.Accusations(now) {
+			if q.accuse(now, a) {
+				q.rows.put(a)
+				q.news.addAccusation(a)
+				notify(q.changed)
+			}
+		}
+	}
+}
+
+// accuse adds an accusation and reports whether that is new. The caller must hold q.mu.
+func (q *quarantine) accuse(now time.Time, a peridotquarantine.Accusation) bool {
+	before := q.table.IsQuarantined(now, a.Part, a.At)
+	if !q.table.Accuse(now, a) {
+		return false
+	}
+	fields := log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version, "begun": a.Begun}
+	if !before && q.table.IsQuarantined(now, a.Part, a.At) {
+		log.WithFields(fields).Warn(logPrefix + "prompt part quarantined")
+	} else {
+		log.WithFields(fields).Info(logPrefix + "prompt part accused")
+	}
+	return true
+}
+
+// isAnyAccused reports whether servers have ended under any of the parts.
+func (q *quarantine) isAnyAccused(parts []peridotquarantine.Part) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.ContainsFunc(parts, q.table.IsAccused)
+}
+
+// judge returns what becomes of a prompt at servers of the given software, and the error
+// with which to refuse it unless that is Allowed.
+func (q *quarantine) judge(parts []peridotquarantine.Part, at peridotquarantine.Software) (peridotquarantine.Judgment, *peridotverdict.Error) {
+	if !q.isAnyAccused(parts) {
+		return peridotquarantine.Allowed, nil
+	}
+	now := q.front.trueTime()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	judgment, part := q.table.Judge(now, parts, at)
+	retryAfter := trialRetryAfter
+	switch judgment {
+	case peridotquarantine.Allowed:
+		return judgment, nil
+	case peridotquarantine.Refused:
+		retryAfter = q.table.Until(part).Sub(now)
+	}
+	return judgment, peridotverdict.New(peridotverdict.PromptQuarantined, peridotverdict.NotRun, "backend servers ended under part "+part.String()+" of the prompt", peridotverdict.RetryAfter(retryAfter))
+}
+
+// claimTrial reports whether this front may send one prompt on trial now. Of all fronts
+// that know each other, one at a time may, so that trials are few in sum.
+func (q *quarantine) claimTrial() bool {
+	index, count := q.front.peers.position()
+	slot := q.front.trueTime().UnixNano() / trialSlot.Nanoseconds()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if slot%int64(count) != int64(index) || slot == q.lastTrialSlot {
+		return false
+	}
+	q.lastTrialSlot = slot
+	return true
+}
+
+// all returns all accusations.
+func (q *quarantine) all() []peridotquarantine.Accusation {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.All()
+}
+
+// load adds the accusations that another front knows.
+func (q *quarantine) load(list []peridotquarantine.Accusation) {
+	now := q.front.trueTime()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, a := range list {
+		q.accuse(now, a)
+	}
+	q.loaded = true
+}
+
+// updateMetrics removes expired accusations and updates the gauges.
+func (q *quarantine) updateMetrics() {
+	now := q.front.trueTime()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.Expire(now)
+	accused, quarantined := q.table.Counts(now)
+	q.front.metrics.SetGauge("prompt_parts_accused", float64(accused))
+	q.front.metrics.SetGauge("prompt_parts_quarantined", float64(quarantined))
+}
+
+// recordBreak records that the engine broke off the run of a prompt before its first
+// event. ctx is that of the try: a run that this instance canceled says nothing about the
+// engine, and neither does the end of one that leaves.
+func (s *stream) recordBreak(ctx context.Context, at peridotsite.Backend, err *peridotverdict.Error) {
+	x := s.exchange
+	isBreak := err.Code == peridotverdict.PeerLost || err.Code == peridotverdict.ShortAnswer
+	if !isBreak || s.hasEvents || ctx.Err() != nil || len(x.call.SharedParts) == 0 || at.Leaving {
+		return
+	}
+	x.front.quarantine.recordBreak(peridotquarantine.Suspicion{ID: at.ID, Born: at.Born, At: softwareOf(at), Parts: x.call.SharedParts, Begun: x.headReceived}, at.Address)
+}
+
+// checkQuarantine finds the engines to which the prompt must not be sent. It returns an
+// error if that are all engines of the service. A prompt on trial gets the right to one
+// try.
+func (x *exchange) checkQuarantine() *peridotverdict.Error {
+	f := x.front
+	x.quarantinedBackends, x.onTrial = nil, false
+	if !f.quarantine.isAnyAccused(x.call.SharedParts) {
+		return nil
+	}
+	var refused, onTrial []string
+	var refusal *peridotverdict.Error
+	allowed := 0
+	for _, b := range f.backendsOf(x.service.Name) {
+		switch judgment, err := f.quarantine.judge(x.call.SharedParts, softwareOf(b)); judgment {
+		case peridotquarantine.Allowed:
+			allowed++
+		case peridotquarantine.OnTrial:
+			onTrial, refusal = append(onTrial, b.ID), err
+		default:
+			refused, refusal = append(refused, b.ID), cmp.Or(refusal, err)
+		}
+	}
+	x.quarantinedBackends = refused
+	if allowed > 0 || refusal == nil {
+		x.quarantinedBackends = append(refused, onTrial...)
+		return nil
+	}
+	if x.onTrial = len(onTrial) > 0 && f.quarantine.claimTrial(); x.onTrial {
+		return nil
+	}
+	return refusal
+}
+
+// refuseQuarantined returns an error if the prompt must not be sent to a backend server.
+func (x *exchange) refuseQuarantined(to peridotsite.Backend) *peridotverdict.Error {
+	if x.service.Engine == nil {
+		return nil
+	}
+	judgment, err := x.front.quarantine.judge(x.call.SharedParts, softwareOf(to))
+	if judgment == peridotquarantine.OnTrial && x.onTrial {
+		return nil
+	}
+	return err
+}
+
+// excludedBackends returns the backend servers that must not be chosen: those that were
+// tried, and those to which the prompt must not be sent.
+func (x *exchange) excludedBackends() []string {
+	if len(x.quarantinedBackends) == 0 {
+		return x.triedBackends
+	}
+	return append(x.quarantinedBackends[:len(x.quarantinedBackends):len(x.quarantinedBackends)], x.triedBackends...)
+}
+
+// backendsOf returns the known backend servers of a service.
+func (f *Front) backendsOf(service string) []peridotsite.Backend {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []peridotsite.Backend
+	for _, b := range f.backends.byID {
+		if b.Service == service {
+			list = append(list, b)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/peridotfront/quarantine_test.go
@@ -0,0 +1,229 @@
+package peridotfront
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"peridotstack/peridotawait"
+	"peridotstack/peridotlink"
+	"peridotstack/peridotquarantine"
+	"peridotstack/peridotsite"
+	"peridotstack/peridottable"
+)
+
+var (
+	testSoftware = peridotquarantine.Software{Service: "llm", Version: "v1"}
+	// badParts are the parts of a prompt under which servers end, and soundParts those of
+	// one that shares the first part with it.
+	badParts, soundParts = partsOf("a", "x"), partsOf("a", "b")
+)
+
+func partsOf(ids ...string) []peridotquarantine.Part {
+	var parts []peridotquarantine.Part
+	for _, id := range ids {
+		parts = append(parts, peridotquarantine.PartOf(id))
+	}
+	return parts
+}
+
+// closedAddress returns an address at which nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// endServer makes a front see that the server with the given number breaks off a run of a
+// prompt and is gone.
+func endServer(t *testing.T, f *Front, server int, parts []peridotquarantine.Part) {
+	t.Helper()
+	f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: fmt.Sprint("server-", server), Born: 1, At: testSoftware, Parts: parts, Begun: true}, closedAddress(t))
+}
+
+// judge returns what becomes of a prompt at a front.
+func judge(f *Front, parts []peridotquarantine.Part) peridotquarantine.Judgment {
+	judgment, _ := f.quarantine.judge(parts, testSoftware)
+	return judgment
+}
+
+// TestEndsSeenByDifferentFronts guards against fronts that count only the ends of servers
+// that they have seen themselves.
+func TestEndsSeenByDifferentFronts(t *testing.T) {
+	c := newPlatform()
+	fronts, kill := startFronts(t, c, 4)
+	fronts[3].quarantine.recordBegun(partsOf("a"), testSoftware) // The others don't know.
+	for i, f := range fronts[:3] {
+		endServer(t, f, i, badParts)
+	}
+	for i, f := range fronts {
+		peridotawait.Until(t, fmt.Sprint("refusal at front ", i), func() bool { return judge(f, badParts) == peridotquarantine.Refused })
+		peridotawait.Until(t, fmt.Sprint("sound part at front ", i), func() bool { return judge(f, soundParts) == peridotquarantine.Allowed })
+	}
+	kill[0]()
+	kill[1]()
+	// A front that has heard none of the news hears the announcements.
+	late, _ := startFront(t, c, "front-late")
+	peridotawait.Until(t, "refusal at a front that was started later", func() bool { return judge(late, badParts) == peridotquarantine.Refused })
+	if got := judge(late, soundParts); got != peridotquarantine.Allowed {
+		t.Errorf("got %v for the sound part, want %v", got, peridotquarantine.Allowed)
+	}
+}
+
+// TestQuarantineOutlivesFronts guards against fronts that forget under which parts servers
+// ended when all of them are killed at once, also around faults of the table service.
+func TestQuarantineOutlivesFronts(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// disturb is called once the first front knows of the ends.
+		disturb func(t *testing.T, c *fakePlatform)
+	}{
+		{name: "calm", disturb: func(*testing.T, *fakePlatform) {}},
+		{name: "outage", disturb: func(_ *testing.T, c *fakePlatform) {
+			c.SetDown(true)
+			time.Sleep(2 * quarantineRetryInterval)
+			c.SetDown(false)
+		}},
+		{name: "answers lost", disturb: func(_ *testing.T, c *fakePlatform) { c.LoseAnswers(2) }},
+		{name: "restored from an older copy", disturb: func(t *testing.T, c *fakePlatform) {
+			peridotawait.Until(t, "rows", func() bool { return len(quarantineRowsOf(t, c)) > 0 })
+			c.Store.(*peridottable.Memory).Restore((&peridottable.Memory{}).Copy())
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newPlatform()
+			f := newFront(t, c, "front-0")
+			ctx, stop := context.WithCancel(t.Context())
+			wait := run(ctx, t, f.quarantine.followRows)
+			for server := range 3 {
+				endServer(t, f, server, badParts)
+			}
+			peridotawait.Until(t, "refusal", func() bool { return judge(f, badParts) == peridotquarantine.Refused })
+			test.disturb(t, c)
+			peridotawait.Until(t, "all rows", func() bool { return len(quarantineRowsOf(t, c)) == 3*len(badParts) })
+			stop()
+			wait()
+			next := newFront(t, c, "front-0")
+			run(t.Context(), t, next.quarantine.followRows)
+			peridotawait.Until(t, "refusal after the restart", func() bool { return judge(next, badParts) == peridotquarantine.Refused })
+			next.quarantine.recordBegun(partsOf("a"), testSoftware)
+			peridotawait.Until(t, "rows of the sound part deleted", func() bool { return len(quarantineRowsOf(t, c)) == 3 })
+		})
+	}
+}
+
+// quarantineRowsOf returns the rows of accusations in the table service.
+func quarantineRowsOf(t *testing.T, c *fakePlatform) []peridottable.Row {
+	t.Helper()
+	rows, err := c.Store.Scan(t.Context(), peridottable.Range{Prefix: quarantinePrefix})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rows
+}
+
+// TestBreakWithoutEnd guards against parts that are blamed because a connection broke,
+// and against ends that are not seen because nothing answers at the server's address.
+func TestBreakWithoutEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	const unreachable = "unreachable"
+	config := (&peridotsite.Config{Version: 1, Services: []peridotsite.Service{{Name: "llm"}}}).BuildIndex()
+	registered := func(born int64) []peridotsite.Backend {
+		return []peridotsite.Backend{{ID: "s", Born: born, Service: "llm", SoftwareVersion: "v1"}}
+	}
+	for _, test := range []struct {
+		name    string
+		address string
+		// next is the list of registrations that follows.
+		next []peridotsite.Backend
+		want bool
+	}{
+		{name: "still listening", address: listener.Addr().String(), next: nil},
+		{name: "unreachable, still registered", address: unreachable, next: registered(1)},
+		{name: "unreachable, no longer registered", address: unreachable, next: nil, want: true},
+		{name: "unreachable, started again", address: unreachable, next: registered(2), want: true},
+		{name: "refused", address: closedAddress(t), next: registered(1), want: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFront(t, newPlatform(), "front-0")
+			if test.address == unreachable {
+				f.quarantine.probe = func(context.Context, string) peridotlink.Presence { return peridotlink.PresenceUnknown }
+			}
+			f.SetConfig(config)
+			f.SetBackends(registered(1))
+			f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: "s", Born: 1, At: testSoftware, Parts: badParts, Begun: true}, test.address)
+			time.Sleep(3 * secondProbeDelay) // Both probes have ended.
+			f.SetBackends(test.next)
+			if got := len(f.quarantine.all()) > 0; got != test.want {
+				t.Errorf("got accusations %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestTrialsAreFew guards against fronts that each try a prompt whose part may have ended
+// servers.
+func TestTrialsAreFew(t *testing.T) {
+	fronts, _ := startFronts(t, newPlatform(), 3)
+	begin := time.Now()
+	trials := 0
+	for time.Since(begin) < 2*trialSlot {
+		for _, f := range fronts {
+			if f.quarantine.claimTrial() {
+				trials++
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if trials < 2 || trials > 3 {
+		t.Errorf("got %d trials in %v, want 2 or 3", trials, 2*trialSlot)
+	}
+}
+
+// TestQuarantineReportIsBounded guards against datagrams that are too large to be sent, or
+// that make a front keep long names.
+func TestQuarantineReportIsBounded(t *testing.T) {
+	f := newFront(t, newPlatform(), "front-0")
+	f.quarantine.loaded = true
+	at := peridotquarantine.Software{Service: strings.Repeat("s", 200), Version: strings.Repeat("v", 64)}
+	for server := range 4 {
+		var parts []peridotquarantine.Part
+		for i := range 60 {
+			parts = append(parts, peridotquarantine.Part(i))
+		}
+		f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: fmt.Sprint(server), At: at, Parts: parts, Begun: true}, closedAddress(t))
+	}
+	peridotawait.Until(t, "accusations", func() bool { return len(f.quarantine.all()) == 240 })
+	f.quarantine.recordBegun([]peridotquarantine.Part{1, 2, 3}, at)
+	seen := 0
+	for range 3 * 240 / maxNewsPerDatagram {
+		for _, m := range f.peers.messages(true) {
+			if _, err := m.encode(); err != nil {
+				t.Fatal(err)
+			}
+			if m.Quarantine != nil {
+				seen += len(m.Quarantine.Accusations)
+			}
+		}
+	}
+	if seen < 240 {
+		t.Errorf("got %d accusations in the datagrams, want 240 or more", seen)
+	}
+	long := &quarantineReport{Accusations: []accusation{{Part: 9, Service: strings.Repeat("s", 300)}}}
+	before := len(f.quarantine.all())
+	f.quarantine.handleReport(long)
+	if got := len(f.quarantine.all()); got != before {
+		t.Errorf("got %d accusations after a report with a long name, want %d", got, before)
+	}
+}
--- /dev/null
+++ b/peridotfront/quarantinerows.go
@@ -0,0 +1,184 @@
+package peridotfront
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+
+	"peridotstack/peridotquarantine"
+	"peridotstack/peridottable"
+	"peridotstack/peridotwait"
+)
+
+const (
+	// quarantinePrefix is the key prefix of the rows of accusations. There is one row for
+	// each part and end, so that fronts never write the same row with different values.
+	quarantinePrefix = "quarantine/"
+	// quarantineReadInterval is the time between two reads of the rows.
+	quarantineReadInterval = 10 * time.Second
+	// quarantineRetryInterval is the time between two checks whether the rows have to be
+	// read or written, also after a failure.
+	quarantineRetryInterval = 250 * time.Millisecond
+	// maxRowsPerCommit limits the rows in one transaction.
+	maxRowsPerCommit = 64
+)
+
+// quarantineRows contains the changes of rows that the table service lacks. The zero value
+// is empty.
+type quarantineRows struct {
+	puts    map[string]peridotquarantine.Accusation
+	deletes map[string]bool
+}
+
+func quarantineKey(a peridotquarantine.Accusation) string {
+	return fmt.Sprintf("%s%s/%016x", quarantinePrefix, a.Part, uint64(a.End))
+}
+
+func (r *quarantineRows) put(a peridotquarantine.Accusation) {
+	if r.puts == nil {
+		r.puts = make(map[string]peridotquarantine.Accusation)
+	}
+	r.puts[quarantineKey(a)] = a
+	delete(r.deletes, quarantineKey(a))
+}
+
+func (r *quarantineRows) delete(a peridotquarantine.Accusation) {
+	r.deleteKey(quarantineKey(a))
+}
+
+func (r *quarantineRows) deleteKey(key string) {
+	if r.deletes == nil {
+		r.deletes = make(map[string]bool)
+	}
+	r.deletes[key] = true
+	delete(r.puts, key)
+}
+
+// txn returns a transaction with some of the changes. It returns false if there are none.
+func (r *quarantineRows) txn(id string) (peridottable.Txn, bool) {
+	t := peridottable.Txn{ID: id, Era: peridottable.AnyEra}
+	for key, a := range r.puts {
+		if len(t.Puts) == maxRowsPerCommit {
+			break
+		}
+		if data, err := json.Marshal(a); err == nil { // Marshaling an accusation can't fail.
+			t.Puts = append(t.Puts, peridottable.Put{Key: key, Value: data})
+		}
+	}
+	for key := range r.deletes {
+		if len(t.Puts)+len(t.Deletes) == maxRowsPerCommit {
+			break
+		}
+		t.Deletes = append(t.Deletes, key)
+	}
+	return t, len(t.Puts)+len(t.Deletes) > 0
+}
+
+// remove removes the changes of a transaction that took effect. A change that was reverted
+// meanwhile stays.
+func (r *quarantineRows) remove(t peridottable.Txn) {
+	for _, put := range t.Puts {
+		delete(r.puts, put.Key)
+	}
+	for _, key := range t.Deletes {
+		delete(r.deletes, key)
+	}
+}
+
+// followRows keeps the rows of the table service and the table the same until ctx is done.
+func (q *quarantine) followRows(ctx context.Context) error {
+	var readAt time.Duration
+	var readEra int64
+	hasRead := false
+	for ctx.Err() == nil {
+		now, era := q.front.now(), q.front.platform.Era()
+		if !hasRead || era != readEra || now-readAt >= quarantineReadInterval {
+			hasRead = q.readRows(ctx)
+			readAt, readEra = now, era
+		}
+		if hasRead {
+			q.writeRows(ctx)
+		}
+		select {
+		case <-q.changed:
+		case <-time.After(quarantineRetryInterval):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// readRows adds the stored accusations to the table and notes which rows the table service
+// lacks or must delete. It reports whether it could read the rows.
+func (q *quarantine) readRows(ctx context.Context) bool {
+	var stored []peridottable.Row
+	after := ""
+	for {
+		rows, err := q.front.platform.Scan(ctx, peridottable.Range{Prefix: quarantinePrefix, After: after})
+		if err != nil {
+			q.front.metrics.Count("quarantine_read_failures")
+			return false
+		}
+		if len(rows) == 0 {
+			break
+		}
+		stored = append(stored, rows...)
+		after = rows[len(rows)-1].Key
+	}
+	now := q.front.trueTime()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	known := make(map[string]bool, len(stored))
+	for _, row := range stored {
+		known[row.Key] = true
+		q.applyRow(now, row)
+	}
+	for _, a := range q.table.All() {
+		if !known[quarantineKey(a)] {
+			q.rows.put(a)
+		}
+	}
+	q.loaded = true
+	return true
+}
+
+// applyRow applies one row. A row is deleted if it has expired or its part is sound. The
+// caller must hold q.mu.
+func (q *quarantine) applyRow(now time.Time, row peridottable.Row) {
+	var a peridotquarantine.Accusation
+	if err := json.Unmarshal(row.Value, &a); err != nil || quarantineKey(a) != row.Key {
+		q.front.metrics.Count("unreadable_rows")
+		log.WithField("row", row.Key).Warn(logPrefix + "ignoring a row that cannot be decoded")
+		return
+	}
+	switch {
+	case q.rows.deletes[row.Key]:
+	case a.Expired(now) || q.table.IsSound(a.Part, a.At):
+		q.rows.deleteKey(row.Key)
+	default:
+		q.accuse(now, a)
+	}
+}
+
+// writeRows writes the changes that the table service lacks, as long as it takes them.
+func (q *quarantine) writeRows(ctx context.Context) {
+	for ctx.Err() == nil {
+		q.mu.Lock()
+		t, ok := q.rows.txn(q.front.self.Incarnation)
+		q.mu.Unlock()
+		if !ok {
+			return
+		}
+		if _, err := q.front.platform.Commit(ctx, t); err != nil {
+			q.front.metrics.Count("quarantine_write_failures")
+			peridotwait.Sleep(ctx, quarantineRetryInterval)
+			return
+		}
+		q.mu.Lock()
+		q.rows.remove(t)
+		q.mu.Unlock()
+	}
+}
--- a/peridotfront/snapshot.go
+++ b/peridotfront/snapshot.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"peridotstack/peridotquarantine"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottree"
 	"peridotstack/peridotwait"
@@ -37,6 +38,8 @@
 	Backends []peridotsite.Backend
 	// Software contains the software versions that the front has seen registered.
 	Software []softwareAge
+	// Accusations tells under which parts of prompts servers ended.
+	Accusations []peridotquarantine.Accusation
 }
 
 // serveSnapshots serves the state of this front to the other fronts until ctx is
@@ -66,6 +69,7 @@
 		snapshot.Backends = append(snapshot.Backends, s)
 	}
 	f.mu.Unlock()
+	snapshot.Accusations = f.quarantine.all()
 	if snapshot.Config == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -147,5 +151,6 @@
 	if !answered {
 		f.SetBackends(snapshot.Backends)
 	}
+	f.quarantine.load(snapshot.Accusations)
 	f.SetConfig(snapshot.Config.BuildIndex())
 }
--- a/peridotfront/stall.go
+++ b/peridotfront/stall.go
@@ -63,7 +63,7 @@
 		alternative: peridotplace.Alternative{
 			Service:   x.service.Name,
 			Generates: x.service.Engine != nil,
-			Exclude:   append(slices.Clone(x.triedBackends), to.ID),
+			Exclude:   append(slices.Clone(x.excludedBackends()), to.ID),
 		},
 	}
 }
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -134,6 +134,7 @@
 	f.logBackends(list)
 	f.backends.setRegistered(f.now(), list)
 	f.updatePlacer()
+	f.quarantine.recordBackends(f.backends.byID)
 }
 
 // logBackends logs each backend server that was added, changed or removed. The
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -12,6 +12,7 @@
 	"peridotstack/peridotclock"
 	"peridotstack/peridotlink"
 	"peridotstack/peridotplace"
+	"peridotstack/peridotquarantine"
 	"peridotstack/peridotsite"
 	"peridotstack/peridotverdict"
 )
@@ -95,7 +96,7 @@
 	if err != nil {
 		if err.Verdict != peridotverdict.NotRun {
 			x.runs++
-			s.inspectBreak(ctx, to, err)
+			s.recordBreak(ctx, to, err)
 		}
 		return err
 	}
@@ -144,7 +145,7 @@
 		if err != nil {
 			answer.Abandon()
 			failure := peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream broke off", peridotverdict.Cause(err))
-			s.inspectBreak(ctx, to, failure)
+			s.recordBreak(ctx, to, failure)
 			return failure
 		}
 		s.watch.pause() // A caller that reads slowly is no silence of the server.
@@ -166,7 +167,9 @@
 	s.reportProgress()
 	if !s.hasEvents {
 		s.hasEvents = true
-		s.exchange.countRun()
+		x := s.exchange
+		x.countRun()
+		x.front.quarantine.recordBegun(x.call.SharedParts, peridotquarantine.Software{Service: x.service.Name, Version: s.software})
 	}
 }
 
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -44,6 +44,9 @@
 func (x *exchange) send(ctx context.Context, to peridotsite.Backend, requestHead RequestHead) (*peridotlink.Answer, AnswerHead, *peridotverdict.Error) {
 	f := x.front
 	x.headReceived = false
+	if err := x.refuseQuarantined(to); err != nil {
+		return nil, AnswerHead{}, err
+	}
 	requestHead.Backend, requestHead.Account, requestHead.LastEventID = to.ID, x.account, x.resumeEventID()
 	for {
 		conn, err := f.pool.Get(ctx, to.Address, f.connLimit(x.service))
@@ -211,11 +214,11 @@
 func (x *exchange) withServers(place func(exclude []string) bool) bool {
 	if !x.route.Idempotent() {
 		failing := x.front.placer.Failing(x.service.Name)
-		if len(failing) > 0 && place(append(failing, x.triedBackends...)) {
+		if len(failing) > 0 && place(append(failing, x.excludedBackends()...)) {
 			return true
 		}
 	}
-	return place(x.triedBackends)
+	return place(x.excludedBackends())
 }
 
 // failureOutcome returns the outcome of a try that failed with err.
--- /dev/null
+++ b/peridotquarantine/accusation.go
@@ -0,0 +1,70 @@
+package peridotquarantine
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// TTL is how long an accusation counts. Until then a quarantined part is not tried again.
+const TTL = 24 * time.Hour
+
+// End identifies the end of a backend server: that of one incarnation.
+type End uint64
+
+// EndOf returns the end of the server with the given ID that started at born, a Unix time
+// in ms.
+func EndOf(id string, born int64) End {
+	return End(xxhash.Sum64String(id + "\n" + strconv.FormatInt(born, 10)))
+}
+
+// Software is a software version of a service.
+type Software struct {
+	Service, Version string
+}
+
+// Accusation records that a backend server ended while it had to answer a prompt with the
+// given part, before the first event of that answer.
+type Accusation struct {
+	Part Part
+	End  End
+	// At is the software that the server ran.
+	At Software
+	// Begun is set if the head of the answer had come: the server had begun to write.
+	Begun bool
+	// UnixSeconds is when the server ended, in true time.
+	UnixSeconds int64
+}
+
+// Expired reports whether the accusation doesn't count any more.
+func (a Accusation) Expired(now time.Time) bool {
+	return now.Unix()-a.UnixSeconds >= int64(TTL.Seconds())
+}
+
+// Suspicion is a run that broke off before its first event, for a reason that is not
+// known yet.
+type Suspicion struct {
+	// ID and Born identify the incarnation of the backend server.
+	ID   string
+	Born int64
+	At   Software
+	// Parts are the parts of the prompt that other prompts share.
+	Parts []Part
+	// Begun is set if the head of the answer had come.
+	Begun bool
+}
+
+// End returns the end of the server of the suspicion.
+func (s Suspicion) End() End {
+	return EndOf(s.ID, s.Born)
+}
+
+// Accusations returns the accusations that follow if the server ended at now.
+func (s Suspicion) Accusations(now time.Time) []Accusation {
+	list := make([]Accusation, 0, len(s.Parts))
+	for _, part := range s.Parts {
+		list = append(list, Accusation{Part: part, End: s.End(), At: s.At, Begun: s.Begun, UnixSeconds: now.Unix()})
+	}
+	return list
+}
--- /dev/null
+++ b/peridotquarantine/table.go
@@ -0,0 +1,291 @@
+package peridotquarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// minBegunEnds is the number of servers that must have ended after they had begun to
+	// write on a part, for the part to be quarantined; minEnds is that number if it is not
+	// known of all of them whether they had begun.
+	minBegunEnds = 3
+	minEnds      = 4
+	// maxEndsPerPart limits the accusations kept of one part.
+	maxEndsPerPart = 8
+	// maxAccusedParts limits the parts that are accused.
+	maxAccusedParts = 4096
+	// maxSoundParts limits the pairs of part and software that are known to be sound. One
+	// takes about 150 bytes.
+	maxSoundParts = 1 << 15
+	// maxBegunEnds limits the ends of which a begun run is remembered.
+	maxBegunEnds = 4096
+)
+
+// Table adds up accusations. Create one with NewTable.
+type Table struct {
+	// accused contains the accusations of each part, at most one for each end.
+	accused map[Part][]Accusation
+	// begunEnds contains the ends that a begun run has seen: runs beside it that had not
+	// begun say little.
+	begunEnds *simplelru.LRU[End, struct{}]
+	sound     *simplelru.LRU[soundPart, struct{}]
+	// announced is the part up to which Announce has returned the accusations.
+	announced Part
+}
+
+// soundPart is a part on which an answer has begun at a software version.
+type soundPart struct {
+	part Part
+	at   Software
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	t := &Table{accused: make(map[Part][]Accusation)}
+	t.begunEnds, _ = simplelru.NewLRU[End, struct{}](maxBegunEnds, nil) // Fails only without a size.
+	t.sound, _ = simplelru.NewLRU[soundPart, struct{}](maxSoundParts, nil)
+	return t
+}
+
+// Accuse adds an accusation. It reports whether that is new. A part that is sound at the
+// software of the accusation isn't accused.
+func (t *Table) Accuse(now time.Time, a Accusation) bool {
+	if a.Expired(now) || t.IsSound(a.Part, a.At) {
+		return false
+	}
+	if a.Begun {
+		t.begunEnds.Add(a.End, struct{}{})
+	}
+	list := t.accused[a.Part]
+	i := slices.IndexFunc(list, func(other Accusation) bool { return other.End == a.End })
+	switch {
+	case i >= 0 && (list[i].Begun || !a.Begun):
+		return false
+	case i >= 0:
+		list[i] = a
+		return true
+	case len(list) == 0:
+		t.makeRoom(now)
+	case len(list) == maxEndsPerPart:
+		if list = t.dropUncounted(list); len(list) == maxEndsPerPart {
+			return false
+		}
+	}
+	t.accused[a.Part] = append(list, a)
+	return true
+}
+
+// dropUncounted removes the first accusation that doesn't count.
+func (t *Table) dropUncounted(list []Accusation) []Accusation {
+	i := slices.IndexFunc(list, func(a Accusation) bool { return !t.counts(a) })
+	if i < 0 {
+		return list
+	}
+	return slices.Delete(list, i, i+1)
+}
+
+// makeRoom removes expired accusations and, if the table is full, a part: the one with the
+// fewest ends.
+func (t *Table) makeRoom(now time.Time) {
+	if len(t.accused) < maxAccusedParts {
+		return
+	}
+	t.Expire(now)
+	if len(t.accused) < maxAccusedParts {
+		return
+	}
+	var least Part
+	leastEnds := maxEndsPerPart + 1
+	for part, list := range t.accused {
+		if len(list) < leastEnds {
+			least, leastEnds = part, len(list)
+		}
+	}
+	delete(t.accused, least)
+}
+
+// counts reports whether an accusation counts: a run that had not begun says nothing if
+// another one had begun at the same end.
+func (t *Table) counts(a Accusation) bool {
+	return a.Begun || !t.begunEnds.Contains(a.End)
+}
+
+// RecordBegun records that an answer has begun on the parts at a software version. It
+// returns the accusations that this refutes.
+func (t *Table) RecordBegun(parts []Part, at Software) (refuted []Accusation) {
+	for _, part := range parts {
+		t.sound.Add(soundPart{part, at}, struct{}{})
+		list := t.accused[part]
+		if len(list) == 0 {
+			continue
+		}
+		isRefuted := func(a Accusation) bool { return a.At == at }
+		for _, a := range list {
+			if isRefuted(a) {
+				refuted = append(refuted, a)
+			}
+		}
+		if list = slices.DeleteFunc(list, isRefuted); len(list) > 0 {
+			t.accused[part] = list
+		} else {
+			delete(t.accused, part)
+		}
+	}
+	return refuted
+}
+
+// IsAccused reports whether servers have ended under a part.
+func (t *Table) IsAccused(part Part) bool {
+	return len(t.accused[part]) > 0
+}
+
+// IsSound reports whether an answer is known to have begun on a part at a software
+// version.
+func (t *Table) IsSound(part Part, at Software) bool {
+	return t.sound.Contains(soundPart{part, at})
+}
+
+// Judgment says what becomes of a prompt.
+type Judgment int
+
+const (
+	// Allowed prompts may be sent.
+	Allowed Judgment = iota
+	// OnTrial prompts have a part that may have ended servers, but another part that this
+	// prompt lacks may have done so as well. The answer to one such prompt tells.
+	OnTrial
+	// Refused prompts must not be sent.
+	Refused
+)
+
+// Judge returns what becomes of a prompt with the given parts at servers of a software
+// version, and the part that is the reason unless that is Allowed.
+func (t *Table) Judge(now time.Time, parts []Part, at Software) (Judgment, Part) {
+	judgment, reason := Allowed, Part(0)
+	for _, part := range parts {
+		if !t.IsQuarantined(now, part, at) {
+			continue
+		}
+		if !t.hasRival(now, part, parts) {
+			return Refused, part
+		}
+		judgment, reason = OnTrial, part
+	}
+	return judgment, reason
+}
+
+// IsQuarantined reports whether enough servers have ended under a part, and no answer is
+// known to have begun on it at a software version. The ends at all other versions add up.
+func (t *Table) IsQuarantined(now time.Time, part Part, at Software) bool {
+	ends := t.countedEnds(now, part)
+	begun := 0
+	for _, a := range ends {
+		if a.Begun {
+			begun++
+		}
+	}
+	return (begun >= minBegunEnds || len(ends) >= minEnds) && !t.IsSound(part, at)
+}
+
+// countedEnds returns the accusations of a part that count, one for each end.
+func (t *Table) countedEnds(now time.Time, part Part) []Accusation {
+	var list []Accusation
+	for _, a := range t.accused[part] {
+		if !a.Expired(now) && t.counts(a) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// hasRival reports whether there is another part, not among those of the prompt, that
+// every server had to answer which ended under the given part. Either may be the cause.
+func (t *Table) hasRival(now time.Time, part Part, prompt []Part) bool {
+	ends := t.countedEnds(now, part)
+	for rival, list := range t.accused {
+		if rival == part || len(list) < len(ends) || slices.Contains(prompt, rival) {
+			continue
+		}
+		missing := slices.ContainsFunc(ends, func(a Accusation) bool {
+			return !slices.ContainsFunc(list, func(other Accusation) bool { return other.End == a.End })
+		})
+		if !missing {
+			return true
+		}
+	}
+	return false
+}
+
+// Until returns the time until which a part is quarantined at least: that of its last
+// accusation and TTL.
+func (t *Table) Until(part Part) time.Time {
+	last := int64(0)
+	for _, a := range t.accused[part] {
+		last = max(last, a.UnixSeconds)
+	}
+	return time.Unix(last, 0).Add(TTL)
+}
+
+// Announce returns accusations of at least limit ends, if there are so many, and those of
+// whole parts. Consecutive calls go round all parts.
+func (t *Table) Announce(limit int) []Accusation {
+	if len(t.accused) == 0 {
+		return nil
+	}
+	parts := t.sortedParts()
+	start, _ := slices.BinarySearch(parts, t.announced+1)
+	var list []Accusation
+	for i := range parts {
+		part := parts[(start+i)%len(parts)]
+		if len(list) >= limit {
+			break
+		}
+		list = append(list, t.accused[part]...)
+		t.announced = part
+	}
+	return list
+}
+
+// All returns all accusations.
+func (t *Table) All() []Accusation {
+	var list []Accusation
+	for _, part := range t.sortedParts() {
+		list = append(list, t.accused[part]...)
+	}
+	return list
+}
+
+func (t *Table) sortedParts() []Part {
+	parts := make([]Part, 0, len(t.accused))
+	for part := range t.accused {
+		parts = append(parts, part)
+	}
+	slices.Sort(parts)
+	return parts
+}
+
+// Expire removes the accusations that don't count any more.
+func (t *Table) Expire(now time.Time) {
+	for part, list := range t.accused {
+		list = slices.DeleteFunc(list, func(a Accusation) bool { return a.Expired(now) })
+		if len(list) == 0 {
+			delete(t.accused, part)
+			continue
+		}
+		t.accused[part] = list
+	}
+}
+
+// Counts returns the number of parts that are accused, and of those that are quarantined
+// at software versions at which they aren't sound.
+func (t *Table) Counts(now time.Time) (accused, quarantined int) {
+	for part, list := range t.accused {
+		if t.IsQuarantined(now, part, list[0].At) {
+			quarantined++
+		}
+	}
+	return len(t.accused), quarantined
+}
--- /dev/null
+++ b/peridotquarantine/table_test.go
@@ -0,0 +1,189 @@
+package peridotquarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var (
+	v1, v2 = Software{"llm", "v1"}, Software{"llm", "v2"}
+	start  = time.Unix(1_800_000_000, 0)
+)
+
+// run is a run of a prompt with the given parts at the server with the given number. It
+// ends with its server unless answered is set.
+type run struct {
+	server   int
+	parts    string
+	at       Software
+	begun    bool
+	answered bool
+	after    time.Duration
+}
+
+func partsOf(text string) []Part {
+	var parts []Part
+	for _, id := range text {
+		parts = append(parts, PartOf(string(id)))
+	}
+	return parts
+}
+
+// apply applies the runs to a table.
+func apply(t *Table, runs []run) {
+	for _, r := range runs {
+		now := start.Add(r.after)
+		if r.answered {
+			t.RecordBegun(partsOf(r.parts), r.at)
+			continue
+		}
+		s := Suspicion{ID: fmt.Sprint("server-", r.server), Born: 1, At: r.at, Parts: partsOf(r.parts), Begun: r.begun}
+		for _, a := range s.Accusations(now) {
+			t.Accuse(now, a)
+		}
+	}
+}
+
+func TestJudge(t *testing.T) {
+	ended := func(server int, parts string) run { return run{server: server, parts: parts, at: v1, begun: true} }
+	unseen := func(server int, parts string) run { return run{server: server, parts: parts, at: v1} }
+	answered := func(parts string) run { return run{parts: parts, at: v1, answered: true} }
+	sameParts := []run{ended(1, "ax"), ended(2, "ax"), ended(3, "ax")}
+	tests := []struct {
+		name   string
+		runs   []run
+		prompt string
+		at     Software
+		after  time.Duration
+		want   Judgment
+	}{
+		{name: "nothing known", prompt: "ax", at: v1},
+		{name: "two ends", runs: []run{ended(1, "x"), ended(2, "x")}, prompt: "x", at: v1},
+		{name: "three ends", runs: []run{ended(1, "x"), ended(2, "x"), ended(3, "x")}, prompt: "x", at: v1, want: Refused},
+		{name: "one server, three runs", runs: []run{ended(1, "x"), ended(1, "x"), ended(1, "x")}, prompt: "x", at: v1},
+		{name: "three ends, no run had begun", runs: []run{unseen(1, "x"), unseen(2, "x"), unseen(3, "x")}, prompt: "x", at: v1},
+		{name: "four ends, no run had begun", runs: []run{unseen(1, "x"), unseen(2, "x"), unseen(3, "x"), unseen(4, "x")}, prompt: "x", at: v1, want: Refused},
+		{name: "beside runs that had begun", runs: []run{
+			unseen(1, "b"), unseen(2, "b"), unseen(3, "b"), unseen(4, "b"), ended(1, "x"), ended(2, "x"), ended(3, "x"), ended(4, "x"),
+		}, prompt: "b", at: v1},
+		{name: "sound before", runs: append([]run{answered("a")}, sameParts...), prompt: "a", at: v1},
+		{name: "sound afterwards", runs: append(sameParts[:3:3], answered("a")), prompt: "a", at: v1},
+		{name: "the other part is sound", runs: append(sameParts[:3:3], answered("a")), prompt: "bx", at: v1, want: Refused},
+		{name: "always together", runs: sameParts, prompt: "ax", at: v1, want: Refused},
+		{name: "one of two that were always together", runs: sameParts, prompt: "ab", at: v1, want: OnTrial},
+		{name: "the trial ended a server", runs: append(sameParts[:3:3], ended(4, "x")), prompt: "x", at: v1, want: Refused},
+		{name: "the other one after that trial", runs: append(sameParts[:3:3], ended(4, "x")), prompt: "a", at: v1, want: OnTrial},
+		{name: "many other parts", runs: []run{ended(1, "ax"), ended(2, "bx"), ended(3, "cx")}, prompt: "dx", at: v1, want: Refused},
+		{name: "one of many other parts", runs: []run{ended(1, "ax"), ended(2, "bx"), ended(3, "cx")}, prompt: "a", at: v1},
+		{name: "ends at two versions", runs: []run{ended(1, "x"), ended(2, "x"), {server: 3, parts: "x", at: v2, begun: true}}, prompt: "x", at: v2, want: Refused},
+		{name: "sound at another version", runs: []run{ended(1, "x"), ended(2, "x"), ended(3, "x"), {parts: "x", at: v2, answered: true}}, prompt: "x", at: v1, want: Refused},
+		{name: "sound at the version", runs: []run{ended(1, "x"), ended(2, "x"), ended(3, "x"), {parts: "x", at: v2, answered: true}}, prompt: "x", at: v2},
+		{name: "expired", runs: sameParts, prompt: "ax", at: v1, after: TTL},
+		{name: "one expired", runs: []run{ended(1, "x"), ended(2, "x"), {server: 3, parts: "x", at: v1, begun: true, after: time.Hour}}, prompt: "x", at: v1, after: TTL},
+	}
+	for _, test := range tests {
+		table := NewTable()
+		apply(table, test.runs)
+		if got, _ := table.Judge(start.Add(test.after), partsOf(test.prompt), test.at); got != test.want {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// TestAccusationsAddUp guards against instances that differ in what they know once they
+// have exchanged their accusations, whatever the order.
+func TestAccusationsAddUp(t *testing.T) {
+	first, second := NewTable(), NewTable()
+	apply(first, []run{{server: 1, parts: "ax", at: v1, begun: true}, {server: 2, parts: "x", at: v1, begun: true}})
+	apply(second, []run{{server: 2, parts: "x", at: v1}, {server: 3, parts: "x", at: v1, begun: true}})
+	for _, pair := range [][2]*Table{{first, second}, {second, first}} {
+		for _, a := range pair[0].All() {
+			pair[1].Accuse(start, a)
+		}
+	}
+	for i, table := range []*Table{first, second} {
+		if got, _ := table.Judge(start, partsOf("x"), v1); got != Refused {
+			t.Errorf("table %d: got %v, want %v", i, got, Refused)
+		}
+		if got := len(table.All()); got != 4 {
+			t.Errorf("table %d: got %d accusations, want 4", i, got)
+		}
+	}
+}
+
+// TestTableIsBounded guards against callers that make instances remember any number of
+// parts, and against parts under which many servers ended that are forgotten for them.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable()
+	apply(table, []run{{server: 1, parts: "x", at: v1, begun: true}, {server: 2, parts: "x", at: v1, begun: true}, {server: 3, parts: "x", at: v1, begun: true}})
+	for n := range 2 * maxAccusedParts {
+		table.Accuse(start, Accusation{Part: Part(n), End: EndOf("other", int64(n)), At: v1, UnixSeconds: start.Unix()})
+	}
+	for n := range 2 * maxEndsPerPart {
+		table.Accuse(start, Accusation{Part: PartOf("x"), End: EndOf("s", int64(n)), At: v1, Begun: true, UnixSeconds: start.Unix()})
+	}
+	for n := range 2 * maxSoundParts {
+		table.RecordBegun([]Part{Part(1<<40 + n)}, v1)
+	}
+	if accused, quarantined := table.Counts(start); accused > maxAccusedParts || quarantined != 1 {
+		t.Errorf("got %d parts accused and %d quarantined, want %d at most and 1", accused, quarantined, maxAccusedParts)
+	}
+	if got := len(table.accused[PartOf("x")]); got > maxEndsPerPart {
+		t.Errorf("got %d accusations of one part, want %d at most", got, maxEndsPerPart)
+	}
+	if got := table.sound.Len(); got > maxSoundParts {
+		t.Errorf("got %d sound parts, want %d at most", got, maxSoundParts)
+	}
+}
+
+func TestAnnounceGoesRound(t *testing.T) {
+	table := NewTable()
+	const parts, limit = 50, 8
+	for n := range parts {
+		table.Accuse(start, Accusation{Part: Part(n), End: EndOf("s", int64(n)), At: v1, UnixSeconds: start.Unix()})
+	}
+	seen := make(map[Part]bool)
+	for range (parts + limit - 1) / limit {
+		list := table.Announce(limit)
+		if len(list) != limit {
+			t.Errorf("got %d accusations, want %d", len(list), limit)
+		}
+		for _, a := range list {
+			seen[a.Part] = true
+		}
+	}
+	if len(seen) != parts {
+		t.Errorf("got %d parts announced, want %d", len(seen), parts)
+	}
+}
+
+func TestPending(t *testing.T) {
+	s := Suspicion{ID: "s", Born: 1, At: v1, Parts: partsOf("x")}
+	var p Pending
+	if !p.Add(0, s) || p.Add(time.Second, s) {
+		t.Error("got another first suspicion of a server, want one")
+	}
+	other := s
+	other.Born = 2
+	if !p.Add(time.Second, other) {
+		t.Error("got no first suspicion of the next incarnation, want one")
+	}
+	if got := len(p.Take(s.End())); got != 2 {
+		t.Errorf("got %d suspicions of the server, want 2", got)
+	}
+	if got := len(p.Servers()); got != 1 {
+		t.Errorf("got %d servers left, want 1", got)
+	}
+	p.Expire(time.Second + pendingTTL)
+	if got := len(p.Servers()); got != 0 {
+		t.Errorf("got %d servers after the time, want 0", got)
+	}
+	for n := range 2 * maxPendingEnds {
+		other.Born = int64(n)
+		p.Add(0, other)
+	}
+	if got := len(p.Servers()); got != maxPendingEnds {
+		t.Errorf("got %d servers, want %d", got, maxPendingEnds)
+	}
+}
--- a/peridotverdict/code.go
+++ b/peridotverdict/code.go
@@ -20,6 +20,8 @@
 	DeadlineTooShort Code = "deadline_too_short"
 	DeadlinePassed   Code = "deadline_passed"
 	RetryBudgetSpent Code = "retry_budget_spent"
+	// PromptQuarantined is for prompts that have a part under which backend servers ended.
+	PromptQuarantined Code = "prompt_quarantined"
 
 	// Unavailable parts of the system, and failures while a request runs.
 	NoBackend        Code = "no_backend"
