Log the limits that backend servers name in their answers

Change: the header is decoded; a line when a server begins to name a limit, names another one or ceases to; a line and a counter for values that are no decimal numbers; the gauge backends_limited. No decision depends on it yet.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -86,6 +86,8 @@
 	peers      *peers
 	origins    *origins
 	quarantine *quarantine
+	// namedLimits contains the limits that backend servers name, by ID.
+	namedLimits map[string]float64
 	// lostFeeds is true for each feed whose last call failed.
 	lostFeeds map[string]bool
 	// feedAnsweredAt contains the value of now when each feed last answered.
@@ -124,6 +126,7 @@
 		tally:           peridotusage.NewTally(self, s.UsageWindow, keptUsageWindows),
 		seals:           peridotusage.NewSeals(keptUsageWindows),
 		sealedAt:        make(map[peridotusage.Window]time.Duration),
+		namedLimits:     make(map[string]float64),
 		lostFeeds:       make(map[string]bool),
 		feedAnsweredAt:  make(map[string]time.Duration),
 		feedSteadySince: make(map[string]time.Duration),
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -110,6 +110,13 @@
 	// RetryAfter is how long a backend server that did not run the request wants no
 	// other one; 0 means that it does not say.
 	RetryAfter time.Duration
+	// Limited is set if the backend server names a limit: Limit, in requests per second
+	// from all instances together.
+	Limited bool
+	Limit   float64
+	// UnreadableLimit is the text of a limit that cannot be decoded and is ignored, or
+	// empty.
+	UnreadableLimit string
 }
 
 // DutyHolder identifies the holder of the duties lease in a call to the platform.
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -73,6 +73,7 @@
 		}
 		x.recordLeaving(to, head)
 		x.recordHold(to, head)
+		x.recordLimit(to, head)
 		x.headReceived = !head.NotRun
 		return answer, head, nil
 	}
