Keep to the limits that backend servers name, all fronts together

Cause: fronts did not read the header; and what a server says in one answer was kept, as with Retry-After, at the front that got it. Class: a fact that one instance learns holds for all of them. (The quarantine of prompt parts is of the same class.) Change: fronts tell each other the limits that servers name and their demand for each service; each has a token bucket for its part by the announced demand; few fronts use a server with a small limit. A request is counted when its servers are chosen, one for each engine of a pair; servers without a token are not chosen, and if none is left the caller is refused at once. A later answer without a limit ends it.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -80,14 +80,13 @@
 	// seals contains the final counts of the latest usage windows, and sealedAt the
 	// value of now when this front, as the holder of the duties, learned those of a
 	// window.
-	seals      *peridotusage.Seals
-	sealedAt   map[peridotusage.Window]time.Duration
-	backends   backends
-	peers      *peers
-	origins    *origins
-	quarantine *quarantine
-	// namedLimits contains the limits that backend servers name, by ID.
-	namedLimits map[string]float64
+	seals       *peridotusage.Seals
+	sealedAt    map[peridotusage.Window]time.Duration
+	backends    backends
+	peers       *peers
+	origins     *origins
+	quarantine  *quarantine
+	limitShares limitShares
 	// lostFeeds is true for each feed whose last call failed.
 	lostFeeds map[string]bool
 	// feedAnsweredAt contains the value of now when each feed last answered.
@@ -126,7 +125,7 @@
 		tally:           peridotusage.NewTally(self, s.UsageWindow, keptUsageWindows),
 		seals:           peridotusage.NewSeals(keptUsageWindows),
 		sealedAt:        make(map[peridotusage.Window]time.Duration),
-		namedLimits:     make(map[string]float64),
+		limitShares:     newLimitShares(),
 		lostFeeds:       make(map[string]bool),
 		feedAnsweredAt:  make(map[string]time.Duration),
 		feedSteadySince: make(map[string]time.Duration),
--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -47,6 +47,10 @@
 	// Quarantine tells under which parts of prompts servers ended. It is nil if the message
 	// carries a load report instead.
 	Quarantine *quarantineReport `cbor:"12,keyasint,omitempty"`
+	// Limits contains limits that backend servers named in answers to the sender, and
+	// Demands its rates of requests.
+	Limits  []observedLimit `cbor:"13,keyasint,omitempty"`
+	Demands []demand        `cbor:"14,keyasint,omitempty"`
 	// Software contains software versions that the sender has seen registered.
 	Software []softwareAge `cbor:"16,keyasint,omitempty"`
 	// KnowsPast is set if Software contains those that left before the sender started.
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -142,6 +142,7 @@
 	defer cancel()
 	defer context.AfterFunc(f.closing, cancel)()
 	x.ctx = ctx
+	f.recordDemand(x.service.Name)
 	if x.service.Engine != nil {
 		x.servePrompt()
 	} else {
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -159,6 +159,7 @@
 	f.mu.Lock()
 	first.addReport(f.placer.Report(f.now(), maxPlacementsPerDatagram))
 	first.StoreAnsweringMillis = uint32(f.storeAnsweringFor().Milliseconds())
+	f.addLimits(first, announce)
 	var windows, sealed map[peridotusage.Window]map[string]int64
 	if announce {
 		sealed = f.ownSeals()
@@ -377,6 +378,7 @@
 		}
 		return
 	}
+	f.handleLimits(m)
 	f.backends.observeSoftware(f.now(), m.Software)
 	f.placer.Observe(f.now(), m.From, m.report(f.backends.idByHash))
 }
--- a/peridotfront/plain.go
+++ b/peridotfront/plain.go
@@ -42,7 +42,12 @@
 			x.finishPlain(errorAnswer, peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "no backend server takes the request", peridotverdict.RetryAfter(x.untilAccepted())))
 			return
 		}
+		choice := peridotplace.Choice{Backend: id}
+		if !x.reserve(choice) {
+			continue
+		}
 		if !x.allowTry() {
+			x.release(choice)
 			x.finishPlain(errorAnswer, x.lastErr)
 			return
 		}
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -86,9 +86,13 @@
 			x.refuse(err)
 			return choice, false
 		}
+		if !x.reserve(choice) {
+			continue
+		}
 		if x.allowTry() {
 			return choice, true
 		}
+		x.release(choice)
 		if !x.awaitRetry() {
 			x.giveUp(x.lastErr)
 			return choice, false
@@ -284,6 +288,9 @@
 	f := x.front
 	method, path := f.protocol.FreeKV(source.handle)
 	limit := f.connLimit(x.service)
+	f.mu.Lock()
+	f.placer.CountRequest(f.now(), source.backend.ID)
+	f.mu.Unlock()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), kvFreeTimeout)
 		defer cancel()
@@ -312,7 +319,7 @@
 	if source != nil {
 		software = source.backend.SoftwareVersion
 	}
-	if other, found := x.placePrompt(software); found {
+	if other, found := x.placePrompt(software); found && x.reserve(peridotplace.Choice{Backend: other.Backend}) {
 		c.Backend = other.Backend
 	}
 	return c
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -55,6 +55,7 @@
 		}
 		reused := conn.Reused()
 		requestHead.Timeout = x.remaining()
+		sentAt := f.now()
 		answer, err := conn.Do(ctx, peridotlink.Request{
 			Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host,
 			Header: f.protocol.RequestHeader(x.request.Header, requestHead), Body: x.body,
@@ -73,7 +74,7 @@
 		}
 		x.recordLeaving(to, head)
 		x.recordHold(to, head)
-		x.recordLimit(to, head)
+		x.recordLimit(to, head, sentAt)
 		x.headReceived = !head.NotRun
 		return answer, head, nil
 	}
--- a/peridotplace/hold.go
+++ b/peridotplace/hold.go
@@ -37,22 +37,23 @@
 	}
 }
 
-// Accepts reports whether a server is registered and neither leaving nor held.
+// Accepts reports whether a server is registered and neither leaving nor held. Its limit
+// does not count: a request may have been reserved.
 func (p *Placer) Accepts(now time.Duration, id string) bool {
 	s := p.servers[id]
-	return s != nil && s.accepts(now)
+	return s != nil && s.wantsRequests(now)
 }
 
-// HeldFor returns the time until the first hold ends at a server of the service that can
-// answer requests, or 0 if one of them is not held or all are leaving. A prefill engine
-// answers none. Only servers of softwareVersion count unless it is empty.
+// HeldFor returns the time until a server of the service that can answer requests is not
+// held and its limit allows one, or 0 if that is so now or all are leaving. A prefill
+// engine answers none. Only servers of softwareVersion count unless it is empty.
 func (p *Placer) HeldFor(now time.Duration, service, softwareVersion string) time.Duration {
 	var least time.Duration
 	for _, s := range p.groups[groupKey{service, softwareVersion}] {
 		if s.Leaving || s.Role == peridotsite.Prefill {
 			continue
 		}
-		left := s.heldUntil - now
+		left := max(s.heldUntil-now, p.limits.Wait(now, s.incarnation()))
 		if left <= 0 {
 			return 0
 		}
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"peridotstack/peridotlimit"
 	"peridotstack/peridotsite"
 )
 
@@ -38,6 +39,8 @@
 	servers map[string]*server
 	// holds holds the ends of the holds, also those of servers that are not listed.
 	holds map[incarnation]time.Duration
+	// limits holds the limits that servers name.
+	limits *peridotlimit.Table
 	// groups holds the servers of each group, ordered by ID.
 	groups map[groupKey][]*server
 	// rings holds the ring of each group with more than maxCandidates servers.
@@ -104,6 +107,7 @@
 		domain:         domain,
 		servers:        make(map[string]*server),
 		holds:          make(map[incarnation]time.Duration),
+		limits:         peridotlimit.NewTable(),
 		groups:         make(map[groupKey][]*server),
 		peers:          make(map[string]*peer),
 		meanSlotMillis: make(map[string]float64),
@@ -119,6 +123,7 @@
 		s := p.servers[b.ID]
 		if s == nil || s.Born != b.Born || s.Address != b.Address || s.SoftwareVersion != b.SoftwareVersion {
 			s = newServer(now)
+			s.limits = p.limits
 			s.heldUntil = p.holds[incarnation{b.ID, b.Born}]
 		}
 		s.update(now, b, config.Service(b.Service))
@@ -138,6 +143,7 @@
 		})
 	}
 	p.servers = servers
+	p.dropLimits(now)
 	p.rings = make(map[groupKey]ring)
 	for key, group := range p.groups {
 		if len(group) > maxCandidates {
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotstack/peridotlimit"
 	"peridotstack/peridotsite"
 )
 
@@ -37,6 +38,8 @@
 	peridotsite.Backend
 	engine *peridotsite.Engine
 	cache  *cache
+	// limits is Placer.limits.
+	limits *peridotlimit.Table
 
 	// remainingMillis is the estimated time in ms at updatedAt to finish the prefills
 	// of flights that are not demoted. unconfirmedMillis is the sum of their prefill
@@ -121,9 +124,14 @@
 	return ms
 }
 
+// wantsRequests reports whether the server is neither leaving nor held.
+func (s *server) wantsRequests(now time.Duration) bool {
+	return !s.Leaving && now >= s.heldUntil
+}
+
 // accepts reports whether the server may get a request now if there is no other one.
 func (s *server) accepts(now time.Duration) bool {
-	return !s.Leaving && now >= s.heldUntil
+	return s.wantsRequests(now) && s.withinLimit(now)
 }
 
 // usable reports whether the server may get a request now.
