Take streams for broken off that end with their connection before an event

Cause: a stream without events was a complete answer, also if its only end mark was that of the connection, which the end of the engine sets as well. Change: such a stream is broken off: it is tried again where that is allowed, and the front finds out whether the engine has ended. Streams with chunks or a length, and plain answers, are as before.

--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -132,13 +132,15 @@
 	return nil
 }
 
-// forwardEvents forwards each complete event to the caller as it arrives.
+// forwardEvents forwards each complete event to the caller as it arrives. A stream without
+// events whose end is that of the connection has been broken off: a run generates one at
+// least.
 func (s *stream) forwardEvents(ctx context.Context, to peridotsite.Backend, answer *peridotlink.Answer) *peridotverdict.Error {
 	x := s.exchange
 	reader := bufio.NewReaderSize(answer.Body, streamBufferBytes)
 	for {
 		event, err := readEvent(reader)
-		if err == io.EOF && len(event) == 0 {
+		if err == io.EOF && len(event) == 0 && (s.hasEvents || !answer.EndsWithConnection()) {
 			answer.Finish()
 			return s.finish(answer)
 		}
@@ -185,7 +187,8 @@
 	}
 }
 
-// finish completes the answer. A stream without events is a complete answer too.
+// finish completes the answer. A stream without events is a complete answer too if its end
+// was marked.
 func (s *stream) finish(answer *peridotlink.Answer) *peridotverdict.Error {
 	s.exchange.startAnswer(answer)
 	if err := s.exchange.write(s.unnumbered); err != nil {
--- a/peridotlink/exchange.go
+++ b/peridotlink/exchange.go
@@ -156,13 +156,19 @@
 // Finish returns the connection to the pool if it can carry another request, and
 // closes it otherwise. The body must have been read to its end.
 func (a *Answer) Finish() {
-	if !a.stopAfterFunc() || a.Close || !a.requestWritten.Load() || a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
+	if !a.stopAfterFunc() || a.Close || !a.requestWritten.Load() || a.EndsWithConnection() {
 		a.conn.Close()
 		return
 	}
 	a.conn.returnToPool(a.Header)
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks. Its end is
+// then that of the connection, also if the backend server has ended.
+func (a *Answer) EndsWithConnection() bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
+}
+
 // Abandon closes the connection.
 func (a *Answer) Abandon() {
 	a.stopAfterFunc()
