Join questions and answers about origins into few datagrams

Cause: each question and each answer was a datagram of its own; of thousands at once, after the restart of a front, the receive buffers lost most, and the checks of all look-ups every 10 ms kept the answers from being read. Change: what has piled up for a front is joined, up to 64 questions or answers and 6 KB; a single one is sent as before.

--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -47,6 +47,9 @@
 	// Quarantine tells under which parts of prompts servers ended. It is nil if the message
 	// carries a load report instead.
 	Quarantine *quarantineReport `cbor:"12,keyasint,omitempty"`
+	// Questions and Answers contain several of them.
+	Questions []originQuestion `cbor:"15,keyasint,omitempty"`
+	Answers   []originAnswer   `cbor:"18,keyasint,omitempty"`
 	// Limits contains limits that backend servers named in answers to the sender, and
 	// Demands its rates of requests.
 	Limits  []observedLimit `cbor:"13,keyasint,omitempty"`
--- a/peridotfront/originlookup.go
+++ b/peridotfront/originlookup.go
@@ -12,8 +12,10 @@
 
 const (
 	// lookupPollInterval is the time between two checks of a look-up for repeats, its
-	// timeout and newly known fronts.
+	// timeout and newly known fronts. While more than manyLookups are in progress, it is
+	// peridotorigin.RepeatInterval, so that they leave time for the answers.
 	lookupPollInterval = 10 * time.Millisecond
+	manyLookups        = 128
 	// maxLookups limits the number of look-ups in progress. After the failure of a
 	// front, the callers of all its streams come back at once.
 	maxLookups = 4096
@@ -62,8 +64,8 @@
 		return "", lookupRejected
 	}
 	defer o.closeLookup(l)
-	ticker := time.NewTicker(lookupPollInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(lookupPollInterval)
+	defer timer.Stop()
 	for {
 		switch version, state := o.advanceLookup(l); state {
 		case peridotorigin.Found:
@@ -73,15 +75,26 @@
 		case peridotorigin.TimedOut:
 			return "", lookupTimedOut
 		}
+		timer.Reset(o.pollInterval())
 		select {
 		case <-l.changed:
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return "", lookupCanceled
 		}
 	}
 }
 
+// pollInterval returns the time until the next check of a look-up.
+func (o *origins) pollInterval() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.lookups) > manyLookups {
+		return peridotorigin.RepeatInterval
+	}
+	return lookupPollInterval
+}
+
 // version returns the version in this front's own table.
 func (o *origins) version(key peridotorigin.Key) (string, bool) {
 	o.mu.Lock()
--- a/peridotfront/origins.go
+++ b/peridotfront/origins.go
@@ -27,7 +27,12 @@
 	maxQuestionKeys = 64
 	// maxQueuedDatagrams limits the number of datagrams about origins that wait to be
 	// sent.
-	maxQueuedDatagrams = 8192
+	maxQueuedDatagrams = 32768
+	// maxJoinedDatagrams and maxJoinedBytes limit the questions and answers for one front
+	// that are joined into one datagram. A receiver's buffer holds some hundred datagrams,
+	// however small they are.
+	maxJoinedDatagrams = 64
+	maxJoinedBytes     = 6 << 10
 )
 
 // originGroup is the encoded form of a peridotorigin.Group.
@@ -55,22 +60,41 @@
 
 // hasOrigins reports whether the message is about origins.
 func (m *message) hasOrigins() bool {
-	return len(m.Origins) > 0 || m.Question != nil || m.Answer != nil
+	return len(m.Origins) > 0 || len(m.questions()) > 0 || len(m.answers()) > 0
+}
+
+// questions returns all questions of the message, and answers all its answers.
+func (m *message) questions() []originQuestion {
+	if m.Question == nil {
+		return m.Questions
+	}
+	return append(slices.Clip(m.Questions), *m.Question)
+}
+
+func (m *message) answers() []originAnswer {
+	if m.Answer == nil {
+		return m.Answers
+	}
+	return append(slices.Clip(m.Answers), *m.Answer)
 }
 
 // hasValidOrigins reports whether the message keeps the limits of messages about
 // origins.
 func (m *message) hasValidOrigins() bool {
 	groups := m.Origins
-	if m.Answer != nil {
-		groups = append(slices.Clip(groups), m.Answer.Known...)
+	for _, a := range m.answers() {
+		groups = append(slices.Clip(groups), a.Known...)
 	}
 	for _, g := range groups {
 		if len(g.Version) > peridotorigin.MaxVersionBytes {
 			return false
 		}
 	}
-	return m.Question == nil || len(m.Question.Keys) <= maxQuestionKeys
+	keys := 0
+	for _, q := range m.questions() {
+		keys += len(q.Keys)
+	}
+	return keys <= maxQuestionKeys
 }
 
 // origins tracks which software version began each stream, and shares that with the
@@ -97,6 +121,10 @@
 type datagram struct {
 	to   netip.AddrPort
 	data []byte
+	// question and answer are what the message contains, if it can be joined with others
+	// for the same front; otherwise both are nil.
+	question *originQuestion
+	answer   *originAnswer
 }
 
 func newOrigins(f *Front) *origins {
@@ -190,13 +218,20 @@
 	}
 }
 
-// send sends the datagrams in the outbox until ctx is done.
+// send sends the datagrams in the outbox until ctx is done. It joins those that have piled
+// up.
 func (o *origins) send(ctx context.Context, conn *net.UDPConn) {
 	for {
 		select {
 		case d := <-o.outbox:
-			if _, err := conn.WriteToUDPAddrPort(d.data, d.to); err != nil {
-				o.front.metrics.Count("datagram_failures")
+			queued := []datagram{d}
+			for len(queued) < cap(o.outbox) && len(o.outbox) > 0 {
+				queued = append(queued, <-o.outbox)
+			}
+			for _, joined := range joinDatagrams(queued) {
+				if _, err := conn.WriteToUDPAddrPort(joined.data, joined.to); err != nil {
+					o.front.metrics.Count("datagram_failures")
+				}
 			}
 		case <-ctx.Done():
 			return
@@ -204,6 +239,68 @@
 	}
 }
 
+// joinDatagrams joins the questions and the answers for each front into few datagrams. It
+// keeps the others as they are.
+func joinDatagrams(list []datagram) []datagram {
+	if len(list) == 1 {
+		return list
+	}
+	var joined []datagram
+	open := make(map[netip.AddrPort]*openDatagram)
+	for _, d := range list {
+		if d.question == nil && d.answer == nil {
+			joined = append(joined, d)
+			continue
+		}
+		at := open[d.to]
+		if at != nil && (at.bytes+len(d.data) > maxJoinedBytes || at.count == maxJoinedDatagrams) {
+			joined = at.close(joined)
+			at = nil
+		}
+		if at == nil {
+			at = &openDatagram{first: d}
+			open[d.to] = at
+		}
+		at.add(d)
+	}
+	for _, at := range open {
+		joined = at.close(joined)
+	}
+	return joined
+}
+
+// openDatagram collects questions and answers for one front.
+type openDatagram struct {
+	first        datagram
+	message      message
+	count, bytes int
+}
+
+func (at *openDatagram) add(d datagram) {
+	at.count++
+	at.bytes += len(d.data)
+	if d.question != nil {
+		at.message.Questions = append(at.message.Questions, *d.question)
+	}
+	if d.answer != nil {
+		at.message.Answers = append(at.message.Answers, *d.answer)
+	}
+}
+
+// close appends the joined datagram to list. A single one is sent as it is, which
+// instances that can't read joined ones understand.
+func (at *openDatagram) close(list []datagram) []datagram {
+	if at.count == 1 {
+		return append(list, at.first)
+	}
+	data, err := at.message.encode()
+	if err != nil {
+		log.WithError(err).Warn(logPrefix + "cannot encode a datagram about origins") // Its parts could be encoded.
+		return list
+	}
+	return append(list, datagram{to: at.first.to, data: data})
+}
+
 // sendBatches sends the origins that are due to the fronts that keep copies.
 func (o *origins) sendBatches() {
 	sets := o.fronts()
@@ -233,7 +330,7 @@
 	}
 	for _, address := range to {
 		select {
-		case o.outbox <- datagram{to: address, data: data}:
+		case o.outbox <- datagram{to: address, data: data, question: m.Question, answer: m.Answer}:
 		default:
 			o.front.metrics.Count("datagrams_not_sent")
 		}
@@ -254,11 +351,11 @@
 			o.table.Record(now, peridotorigin.Key(key), g.Version)
 		}
 	}
-	if m.Question != nil {
-		o.enqueue(&message{Answer: o.answer(now, m.Question)}, from)
+	for _, q := range m.questions() {
+		o.enqueue(&message{Answer: o.answer(now, &q)}, from)
 	}
-	if m.Answer != nil {
-		o.applyAnswer(now, from, m.Answer)
+	for _, a := range m.answers() {
+		o.applyAnswer(now, from, &a)
 	}
 }
 
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -30,6 +30,8 @@
 	// maxDatagramBytes is the maximum size of a datagram. IP splits a larger datagram
 	// into more fragments, and the loss of one fragment loses the whole datagram.
 	maxDatagramBytes = 8 << 10
+	// receiveBufferBytes is the receive buffer for datagrams; the kernel may allow less.
+	receiveBufferBytes = 2 << 20
 	// maxPlacementsPerDatagram limits the number of placements in one datagram.
 	maxPlacementsPerDatagram = 24
 	// announcedUsageWindows is the number of latest usage windows that an announcement
@@ -102,6 +104,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for other fronts")
 	}
+	if err := conn.SetReadBuffer(receiveBufferBytes); err != nil {
+		log.WithError(err).Warn(logPrefix + "cannot enlarge the receive buffer for datagrams")
+	}
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	go p.receive(ctx, conn)
 	go p.front.origins.serve(ctx, conn)
