Announce enough usage windows for the final counts to arrive twice

Cause: an announcement covered three windows, the present one included, so that the final counts of a window of 1 s were announced within 2 s of its end or never; with 100 fronts a front announces every 2.5 s. The wait before a window is sealed was long enough. Change: an announcement covers the time of two announcements after a window's end, at most the eight windows that are kept. With windows of 5 s that are three, as before, up to 200 fronts. Result: TestFinalCountsAreAnnouncedTwice fails without the change (2 s of 5 s at 100 fronts).

--- a/peridotfront/gossip_test.go
+++ b/peridotfront/gossip_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"peridotstack/peridotplace"
 	"peridotstack/peridotsite"
@@ -132,3 +133,16 @@
 		seen[number] = field.Name
 	}
 }
+
+// TestFinalCountsAreAnnouncedTwice guards against usage that is reported too low because no
+// announcement brought the final counts of a window to the holder of the duties.
+func TestFinalCountsAreAnnouncedTwice(t *testing.T) {
+	for _, fronts := range []int{1, 5, 21, 68, 100, 140} {
+		for _, window := range []time.Duration{time.Second, 5 * time.Second, time.Minute} {
+			announceInterval := roundsPerAnnouncement * sendInterval(fronts)
+			if got, want := time.Duration(announcedWindows(fronts, window)-1)*window, 2*announceInterval; got < want {
+				t.Errorf("%d fronts, windows of %v: got %v after a window's end covered, want %v", fronts, window, got, want)
+			}
+		}
+	}
+}
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -34,8 +34,8 @@
 	receiveBufferBytes = 2 << 20
 	// maxPlacementsPerDatagram limits the number of placements in one datagram.
 	maxPlacementsPerDatagram = 24
-	// announcedUsageWindows is the number of latest usage windows that an announcement
-	// covers.
+	// announcedUsageWindows is the smallest number of latest usage windows that an
+	// announcement covers; see announcedWindows.
 	announcedUsageWindows = 3
 	// peerAliveTimeout is the time without a datagram from another front after which
 	// that front is no longer considered alive.
@@ -168,7 +168,7 @@
 	var windows, sealed map[peridotusage.Window]map[string]int64
 	if announce {
 		sealed = f.ownSeals()
-		windows = f.tally.OwnCounts(f.tally.WindowAt(f.trueTime()), announcedUsageWindows)
+		windows = f.tally.OwnCounts(f.tally.WindowAt(f.trueTime()), announcedWindows(p.frontCount(), f.settings.UsageWindow))
 		ages := f.backends.software.ages(f.now())
 		first.Software = ages[:min(len(ages), maxSoftwareAges)]
 		first.KnowsPast = f.knowsPastSoftware()
@@ -199,6 +199,15 @@
 	return messages
 }
 
+// announcedWindows returns the number of latest usage windows that an announcement covers,
+// the present one included. The counts of a window are final once it has ended; two
+// announcements must bring them, because one datagram may be lost.
+func announcedWindows(fronts int, window time.Duration) int {
+	announceInterval := roundsPerAnnouncement * sendInterval(fronts)
+	ended := int((2*announceInterval + window - 1) / window)
+	return min(max(announcedUsageWindows, 1+ended), keptUsageWindows)
+}
+
 func (p *peers) newMessage() *message {
 	return &message{From: p.front.settings.Instance, Address: p.front.settings.PeerAddress}
 }
