Count both requests of a further try at a pair of engines

Cause: a further try of a prompt at a pair of engines arrives twice, for the prefill, which only the first time is no repeat, and for the answer; it was counted once. Change: such a try counts two repeats, once a prefill may have been accepted. If the budget has only one, a single engine does both, which adds one. A silent server is given up for two reserved repeats, or for one with a single engine.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -64,6 +64,12 @@
 	// tries is the number of tries so far. A prefill and the generation that follows it
 	// are one try.
 	tries int
+	// prefillAccepted is set once an engine may have accepted a prefill of the prompt. The
+	// first one is no repeat.
+	prefillAccepted bool
+	// singleEngine is set if further tries must use one engine for prefill and decode,
+	// because the retry budget allows no pair.
+	singleEngine bool
 	// runs is the number of tries that may have run the request.
 	runs int
 	retryState
@@ -114,9 +120,10 @@
 	// instance gave the try up; 0 if the try ended otherwise. stallWatch.stop sets it,
 	// and recordFailure takes it back.
 	silentFor time.Duration
-	// retryReserved is set if the next retry has been counted against the retry budget.
+	// reservedRepeats is the number of requests of the next retry that have been counted
+	// against the retry budget.
 	// stallWatch.stop sets it together with silentFor; the retry or a wait ends it.
-	retryReserved bool
+	reservedRepeats int
 	// gaveUpTry is set if this instance gave up the last run because its server was
 	// silent. A try that did not run leaves it as it is.
 	gaveUpTry bool
--- a/peridotfront/plain.go
+++ b/peridotfront/plain.go
@@ -46,7 +46,7 @@
 		if !x.reserve(choice) {
 			continue
 		}
-		if !x.allowTry() {
+		if !x.allowTry(1) {
 			x.release(choice)
 			x.finishPlain(errorAnswer, x.lastErr)
 			return
@@ -95,7 +95,7 @@
 // has the verdict NotRun only if the request did not run there and never will.
 func (x *exchange) tryPlain(to peridotsite.Backend) (*bufferedAnswer, *peridotverdict.Error) {
 	f := x.front
-	ctx, watch := x.watchStall("plain", to)
+	ctx, watch := x.watchStall(stallPlain, to)
 	defer watch.stop()
 	if limit := x.tryTimeout(); limit > 0 {
 		watch.start(limit)
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -89,10 +89,14 @@
 		if !x.reserve(choice) {
 			continue
 		}
-		if x.allowTry() {
+		if x.allowTry(x.repeatsOf(choice)) {
 			return choice, true
 		}
 		x.release(choice)
+		if x.repeatsOf(choice) > 1 {
+			x.singleEngine = true // It adds one request only.
+			continue
+		}
 		if !x.awaitRetry() {
 			x.giveUp(x.lastErr)
 			return choice, false
@@ -123,7 +127,7 @@
 	if !x.gaveUpTry || !x.answerStarted || !x.canRetry() || !x.hasEngine() {
 		return false
 	}
-	x.retryReserved = false // It was counted in a window that may pass before it is sent.
+	x.reservedRepeats = 0 // They were counted in a window that may pass before it is sent.
 	peridotwait.Sleep(x.ctx, stallCheckInterval)
 	return true
 }
@@ -144,7 +148,7 @@
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	prompt := peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Late: x.late, SendTime: x.sendTime()}
+	prompt := peridotplace.Prompt{Single: x.singleEngine, Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Late: x.late, SendTime: x.sendTime()}
 	x.withServers(func(exclude []string) bool {
 		prompt.Exclude = exclude
 		choice, ok = f.placer.Place(f.now(), prompt)
@@ -214,7 +218,7 @@
 	flight := x.beginPrefill(c.PrefillBackend, c.UncachedTokens)
 	x.logFields["reader"] = c.PrefillBackend
 	x.tries++
-	ctx, watch := x.watchStall("prefill", to)
+	ctx, watch := x.watchStall(stallPrefill, to)
 	defer watch.stop()
 	if x.canRun(x.runs) {
 		watch.start(x.prefillTimeout(c))
@@ -259,6 +263,8 @@
 // prefill never runs the request, so every error has the verdict NotRun.
 func (x *exchange) callPrefill(ctx context.Context, to peridotsite.Backend) (string, *peridotverdict.Error) {
 	answer, head, err := x.send(ctx, to, RequestHead{Prefill: true, Urgency: x.urgency()})
+	isRejected := err == nil && head.NotRun || err != nil && err.Verdict == peridotverdict.NotRun
+	x.prefillAccepted = x.prefillAccepted || !isRejected
 	if err != nil {
 		return "", peridotverdict.New(err.Code, peridotverdict.NotRun, "prefill: "+err.Message, peridotverdict.Cause(err))
 	}
--- a/peridotfront/stall.go
+++ b/peridotfront/stall.go
@@ -22,6 +22,13 @@
 // that dark servers are replaced also by a front that is always late.
 const maxPostponement = time.Second
 
+// Kinds of tries that a stallWatch cancels, in the metrics.
+const (
+	stallStream  = "stream"
+	stallPlain   = "plain"
+	stallPrefill = "prefill"
+)
+
 // stallWatch cancels a try whose server sends nothing for too long, but only once
 // another server can replace it: the silent server may still go on. Its methods are
 // called by the handler of the request; only expire runs in another goroutine.
@@ -44,6 +51,9 @@
 	expiresAt time.Duration
 	// alternative describes the servers that can replace the silent one.
 	alternative peridotplace.Alternative
+	// repeats is the largest number of requests that the replacement adds, and reserved the
+	// number of those that have been counted against the retry budget.
+	repeats, reserved int
 	// replaceable is set if another run could continue the answer.
 	replaceable bool
 	// kept is set once the try has been kept for want of a replacement in this silence.
@@ -76,6 +86,10 @@
 	w.limit, w.since = limit, w.exchange.front.now()
 	w.kept = false
 	w.replaceable = w.exchange.resumable()
+	w.repeats = 1
+	if w.exchange.prefillAccepted || w.place == stallPrefill {
+		w.repeats = 2 // A canceled prefill may have been accepted.
+	}
 	w.alternative.SoftwareVersion = w.exchange.software
 	w.setTimer(w.since, limit)
 }
@@ -108,7 +122,10 @@
 		w.timer.Stop()
 	}
 	w.exchange.silentFor = w.silentFor
-	w.exchange.retryReserved = w.silentFor > 0
+	w.exchange.reservedRepeats = 0
+	if w.silentFor > 0 {
+		w.exchange.reservedRepeats = w.reserved
+	}
 }
 
 // expire cancels the try if its server is still silent and another one can replace it.
@@ -149,5 +166,13 @@
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.placer.HasAlternative(f.now(), w.alternative) && f.retryBudget.AllowRepeat(f.now(), x.service.Name)
+	if !f.placer.HasAlternative(f.now(), w.alternative) {
+		return false
+	}
+	for w.reserved = w.repeats; w.reserved > 0; w.reserved-- { // One is enough for a single engine.
+		if f.retryBudget.AllowRepeats(f.now(), x.service.Name, w.reserved) {
+			return true
+		}
+	}
+	return false
 }
--- a/peridotfront/stall_test.go
+++ b/peridotfront/stall_test.go
@@ -166,7 +166,7 @@
 		sent++
 	}
 	f.mu.Unlock()
-	if x.allowTry() {
+	if x.allowTry(1) {
 		sent++
 	}
 	if sent != 1 {
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -67,7 +67,7 @@
 func (s *stream) startWatch(to peridotsite.Backend) context.Context {
 	x := s.exchange
 	var ctx context.Context
-	ctx, s.watch = x.watchStall("stream", to)
+	ctx, s.watch = x.watchStall(stallStream, to)
 	s.isWatched = x.canRun(x.runs + 1)
 	if s.isWatched {
 		timeout := minStallTimeout + stallWaitFactor*s.expectedWait
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -127,11 +127,20 @@
 	return !x.ended() && x.remaining() >= minRetryTime && x.resumable() && x.canRun(x.runs)
 }
 
-// allowTry reports whether the request may be sent to a backend server now. It
-// always allows the first try. It allows a retry only if canRetry does and the retry
-// budget is not exhausted, and counts the retry against the budget unless it was
-// reserved.
-func (x *exchange) allowTry() bool {
+// repeatsOf returns the number of requests at backend servers that a further try with c
+// adds. A prefill counts only if one has been accepted before.
+func (x *exchange) repeatsOf(c peridotplace.Choice) int {
+	if c.PrefillBackend != "" && x.prefillAccepted {
+		return 2
+	}
+	return 1
+}
+
+// allowTry reports whether the request may be sent to a backend server now, where it adds
+// the given number of requests if it is a retry. It always allows the first try. It allows
+// a retry only if canRetry does and the retry budget is not exhausted, and counts the
+// retry against the budget, but for the requests that were reserved.
+func (x *exchange) allowTry(repeats int) bool {
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -142,9 +151,8 @@
 	if !x.canRetry() {
 		return false
 	}
-	if x.retryReserved {
-		x.retryReserved = false
-	} else if !f.retryBudget.AllowRepeat(f.now(), x.service.Name) {
+	repeats -= x.reservedRepeats
+	if repeats > 0 && !f.retryBudget.AllowRepeats(f.now(), x.service.Name, repeats) {
 		if !x.budgetSpent {
 			f.metrics.Count("repeats_over_budget")
 		}
@@ -152,6 +160,7 @@
 		x.logFields["budget"] = "spent"
 		return false
 	}
+	x.reservedRepeats = 0
 	f.metrics.CountRetry(x.lastErr.Code)
 	return true
 }
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -43,6 +43,8 @@
 	SoftwareVersion string
 	// Exclude holds the IDs of servers that must not be chosen.
 	Exclude []string
+	// Single is set if one engine must do both prefill and decode.
+	Single bool
 	// Late is set for a prompt that cannot be on time; it is served after all others.
 	Late bool
 	// SendTime is the time that this instance's link takes to send the request once.
@@ -113,7 +115,9 @@
 		}
 		c := p.estimate(now, s, prompt)
 		if s.Role == peridotsite.Prefill {
-			prefillEngines = append(prefillEngines, c)
+			if !prompt.Single {
+				prefillEngines = append(prefillEngines, c)
+			}
 		} else {
 			decodeEngines = append(decodeEngines, c)
 		}
--- a/peridotplace/software_version_test.go
+++ b/peridotplace/software_version_test.go
@@ -55,6 +55,7 @@
 			wantNone: true,
 		},
 		{name: "pair of one version", prompt: long, prefillVersions: []string{"v1"}, decodeVersions: []string{"v2", "v1"}, wantPrefill: "r0", wantBackend: "w1"},
+		{name: "single engine", prompt: Prompt{Tokens: 9000, Parts: parts(1, 2, 3), Single: true}, prefillVersions: []string{"v1"}, decodeVersions: []string{"v2", "v1"}, wantBackend: "w0"},
 		{name: "no pair of one version", prompt: long, prefillVersions: []string{"v1"}, decodeVersions: []string{"v2", "v2"}, wantBackend: "w0"},
 		{name: "no pair of the own version", prompt: pinned(long, "v2"), prefillVersions: []string{"v1"}, decodeVersions: []string{"v1", "v2"}, wantBackend: "w1"},
 		{name: "pair of the own version", prompt: pinned(long, "v2"), prefillVersions: []string{"v1", "v2"}, decodeVersions: []string{"v1", "v2"}, wantPrefill: "r1", wantBackend: "w1"},
--- a/peridotretry/window.go
+++ b/peridotretry/window.go
@@ -59,15 +59,20 @@
 
 // AllowRepeat reports whether the budget allows a repeat, and counts one if so.
 func (b *WindowBudget) AllowRepeat(now time.Duration, service string) bool {
+	return b.AllowRepeats(now, service, 1)
+}
+
+// AllowRepeats reports whether the budget allows n repeats, and counts them if so.
+func (b *WindowBudget) AllowRepeats(now time.Duration, service string, n int) bool {
 	u := b.usageAt(now, service)
 	requests, repeats := 0.0, 0.0
 	for i := range windowBuckets {
 		requests += u.requests[i]
 		repeats += u.repeats[i]
 	}
-	if repeats+1 > b.Ratio*requests+b.Slack {
+	if repeats+float64(n) > b.Ratio*requests+b.Slack {
 		return false
 	}
-	u.repeats[u.bucket%windowBuckets]++
+	u.repeats[u.bucket%windowBuckets] += float64(n)
 	return true
 }
