--- a/peridotfront/stall_test.go
+++ b/peridotfront/stall_test.go
@@ -162,7 +162,7 @@
 	}
 	sent := 0
 	f.mu.Lock()
-	if f.retryBudget.AllowRepeat(f.now(), x.service.Name) { // Another request.
+	if f.retryBudget.AllowRepeats(f.now(), x.service.Name, 1) { // Another request.
 		sent++
 	}
 	f.mu.Unlock()
--- a/peridotretry/window.go
+++ b/peridotretry/window.go
@@ -57,11 +57,6 @@
 	u.requests[u.bucket%windowBuckets]++
 }
 
-// AllowRepeat reports whether the budget allows a repeat, and counts one if so.
-func (b *WindowBudget) AllowRepeat(now time.Duration, service string) bool {
-	return b.AllowRepeats(now, service, 1)
-}
-
 // AllowRepeats reports whether the budget allows n repeats, and counts them if so.
 func (b *WindowBudget) AllowRepeats(now time.Duration, service string, n int) bool {
 	u := b.usageAt(now, service)
--- a/peridotretry/window_test.go
+++ b/peridotretry/window_test.go
@@ -20,7 +20,7 @@
 			if rapid.Bool().Draw(t, "request") {
 				b.RecordRequest(now, "s")
 				requests = append(requests, now)
-			} else if b.AllowRepeat(now, "s") {
+			} else if b.AllowRepeats(now, "s", 1) {
 				repeats = append(repeats, now)
 			}
 		}
@@ -49,10 +49,10 @@
 
 func TestWindowBudgetSeparatesServices(t *testing.T) {
 	b := &WindowBudget{Slack: 1, Window: time.Second}
-	if !b.AllowRepeat(0, "a") || b.AllowRepeat(0, "a") || !b.AllowRepeat(0, "b") {
+	if !b.AllowRepeats(0, "a", 1) || b.AllowRepeats(0, "a", 1) || !b.AllowRepeats(0, "b", 1) {
 		t.Error("got one budget for both services, want one for each")
 	}
-	if !b.AllowRepeat(2*time.Second, "a") {
+	if !b.AllowRepeats(2*time.Second, "a", 1) {
 		t.Error("got no repeat in a new window, want one")
 	}
 }
