Send the quarantine's messages without a sender; split the choice of engines

Cause: found by reading the diff: an instance of an older version takes a message with a sender and unknown contents for a load report without loads, in which the table service doesn't answer the sender. And nextEngines had grown to do three things. Change: messages with Quarantine carry no sender, as those with origins, so that older instances ignore them; claimTry counts a try against limits and budget.

--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -19,8 +19,8 @@
 // backend servers as hashes, because a slow link carries the datagrams of every
 // front.
 type message struct {
-	// From is the instance name of the sender. Messages with origins, a question or an
-	// answer have no From and Address, because there are many of them; instances that
+	// From is the instance name of the sender. Messages with origins, questions, answers or
+	// Quarantine have no From and Address, because there are many of them; instances that
 	// don't know these fields ignore such a message.
 	From string `cbor:"1,keyasint,omitempty"`
 	// Address is the Settings.PeerAddress of the sender.
@@ -28,8 +28,8 @@
 	Loads      []load      `cbor:"3,keyasint,omitempty"`
 	Placements []placement `cbor:"4,keyasint,omitempty"`
 	// Usage contains the requests per account in one window, and Seal a part of the
-	// final counts of a sealed one. Both are nil if the message carries a load report or
-	// Quarantine instead.
+	// final counts of a sealed one. Both are nil if the message carries a load report
+	// instead.
 	Usage *usage `cbor:"5,keyasint,omitempty"`
 	Seal  *seal  `cbor:"11,keyasint,omitempty"`
 	// Peers contains the addresses of the other fronts from which the sender
@@ -44,12 +44,12 @@
 	Question *originQuestion `cbor:"9,keyasint,omitempty"`
 	// Answer answers a Question; nil if the message answers none.
 	Answer *originAnswer `cbor:"10,keyasint,omitempty"`
-	// Quarantine tells under which parts of prompts servers ended. It is nil if the message
-	// carries a load report instead.
-	Quarantine *quarantineReport `cbor:"12,keyasint,omitempty"`
 	// Questions and Answers contain several of them.
 	Questions []originQuestion `cbor:"15,keyasint,omitempty"`
 	Answers   []originAnswer   `cbor:"18,keyasint,omitempty"`
+	// Quarantine tells under which parts of prompts servers ended; nil if the message tells
+	// nothing of that.
+	Quarantine *quarantineReport `cbor:"12,keyasint,omitempty"`
 	// Limits contains limits that backend servers named in answers to the sender, and
 	// Demands its rates of requests.
 	Limits  []observedLimit `cbor:"13,keyasint,omitempty"`
@@ -60,11 +60,6 @@
 	KnowsPast bool `cbor:"17,keyasint,omitempty"`
 }
 
-// hasReport reports whether the message carries a load report.
-func (m *message) hasReport() bool {
-	return m.Usage == nil && m.Seal == nil && m.Quarantine == nil
-}
-
 // load is the encoded form of a peridotplace.Load.
 type load struct {
 	_             struct{} `cbor:",toarray"`
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -176,9 +176,7 @@
 	f.mu.Unlock()
 	messages := []*message{first}
 	if r := f.quarantine.report(announce); r != nil {
-		m := p.newMessage()
-		m.Quarantine = r
-		messages = append(messages, m)
+		messages = append(messages, &message{Quarantine: r})
 	}
 	if !announce {
 		return messages
@@ -357,6 +355,9 @@
 		if m.hasOrigins() {
 			p.front.origins.handleMessage(from, m)
 		}
+		if m.Quarantine != nil {
+			p.front.quarantine.handleReport(m.Quarantine)
+		}
 		p.handleMessage(m)
 	}
 }
@@ -375,10 +376,6 @@
 			p.addAddress(other)
 		}
 	}
-	if m.Quarantine != nil {
-		f.quarantine.handleReport(m.Quarantine)
-		return
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m.Usage != nil {
@@ -411,7 +408,7 @@
 		p.changes++
 	}
 	state.heardAt, state.instance = now, m.From
-	if m.hasReport() {
+	if m.Usage == nil && m.Seal == nil {
 		state.announcedSoftware = state.announcedSoftware || len(m.Software) > 0
 		state.knowsPast = state.knowsPast || m.KnowsPast
 		state.storeAnswering = m.StoreAnsweringMillis > 0
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -86,24 +86,36 @@
 			x.refuse(err)
 			return choice, false
 		}
-		if !x.reserve(choice) {
-			continue
-		}
-		if x.allowTry(x.repeatsOf(choice)) {
+		claimed, placeAgain := x.claimTry(choice)
+		if claimed {
 			return choice, true
 		}
-		x.release(choice)
-		if x.repeatsOf(choice) > 1 {
-			x.singleEngine = true // It adds one request only.
-			continue
-		}
-		if !x.awaitRetry() {
+		if !placeAgain && !x.awaitRetry() {
 			x.giveUp(x.lastErr)
 			return choice, false
 		}
 	}
 }
 
+// claimTry counts a try with c against the limits of its engines and the retry budget. It
+// returns false if one of them does not allow it; another choice may be allowed at once
+// if placeAgain is set.
+func (x *exchange) claimTry(c peridotplace.Choice) (claimed, placeAgain bool) {
+	if !x.reserve(c) {
+		return false, true // Another request has taken the place.
+	}
+	repeats := x.repeatsOf(c)
+	if x.allowTry(repeats) {
+		return true, false
+	}
+	x.release(c)
+	if repeats > 1 {
+		x.singleEngine = true // It adds one repeat only.
+		return false, true
+	}
+	return false, false
+}
+
 // tryPrompt makes the engines of c run the prefill and generate the answer. It returns
 // nil once the caller has received a complete answer.
 func (x *exchange) tryPrompt(c peridotplace.Choice) *peridotverdict.Error {
@@ -148,7 +160,7 @@
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	prompt := peridotplace.Prompt{Single: x.singleEngine, Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Late: x.late, SendTime: x.sendTime()}
+	prompt := peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Single: x.singleEngine, Late: x.late, SendTime: x.sendTime()}
 	x.withServers(func(exclude []string) bool {
 		prompt.Exclude = exclude
 		choice, ok = f.placer.Place(f.now(), prompt)
