Measure how fast engines read prompts

Cause: the reading speed was a constant, 300 tokens a ms; only a slowness of each engine was learned, by a tenth of the error each time and at most to a factor of 8. Change: the median of the last 31 prefills at idle engines is the speed of the engines of a service and role; the slowness of one engine is relative to it. Until one role is measured, the other one's speed serves.

--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -15,8 +15,8 @@
 	uncachedTokens int
 	// estimatedWaitMillis is the estimated time in ms until the prefill begins.
 	estimatedWaitMillis float64
-	// startedIdle is set if this instance had no other unconfirmed prefill at the
-	// server when the flight started, demoted flights aside.
+	// startedIdle is set if no instance had other prefills at the server when the flight
+	// started, as far as this one knew, demoted flights aside.
 	startedIdle bool
 	startedAt   time.Duration
 	// firstTokenAt is the time of the first token; zero before that.
@@ -52,8 +52,8 @@
 	s := f.server
 	peerPrefillMillis, _, _ := p.peerLoad(now, backend)
 	f.estimatedWaitMillis = s.backlogMillis(now) + peerPrefillMillis
-	f.startedIdle = s.unconfirmedMillis == 0
-	f.prefillMillis, f.uncachedTokens = s.estimatePrefillMillis(uncachedTokens), uncachedTokens
+	f.startedIdle = s.unconfirmedMillis == 0 && peerPrefillMillis < minBusyWaitMillis
+	f.prefillMillis, f.uncachedTokens = p.estimatePrefillMillis(s, uncachedTokens), uncachedTokens
 	if s.activeRequests() == 1 {
 		s.firstTokenDue = now + fromMillis(f.estimatedWaitMillis+f.prefillMillis)
 	}
@@ -112,9 +112,14 @@
 	}
 }
 
-// minSampleTokens is the minimum number of uncached tokens of a flight whose prefill
-// time updates a server's slowness.
-const minSampleTokens = 1000
+const (
+	// minSampleTokens is the minimum number of uncached tokens of a flight whose prefill
+	// time updates the speeds.
+	minSampleTokens = 1000
+	// minObservedMillis is the shortest prefill time in ms that is assumed of such a
+	// flight.
+	minObservedMillis = 0.01
+)
 
 // FinishPrefill records that a server has read the prompt of a flight. A nil or ended
 // flight is ignored.
@@ -126,22 +131,28 @@
 	s.recordAnswer(now)
 	f.recordFirstToken(now)
 	if !f.demoted && f.uncachedTokens > 0 {
-		p.calibration(s).observe(f.estimatedWaitMillis, toMillis(now-f.startedAt)-s.estimatePrefillMillis(f.uncachedTokens))
+		p.calibration(s).observe(f.estimatedWaitMillis, toMillis(now-f.startedAt)-p.estimatePrefillMillis(s, f.uncachedTokens))
 	}
 	if f.prefillMillis == 0 {
 		return
 	}
 	if f.startedIdle && f.uncachedTokens >= minSampleTokens {
-		s.updateSlowness(f, toMillis(now-f.startedAt))
+		p.updateSpeed(f, toMillis(now-f.startedAt))
 	}
 	s.confirmPrefill(now, f)
 }
 
-// updateSlowness updates the server's slowness with the observed prefill time in ms of
-// a flight.
-func (s *server) updateSlowness(f *Flight, observedMillis float64) {
-	ratio := observedMillis / f.prefillMillis * s.slowness
-	s.slowness += (min(max(ratio, minSlowness), maxSlowness) - s.slowness) * smoothingFactor
+// updateSpeed updates the speed of the engines of a kind, and the slowness of the one of a
+// flight relative to the others, with the observed prefill time in ms of the flight.
+func (p *Placer) updateSpeed(f *Flight, observedMillis float64) {
+	s := f.server
+	tokensPerMilli := float64(f.uncachedTokens) / max(observedMillis, minObservedMillis)
+	v := p.speedOf(speedKeyOf(s.Backend))
+	if v.isReliable() {
+		ratio := min(max(v.median/tokensPerMilli, minSlowness), maxSlowness)
+		s.slowness += (ratio - s.slowness) * smoothingFactor
+	}
+	v.observe(tokensPerMilli)
 }
 
 // confirmPrefill removes a flight's prefill from the server's outstanding work.
@@ -220,7 +231,7 @@
 	s := f.server
 	s.running--
 	if f.firstTokenAt > 0 && outcome == Answered {
-		p.updateSlotTime(s, toMillis(now-f.firstTokenAt)+s.estimatePrefillMillis(f.uncachedTokens))
+		p.updateSlotTime(s, toMillis(now-f.firstTokenAt)+p.estimatePrefillMillis(s, f.uncachedTokens))
 	}
 	f.recordFirstToken(now)
 	if f.prefillMillis > 0 {
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -10,12 +10,6 @@
 )
 
 const (
-	// prefillTokensPerMilli is the number of prompt tokens that a prefill engine of
-	// slowness 1 reads in a millisecond. The slowness of each engine is learned.
-	prefillTokensPerMilli = 300.0
-	// decodePrefillFactor is the prefill time of an engine that also decodes,
-	// relative to that of a prefill engine.
-	decodePrefillFactor = 2.0
 	// peerTTL is the age at which another instance's report expires.
 	peerTTL = time.Second
 	// peerSumTTL is how long the sum of the reports is reused. Reports arrive less
@@ -49,6 +43,8 @@
 	// prefillCalibration corrects estimated waits at prefill engines, and
 	// decodeCalibration those at all other engines.
 	prefillCalibration, decodeCalibration waitCalibration
+	// speeds holds the measured speeds at which engines read prompts.
+	speeds map[speedKey]*speed
 	// meanSlotMillis is the mean time in ms that a request holds a slot, by service.
 	meanSlotMillis map[string]float64
 	// peerSum is the sum of the peers' loads at peerSumAt, by backend server; nil
@@ -110,6 +106,7 @@
 		limits:         peridotlimit.NewTable(),
 		groups:         make(map[groupKey][]*server),
 		peers:          make(map[string]*peer),
+		speeds:         make(map[speedKey]*speed),
 		meanSlotMillis: make(map[string]float64),
 	}
 }
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -172,7 +172,7 @@
 func (p *Placer) estimate(now time.Duration, s *server, prompt Prompt) candidate {
 	peerPrefillMillis, peerLateMillis, running := p.peerLoad(now, s.ID)
 	uncachedTokens := max(0, prompt.Tokens-s.cache.cachedTokens(prompt.Parts))
-	c := candidate{server: s, waitMillis: s.backlogMillis(now) + peerPrefillMillis, prefillMillis: s.estimatePrefillMillis(uncachedTokens), uncachedTokens: uncachedTokens}
+	c := candidate{server: s, waitMillis: s.backlogMillis(now) + peerPrefillMillis, prefillMillis: p.estimatePrefillMillis(s, uncachedTokens), uncachedTokens: uncachedTokens}
 	if prompt.Late {
 		c.waitMillis += s.demotedMillis + peerLateMillis
 	}
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -54,7 +54,8 @@
 	demotedWaiting int
 	// running is the number of this instance's requests at the server.
 	running int
-	// slowness is the ratio of the observed to the expected prefill time.
+	// slowness is the ratio of the server's prefill time to that of most engines of its
+	// kind.
 	slowness float64
 	// failureRate is the moving average of the share of failed requests.
 	failureRate float64
@@ -115,15 +116,6 @@
 	return s.remainingMillis
 }
 
-// estimatePrefillMillis returns the time in ms to read tokens on an idle server.
-func (s *server) estimatePrefillMillis(tokens int) float64 {
-	ms := float64(tokens) / prefillTokensPerMilli * s.slowness
-	if s.Role != peridotsite.Prefill {
-		ms *= decodePrefillFactor
-	}
-	return ms
-}
-
 // wantsRequests reports whether the server is neither leaving nor held.
 func (s *server) wantsRequests(now time.Duration) bool {
 	return !s.Leaving && now >= s.heldUntil
