Count a late prompt that an engine reads as work before others

Cause: a prompt of low urgency was counted as work that delays no others. Change: the oldest late prompt of an engine that has no other prefill counts like the others, for this front's choices and in its reports. TestDemotedPromptsDelayNoOthers required that ten late prompts at an idle engine delay nothing, which the traces show to be wrong; it is replaced by one that requires a delay of exactly one prefill, and by TestDemotedPromptsBeginInTurn. Both fail without the change.

--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -1,6 +1,7 @@
 package peridotplace
 
 import (
+	"slices"
 	"time"
 
 	"peridotstack/peridotsite"
@@ -21,9 +22,11 @@
 	startedAt   time.Duration
 	// firstTokenAt is the time of the first token; zero before that.
 	firstTokenAt time.Duration
-	// demoted is set if the server serves the flight after all flights that are not
-	// demoted.
-	demoted bool
+	// lowUrgency is set if the server begins the flight's prefill only when it has no
+	// prefills of more urgent flights, and demoted while it has not begun, as far as this
+	// instance knows.
+	lowUrgency bool
+	demoted    bool
 	ended   bool
 }
 
@@ -86,19 +89,42 @@
 	}
 }
 
-// Demote records that a flight was sent with low urgency, so that its server serves it
+// Demote records that a flight was sent with low urgency, so that its server begins it
 // after all flights that are not demoted. A nil, ended or demoted flight is left as it
 // is.
 func (p *Placer) Demote(f *Flight) {
-	if f == nil || f.demoted || f.ended {
+	if f == nil || f.lowUrgency || f.ended {
 		return
 	}
 	s := f.server
-	f.demoted = true
+	f.lowUrgency, f.demoted = true, true
+	s.demotedQueue = append(s.demotedQueue, f)
 	s.demotedWaiting++
 	s.unconfirmedMillis = max(0, s.unconfirmedMillis-f.prefillMillis)
 	s.remainingMillis = min(s.remainingMillis, s.unconfirmedMillis)
 	s.demotedMillis += f.prefillMillis
+	p.beginDemoted(f.startedAt, s)
+}
+
+// beginDemoted counts the oldest demoted flight of a server like the others if the server
+// has no other prefill. An engine finishes a prefill that it has begun, whatever the
+// urgency of those that arrive meanwhile.
+func (p *Placer) beginDemoted(now time.Duration, s *server) {
+	s.demotedQueue = slices.DeleteFunc(s.demotedQueue, func(f *Flight) bool { return f.ended || f.prefillMillis == 0 })
+	if len(s.demotedQueue) == 0 || s.unconfirmedMillis >= minBusyWaitMillis {
+		return
+	}
+	if peerMillis, _, _ := p.peerLoad(now, s.ID); peerMillis >= minBusyWaitMillis {
+		return
+	}
+	f := s.demotedQueue[0]
+	s.demotedQueue = s.demotedQueue[1:]
+	f.demoted = false
+	s.demotedWaiting--
+	s.demotedMillis = max(0, s.demotedMillis-f.prefillMillis)
+	s.advance(now)
+	s.unconfirmedMillis += f.prefillMillis
+	s.remainingMillis += f.prefillMillis
 }
 
 // recordFirstToken records the time of a flight's first token.
@@ -130,16 +156,16 @@
 	s := f.server
 	s.recordAnswer(now)
 	f.recordFirstToken(now)
-	if !f.demoted && f.uncachedTokens > 0 {
+	if !f.lowUrgency && f.uncachedTokens > 0 {
 		p.calibration(s).observe(f.estimatedWaitMillis, toMillis(now-f.startedAt)-p.estimatePrefillMillis(s, f.uncachedTokens))
 	}
 	if f.prefillMillis == 0 {
 		return
 	}
-	if f.startedIdle && f.uncachedTokens >= minSampleTokens {
+	if f.startedIdle && !f.lowUrgency && f.uncachedTokens >= minSampleTokens {
 		p.updateSpeed(f, toMillis(now-f.startedAt))
 	}
-	s.confirmPrefill(now, f)
+	p.confirmPrefill(now, f)
 }
 
 // updateSpeed updates the speed of the engines of a kind, and the slowness of the one of a
@@ -155,8 +181,9 @@
 	v.observe(tokensPerMilli)
 }
 
-// confirmPrefill removes a flight's prefill from the server's outstanding work.
-func (s *server) confirmPrefill(now time.Duration, f *Flight) {
+// confirmPrefill removes a flight's prefill from its server's outstanding work.
+func (p *Placer) confirmPrefill(now time.Duration, f *Flight) {
+	s := f.server
 	s.advance(now)
 	if f.demoted {
 		s.demotedMillis = max(0, s.demotedMillis-f.prefillMillis)
@@ -166,6 +193,7 @@
 	s.unconfirmedMillis = max(0, s.unconfirmedMillis-f.prefillMillis)
 	f.prefillMillis = 0
 	s.remainingMillis = min(s.remainingMillis, s.unconfirmedMillis)
+	p.beginDemoted(now, s)
 }
 
 // calibration returns the wait calibration for engines with the role of s.
@@ -235,7 +263,7 @@
 	}
 	f.recordFirstToken(now)
 	if f.prefillMillis > 0 {
-		s.confirmPrefill(now, f)
+		p.confirmPrefill(now, f)
 	}
 	switch outcome {
 	case Answered:
--- a/peridotplace/late_test.go
+++ b/peridotplace/late_test.go
@@ -6,9 +6,10 @@
 	"time"
 )
 
-// TestDemotedPromptsDelayNoOthers checks that demoted prompts at an engine do not add to
-// the wait of prompts that can be on time, but do add to the wait of other late ones.
-func TestDemotedPromptsDelayNoOthers(t *testing.T) {
+// TestDemotedPromptsDelayOthersByOne checks that of the demoted prompts at an idle engine
+// only the one that the engine reads adds to the wait of prompts that can be on time, and
+// that all add to the wait of other late ones.
+func TestDemotedPromptsDelayOthersByOne(t *testing.T) {
 	p, _, _ := newFleet(1, 1)
 	prompt := Prompt{Service: service, Tokens: 9000, Parts: parts(1, 2, 3)}
 	idle, _ := p.Place(0, prompt)
@@ -19,8 +20,9 @@
 		p.Demote(f) // Has no effect.
 		flights = append(flights, f)
 	}
-	if got, _ := p.Place(0, prompt); got.Wait != idle.Wait || got.PrefillBackend != idle.PrefillBackend {
-		t.Errorf("prompt that can be on time: got %+v, want %+v", got, idle)
+	want := idle.Wait + idle.PrefillTime
+	if got, _ := p.Place(0, prompt); got.Wait != want || got.PrefillBackend != idle.PrefillBackend {
+		t.Errorf("prompt that can be on time: got %+v, want a wait of %v, for the one that is read, and %+v", got, want, idle)
 	}
 	late := prompt
 	late.Late = true
@@ -28,8 +30,8 @@
 	if lateChoice.PrefillBackend == "r0" && lateChoice.Wait < 10*idle.PrefillTime {
 		t.Errorf("late prompt: got a wait of %v, want at least the prefill time of ten prompts", lateChoice.Wait)
 	}
-	if got := p.Report(0, 0).Loads; len(got) != 1 || got[0].PrefillTime != 0 || got[0].Running != 0 || got[0].LatePrefillTime == 0 {
-		t.Errorf("report: got %+v, want only late work", got)
+	if got := p.Report(0, 0).Loads; len(got) != 1 || got[0].PrefillTime != idle.PrefillTime || got[0].Running != 1 || got[0].LatePrefillTime != 9*idle.PrefillTime {
+		t.Errorf("report: got %+v, want one prefill and the late work of nine", got)
 	}
 	for i, f := range flights {
 		if i%2 == 0 {
@@ -43,6 +45,42 @@
 	}
 }
 
+// TestDemotedPromptsBeginInTurn guards against waits that are too short while an engine
+// reads a prompt of low urgency, which it began when it had nothing else to do: long prompts
+// that are late already, beside short ones that are not.
+func TestDemotedPromptsBeginInTurn(t *testing.T) {
+	const prefillTime = 30 * time.Millisecond
+	p, _, _ := newFleet(1, 1)
+	urgent := p.BeginPrefill(0, "r0", nil, 9000)
+	var demoted []*Flight
+	for range 2 {
+		f := p.BeginPrefill(0, "r0", nil, 9000)
+		p.Demote(f)
+		demoted = append(demoted, f)
+	}
+	check := func(now time.Duration, step string, wantUrgent, wantLate int) {
+		t.Helper()
+		got := p.Report(now, 0).Loads
+		if len(got) != 1 || got[0].PrefillTime != time.Duration(wantUrgent)*prefillTime || got[0].LatePrefillTime != time.Duration(wantLate)*prefillTime {
+			t.Errorf("%s: got %+v, want %d prefills of %v before others, and %d late ones", step, got, wantUrgent, prefillTime, wantLate)
+		}
+	}
+	check(0, "an urgent prompt is read", 1, 2)
+	p.FinishPrefill(0, urgent)
+	check(0, "the first late prompt is read", 1, 1)
+	p.FinishPrefill(0, demoted[0])
+	p.Done(0, demoted[0], Answered)
+	check(0, "the second late prompt is read", 1, 0)
+	p.Done(0, demoted[1], Unavailable)
+	check(0, "none is read", 0, 0)
+
+	p, _, _ = newFleet(1, 1)
+	p.Observe(0, "other", Report{Loads: []Load{{Backend: "r0", PrefillTime: time.Second, Running: 1}}})
+	p.Demote(p.BeginPrefill(0, "r0", nil, 9000))
+	check(0, "an urgent prompt of another instance is read", 0, 1)
+	check(2*time.Second, "nothing is known of other instances any more", 1, 0)
+}
+
 // TestPlaceCountsLateWorkOfPeers checks that a late prompt avoids an engine at which
 // other instances have late work.
 func TestPlaceCountsLateWorkOfPeers(t *testing.T) {
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -163,6 +163,7 @@
 func (p *Placer) Report(now time.Duration, limit int) Report {
 	var r Report
 	for _, s := range p.servers {
+		p.beginDemoted(now, s)
 		backlogMillis := s.backlogMillis(now)
 		if s.running > 0 || backlogMillis > 0 {
 			r.Loads = append(r.Loads, Load{Backend: s.ID, PrefillTime: fromMillis(backlogMillis), LatePrefillTime: fromMillis(s.demotedMillis), Running: s.activeRequests()})
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -52,6 +52,8 @@
 	// demoted flights that have not got their first token.
 	demotedMillis  float64
 	demotedWaiting int
+	// demotedQueue holds the demoted flights, the oldest first, and some that have ended.
+	demotedQueue []*Flight
 	// running is the number of this instance's requests at the server.
 	running int
 	// slowness is the ratio of the server's prefill time to that of most engines of its
