Fetch shared prefixes from the KV cache of the engine that has read them

Cause: a shared prefix was read again at each engine to which its requests spread, though the platform lets an engine fetch it from another's KV cache: 13,300 tokens take 11 to 22 ms there instead of 400 ms. Change: the placer knows when an engine will have read a part, weighs for each engine reading against a fetch from the nearest holder of the same software version, and names the holder; the front passes it on (Kv-Fetch). Prefills with a fetch say nothing about reading speeds.

--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -29,6 +29,9 @@
 	// KVSource returns the name under which another engine fetches the KV cache that
 	// the engine at address keeps under handle.
 	KVSource(address, handle string) string
+	// KVFetch returns the name under which an engine fetches a prefix of a prompt from the
+	// KV cache of the engine at address.
+	KVFetch(address string) string
 	// FreeKV returns the method and path of the request that makes an engine free the
 	// KV cache under handle.
 	FreeKV(handle string) (method, path string)
@@ -77,6 +80,9 @@
 	Prefill bool
 	// KVSource names the KV cache to fetch, as returned by Protocol.KVSource.
 	KVSource string
+	// KVFetch names the engine from whose KV cache to fetch a prefix of the prompt, as
+	// returned by Protocol.KVFetch.
+	KVFetch string
 	// Urgency is the priority of the request in the queue of an engine.
 	Urgency Urgency
 }
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -252,13 +252,16 @@
 	return f.placer.Begin(f.now(), backend)
 }
 
-// beginPrefill reports to the placer that the prompt is sent to an engine, which must
-// read uncachedTokens of it.
-func (x *exchange) beginPrefill(backend string, uncachedTokens int) *peridotplace.Flight {
+// beginPrefill reports to the placer that the prompt is sent to an engine of c, which reads
+// it.
+func (x *exchange) beginPrefill(backend string, c peridotplace.Choice) *peridotplace.Flight {
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	flight := f.placer.BeginPrefill(f.now(), backend, x.call.Parts, uncachedTokens)
+	flight := f.placer.BeginPrefill(f.now(), backend, x.call.Parts, c.UncachedTokens)
+	if c.FetchBackend != "" {
+		flight.Fetches()
+	}
 	if x.late {
 		f.placer.Demote(flight)
 	}
--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -14,6 +14,10 @@
 	// flight has ended.
 	prefillMillis  float64
 	uncachedTokens int
+	// parts are those of the prompt that the server reads, and fetches is set if it gets
+	// some of them from another engine's KV cache.
+	parts   []Part
+	fetches bool
 	// estimatedWaitMillis is the estimated time in ms until the prefill begins.
 	estimatedWaitMillis float64
 	// startedIdle is set if no instance had other prefills at the server when the flight
@@ -30,6 +34,10 @@
 	ended   bool
 }
 
+// transferDelay is the time after which an engine is assumed to have the KV cache that
+// another engine is sent to fetch.
+const transferDelay = 50 * time.Millisecond
+
 // maxPendingPlacements is the maximum number of placements kept for the next
 // Report; further ones are dropped.
 const maxPendingPlacements = 256
@@ -62,28 +70,38 @@
 	}
 	s.remainingMillis += f.prefillMillis
 	s.unconfirmedMillis += f.prefillMillis
-	p.recordParts(s, parts)
+	f.parts = parts
+	p.recordParts(s, parts, now+fromMillis(f.estimatedWaitMillis+f.prefillMillis))
 	return f
 }
 
+// Fetches records that the server of a flight fetches a part of the prompt from another
+// engine's KV cache, so that its prefill time says nothing about its speed. A nil flight is
+// ignored.
+func (f *Flight) Fetches() {
+	if f != nil {
+		f.fetches = true
+	}
+}
+
 // BeginDecode records that a request is sent to a server, which fetches the KV cache
 // of the prompt from another server. It returns nil if the server is not registered any
 // more.
 func (p *Placer) BeginDecode(now time.Duration, backend string, parts []Part) *Flight {
 	f := p.Begin(now, backend)
 	if f != nil {
-		p.recordParts(f.server, parts)
+		p.recordParts(f.server, parts, now+transferDelay)
 	}
 	return f
 }
 
-// recordParts records the parts of a prompt that was sent to a server, in the server's
-// cache and for the next Report.
-func (p *Placer) recordParts(s *server, parts []Part) {
+// recordParts records the parts of a prompt that was sent to a server, which is expected to
+// have read them at readyAt, in the server's cache and for the next Report.
+func (p *Placer) recordParts(s *server, parts []Part, readyAt time.Duration) {
 	if s.cache == nil || len(parts) == 0 {
 		return
 	}
-	s.cache.add(parts)
+	s.cache.add(parts, readyAt)
 	if len(p.pendingPlacements) < maxPendingPlacements {
 		p.pendingPlacements = append(p.pendingPlacements, Placement{Backend: s.ID, Parts: parts})
 	}
@@ -162,7 +180,10 @@
 	if f.prefillMillis == 0 {
 		return
 	}
-	if f.startedIdle && !f.lowUrgency && f.uncachedTokens >= minSampleTokens {
+	if s.cache != nil {
+		s.cache.add(f.parts, now)
+	}
+	if f.startedIdle && !f.lowUrgency && !f.fetches && f.uncachedTokens >= minSampleTokens {
 		p.updateSpeed(f, toMillis(now-f.startedAt))
 	}
 	p.confirmPrefill(now, f)
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -186,11 +186,22 @@
 	p.peerSum = nil
 	for _, placement := range r.Placements {
 		if s := p.servers[placement.Backend]; s != nil && s.cache != nil {
-			s.cache.add(placement.Parts)
+			s.cache.add(placement.Parts, now+p.estimateReadTime(now, s, placement.Parts))
 		}
 	}
 }
 
+// estimateReadTime returns the estimated time until a server has read the parts of a prompt
+// that another instance sent there.
+func (p *Placer) estimateReadTime(now time.Duration, s *server, parts []Part) time.Duration {
+	tokens := -s.cache.cachedTokens(parts)
+	for _, part := range parts {
+		tokens += part.Tokens
+	}
+	peerMillis, _, _ := p.peerLoad(now, s.ID)
+	return fromMillis(s.backlogMillis(now) + peerMillis + p.estimatePrefillMillis(s, tokens))
+}
+
 // peerLoad returns the work that the other instances have sent to a server: the
 // remaining prefill time and that of demoted prompts in ms, and the running requests.
 func (p *Placer) peerLoad(now time.Duration, id string) (prefillMillis, lateMillis float64, running int) {
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -66,6 +66,10 @@
 	PrefillTime time.Duration
 	// UncachedTokens is the estimated number of tokens that must be read.
 	UncachedTokens int
+	// FetchBackend is the ID of the engine from whose KV cache the one that does the
+	// prefill fetches a prefix of the prompt that it does not have; empty if it fetches
+	// none.
+	FetchBackend string
 }
 
 // Place returns the engine or pair of engines with the least estimated cost for a
@@ -95,6 +99,10 @@
 	waitMillis     float64
 	prefillMillis  float64
 	uncachedTokens int
+	// fetchFrom is the engine from which a prefix of the prompt is fetched, and
+	// fetchMillis the time in ms that this takes; nil if none is fetched.
+	fetchFrom   *server
+	fetchMillis float64
 	// slotWaitMillis is the time in ms until a slot is free for the answer.
 	slotWaitMillis float64
 	// requests is the number of active requests of all instances at the engine.
@@ -108,12 +116,14 @@
 // place returns the choice with the least cost in ms among the engines of group, alone
 // and in pairs. It skips unusable engines unless allowUnusable is set.
 func (p *Placer) place(now time.Duration, prompt Prompt, group []*server, allowUnusable bool) (Choice, bool) {
+	holders := p.prefixHolders(now, prompt, group)
 	var prefillEngines, decodeEngines []candidate
 	for _, s := range group {
 		if !s.accepts(now) || s.engine == nil || slices.Contains(prompt.Exclude, s.ID) || !allowUnusable && !s.usable(now) {
 			continue
 		}
 		c := p.estimate(now, s, prompt)
+		p.considerFetch(&c, prompt, holders)
 		if s.Role == peridotsite.Prefill {
 			if !prompt.Single {
 				prefillEngines = append(prefillEngines, c)
@@ -126,7 +136,7 @@
 	sendCost := toMillis(prompt.SendTime) * (1 + linkWeight)
 	for i := range decodeEngines {
 		d := &decodeEngines[i]
-		cost := max(d.waitMillis, d.slotWaitMillis) + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost
+		cost := max(d.waitMillis, d.slotWaitMillis) + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost
 		if cost < leastCost {
 			best, leastCost, found = p.singleChoice(d), cost, true
 		}
@@ -139,7 +149,7 @@
 				continue
 			}
 			transferMillis := estimateTransferMillis(prompt.Tokens, pf.server, d.server)
-			cost := pf.waitMillis + pf.prefillMillis*(1+prefillWorkWeight) + transferMillis + transferCostMillis + d.slotWaitMillis + d.decodeCost + pf.domainCost + d.domainCost + sendCost
+			cost := pf.waitMillis + pf.fetchCost() + pf.prefillMillis*(1+prefillWorkWeight) + transferMillis + transferCostMillis + d.slotWaitMillis + d.decodeCost + pf.domainCost + d.domainCost + sendCost
 			if cost < leastCost {
 				best, leastCost, found = p.splitChoice(d, pf, transferMillis), cost, true
 			}
@@ -189,14 +199,14 @@
 // singleChoice returns the choice of one engine for both prefill and decode.
 func (p *Placer) singleChoice(d *candidate) Choice {
 	wait := max(d.waitMillis*p.decodeCalibration.factor(), d.slotWaitMillis)
-	return Choice{Backend: d.ID, Wait: fromMillis(wait + d.prefillMillis), PrefillTime: fromMillis(d.prefillMillis), UncachedTokens: d.uncachedTokens}
+	return Choice{Backend: d.ID, Wait: fromMillis(wait + d.fetchMillis + d.prefillMillis), PrefillTime: fromMillis(d.prefillMillis), UncachedTokens: d.uncachedTokens, FetchBackend: d.fetchBackend()}
 }
 
 // splitChoice returns the choice of pf for the prefill and d for the decode, with a
 // KV cache transfer between them.
 func (p *Placer) splitChoice(d, pf *candidate, transferMillis float64) Choice {
-	wait := pf.waitMillis*p.prefillCalibration.factor() + pf.prefillMillis + transferMillis + d.slotWaitMillis
-	return Choice{Backend: d.ID, PrefillBackend: pf.ID, Wait: fromMillis(wait), PrefillTime: fromMillis(pf.prefillMillis), UncachedTokens: pf.uncachedTokens}
+	wait := pf.waitMillis*p.prefillCalibration.factor() + pf.fetchMillis + pf.prefillMillis + transferMillis + d.slotWaitMillis
+	return Choice{Backend: d.ID, PrefillBackend: pf.ID, Wait: fromMillis(wait), PrefillTime: fromMillis(pf.prefillMillis), UncachedTokens: pf.uncachedTokens, FetchBackend: pf.fetchBackend()}
 }
 
 // estimateTransferMillis returns the estimated time in ms to transfer the KV cache of
