Count the prefill that a decode engine has begun as wait of a pair

Cause: for a pair of engines only the decode engine's slots counted. It admits no prompt, also none whose KV cache it fetches, before it has finished the prefill that it has begun: a first event came after 839 ms, 395 ms of them at a decode engine that read 9,147 tokens. Change: the time until admission, by slots and by prefills, is part of the cost and the wait of a pair. Result: TestPairAvoidsDecodeEngineThatReads fails without.

--- a/peridotplace/placer_test.go
+++ b/peridotplace/placer_test.go
@@ -300,3 +300,18 @@
 		})
 	}
 }
+
+// TestPairAvoidsDecodeEngineThatReads guards against split prompts whose decode engine is
+// reading a long prompt: it admits no other before it has finished.
+func TestPairAvoidsDecodeEngineThatReads(t *testing.T) {
+	p, _, _ := newFleet(1, 2)
+	p.BeginPrefill(0, "w0", nil, 30_000)
+	prompt := Prompt{Service: service, Tokens: 9000, Parts: parts(1, 2, 3)}
+	for range 30 { // Running requests cost less than the wait.
+		p.Done(0, p.BeginDecode(0, "w1", nil), Answered)
+		p.BeginDecode(0, "w1", nil)
+	}
+	if got, _ := p.Place(0, prompt); got.PrefillBackend != "r0" || got.Backend != "w1" {
+		t.Errorf("got %+v, want the pair r0, w1", got)
+	}
+}
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -113,6 +113,13 @@
 	domainCost float64
 }
 
+// admissionMillis returns the estimated time in ms until the engine admits a prompt whose
+// KV cache it fetches: it needs a slot, and the engine first finishes the prefill that it
+// has begun.
+func (c *candidate) admissionMillis() float64 {
+	return max(c.waitMillis, c.slotWaitMillis)
+}
+
 // place returns the choice with the least cost in ms among the engines of group, alone
 // and in pairs. It skips unusable engines unless allowUnusable is set.
 func (p *Placer) place(now time.Duration, prompt Prompt, group []*server, allowUnusable bool) (Choice, bool) {
@@ -136,7 +143,7 @@
 	sendCost := toMillis(prompt.SendTime) * (1 + linkWeight)
 	for i := range decodeEngines {
 		d := &decodeEngines[i]
-		cost := max(d.waitMillis, d.slotWaitMillis) + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost
+		cost := d.admissionMillis() + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost
 		if cost < leastCost {
 			best, leastCost, found = p.singleChoice(d), cost, true
 		}
@@ -149,7 +156,7 @@
 				continue
 			}
 			transferMillis := estimateTransferMillis(prompt.Tokens, pf.server, d.server)
-			cost := pf.waitMillis + pf.fetchCost() + pf.prefillMillis*(1+prefillWorkWeight) + transferMillis + transferCostMillis + d.slotWaitMillis + d.decodeCost + pf.domainCost + d.domainCost + sendCost
+			cost := pf.waitMillis + pf.fetchCost() + pf.prefillMillis*(1+prefillWorkWeight) + transferMillis + transferCostMillis + d.admissionMillis() + d.decodeCost + pf.domainCost + d.domainCost + sendCost
 			if cost < leastCost {
 				best, leastCost, found = p.splitChoice(d, pf, transferMillis), cost, true
 			}
@@ -171,7 +178,7 @@
 		switch {
 		case at < 0:
 			list = append(list, d)
-		case d.slotWaitMillis+d.decodeCost < list[at].slotWaitMillis+list[at].decodeCost:
+		case d.admissionMillis()+d.decodeCost < list[at].admissionMillis()+list[at].decodeCost:
 			list[at] = d
 		}
 	}
@@ -205,7 +212,7 @@
 // splitChoice returns the choice of pf for the prefill and d for the decode, with a
 // KV cache transfer between them.
 func (p *Placer) splitChoice(d, pf *candidate, transferMillis float64) Choice {
-	wait := pf.waitMillis*p.prefillCalibration.factor() + pf.fetchMillis + pf.prefillMillis + transferMillis + d.slotWaitMillis
+	wait := pf.waitMillis*p.prefillCalibration.factor() + pf.fetchMillis + pf.prefillMillis + transferMillis + d.admissionMillis()
 	return Choice{Backend: d.ID, PrefillBackend: pf.ID, Wait: fromMillis(wait), PrefillTime: fromMillis(pf.prefillMillis), UncachedTokens: pf.uncachedTokens, FetchBackend: pf.fetchBackend()}
 }
 
