Refuse prompts whose callers would leave before the first event

Cause: callers abandon a stream after two seconds, four objectives or eight gaps without an event, but admission reckoned with the deadline: with 6 s left a prompt was held for up to 3 s, and its caller left after 2.4 s. A prompt whose try had failed was never refused, also if it had not run. A late prompt may queue for 0.7 of the time that is left beside its own prefill, so that the longest prompts are not the first to be refused; requests that have not run are refused at any try; time-outs of tries follow the same time.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -300,6 +300,16 @@
 	return x.timeout - peridotclock.BootTime().Sub(x.arrivedAt)
 }
 
+// remainingWait returns the time left until the caller abandons the request unless an
+// answer has begun.
+func (x *exchange) remainingWait() time.Duration {
+	left := x.remaining()
+	if x.route.Patience > 0 && !x.answerStarted {
+		left = min(left, x.route.Patience-peridotclock.BootTime().Sub(x.arrivedAt))
+	}
+	return left
+}
+
 // ended reports whether the request must not be retried because its caller has
 // disconnected, its timeout has passed or the front is closing.
 func (x *exchange) ended() bool {
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -26,11 +26,12 @@
 	maxHandleBytes = 64 << 10
 	// kvFreeTimeout limits the call that frees a KV cache that no engine will fetch.
 	kvFreeTimeout = 500 * time.Millisecond
-	// maxLateWaitShare is the largest expected wait of a late request as a fraction of
-	// its remaining time. The rest is for the answer and for errors of the estimate.
-	maxLateWaitShare = 0.5
+	// maxLateWaitShare is the longest time for which a late request is expected to wait for
+	// other work, as a fraction of the time left until its caller abandons it, without the
+	// prefill itself. The rest is for the answer and for errors of the estimate.
+	maxLateWaitShare = 0.7
 	// latePrefillShare is the minimum prefill timeout of a late request as a fraction
-	// of its remaining time.
+	// of the time left until its caller abandons it.
 	latePrefillShare = 0.7
 	// onTimeMargin is the part of the objective reserved, after the prefill, to
 	// generate the first token and send it to the caller.
@@ -191,8 +192,8 @@
 // admit decides the urgency of a request and returns the choice to use for it. A
 // request is late if the requests queued before it keep its first token from arriving
 // within the objective. Late requests are queued behind all others, so that the
-// others still meet their objective under overload. If a late request that has not
-// been tried yet is then expected to exceed its deadline, admit refuses it immediately.
+// others still meet their objective under overload. If the caller of a late request that
+// has not run is expected to leave before the first event, admit refuses it immediately.
 // The Retry-After of the refusal is the time by which the request would miss the
 // objective. A resumed stream has fewer engines to choose from and is refused only if
 // the wait alone exceeds its deadline.
@@ -206,11 +207,11 @@
 		}
 	}
 	x.logFields["wait_ms"] = c.Wait
-	maxWait := time.Duration(maxLateWaitShare * float64(x.remaining()))
+	maxQueueing := time.Duration(maxLateWaitShare * float64(x.remainingWait()-c.PrefillTime))
 	if x.resumesStream() {
-		maxWait = x.remaining()
+		maxQueueing = x.remainingWait() - c.PrefillTime
 	}
-	if x.late && x.tries == 0 && c.Wait > maxWait {
+	if x.late && x.runs == 0 && c.Wait-c.PrefillTime > maxQueueing {
 		return c, peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "the answer would come after the deadline", peridotverdict.RetryAfter(lateBy))
 	}
 	return c, nil
@@ -251,7 +252,7 @@
 func (x *exchange) prefillTimeout(c peridotplace.Choice) time.Duration {
 	timeout := prefillTimeoutFactor*c.Wait + prefillTimeoutSlack
 	if x.late {
-		return max(timeout, time.Duration(latePrefillShare*float64(x.remaining())))
+		return max(timeout, time.Duration(latePrefillShare*float64(x.remainingWait())))
 	}
 	return timeout
 }
--- a/peridotfront/stall.go
+++ b/peridotfront/stall.go
@@ -160,7 +160,7 @@
 // counts the retry against the retry budget if so. The caller must hold w.mu.
 func (w *stallWatch) reserveReplacement() bool {
 	x := w.exchange
-	if !w.replaceable || x.ended() || x.remaining() < minRetryTime {
+	if !w.replaceable || x.ended() || x.remainingWait() < minRetryTime {
 		return false
 	}
 	f := x.front
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -72,7 +72,7 @@
 	if s.isWatched {
 		timeout := minStallTimeout + stallWaitFactor*s.expectedWait
 		if x.late {
-			timeout = max(timeout, x.remaining()/2) // A late request may be queued behind others for that long.
+			timeout = max(timeout, x.remainingWait()/2) // A late request may be queued behind others for that long.
 		}
 		s.watch.start(timeout)
 	}
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -124,7 +124,7 @@
 // canRetry reports whether enough time remains for a retry, the answer can be continued
 // and the route permits another run.
 func (x *exchange) canRetry() bool {
-	return !x.ended() && x.remaining() >= minRetryTime && x.resumable() && x.canRun(x.runs)
+	return !x.ended() && x.remainingWait() >= minRetryTime && x.resumable() && x.canRun(x.runs)
 }
 
 // repeatsOf returns the number of requests at backend servers that a further try with c
--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -31,7 +31,7 @@
 	// instance knows.
 	lowUrgency bool
 	demoted    bool
-	ended   bool
+	ended      bool
 }
 
 // transferDelay is the time after which an engine is assumed to have the KV cache that
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -94,8 +94,10 @@
 // candidate is an engine and the estimates for one prompt on it.
 type candidate struct {
 	*server
-	// waitMillis is the time in ms until the prefill can begin, and prefillMillis the
-	// time in ms that it takes.
+	// urgentMillis is the time in ms until the engine has finished the prefills that are not
+	// demoted, waitMillis that until the prefill can begin, and prefillMillis the time in
+	// ms that it takes.
+	urgentMillis   float64
 	waitMillis     float64
 	prefillMillis  float64
 	uncachedTokens int
@@ -117,7 +119,7 @@
 // KV cache it fetches: it needs a slot, and the engine first finishes the prefill that it
 // has begun.
 func (c *candidate) admissionMillis() float64 {
-	return max(c.waitMillis, c.slotWaitMillis)
+	return max(c.urgentMillis, c.slotWaitMillis)
 }
 
 // place returns the choice with the least cost in ms among the engines of group, alone
@@ -143,7 +145,7 @@
 	sendCost := toMillis(prompt.SendTime) * (1 + linkWeight)
 	for i := range decodeEngines {
 		d := &decodeEngines[i]
-		cost := d.admissionMillis() + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost
+		cost := max(d.waitMillis, d.slotWaitMillis) + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost
 		if cost < leastCost {
 			best, leastCost, found = p.singleChoice(d), cost, true
 		}
@@ -189,7 +191,8 @@
 func (p *Placer) estimate(now time.Duration, s *server, prompt Prompt) candidate {
 	peerPrefillMillis, peerLateMillis, running := p.peerLoad(now, s.ID)
 	uncachedTokens := max(0, prompt.Tokens-s.cache.cachedTokens(prompt.Parts))
-	c := candidate{server: s, waitMillis: s.backlogMillis(now) + peerPrefillMillis, prefillMillis: p.estimatePrefillMillis(s, uncachedTokens), uncachedTokens: uncachedTokens}
+	urgentMillis := s.backlogMillis(now) + peerPrefillMillis
+	c := candidate{server: s, urgentMillis: urgentMillis, waitMillis: urgentMillis, prefillMillis: p.estimatePrefillMillis(s, uncachedTokens), uncachedTokens: uncachedTokens}
 	if prompt.Late {
 		c.waitMillis += s.demotedMillis + peerLateMillis
 	}
--- a/peridotsite/config.go
+++ b/peridotsite/config.go
@@ -42,6 +42,9 @@
 	// Gap is the maximum time between two events of a stream that is on time; 0 means
 	// no limit.
 	Gap time.Duration
+	// Patience is the time without an event, also before the first one, after which callers
+	// abandon a stream; 0 means that they wait until Timeout.
+	Patience time.Duration
 	// Rank orders routes by urgency; 0 is the most urgent.
 	Rank int
 	// Attempts is the maximum number of backend servers on which one request may run;
