Send usage counts to the fronts that report them

Cause: every front sent its counts of three windows to all others. With 68 fronts that is a burst of 67 times three datagrams of 2.3 KB, 460 KB, every 1.7 s, on links from 20 Mbit/s on, and the settle time of 3.9 s leaves room for two of them. Change: counts go to the holder of the duties, which its datagrams now name, and to the three fronts that should take the duties over first, every half second; final counts three times, unchanged ones never (peridotusage.Delivery). A new holder waits until the others have sent it theirs. A window settles for 1.3 s with up to 250 fronts. The tests of announced windows became tests of usage deliveries with the same bounds, and go up to 1,170 fronts. The datagrams that were lost were not traced one by one.

--- a/peridotfront/duties.go
+++ b/peridotfront/duties.go
@@ -39,10 +39,12 @@
 	// usage window.
 	minSettleTime = 900 * time.Millisecond
 	// settleFactor and settleSlack extend that wait to settleFactor times the
-	// announcement interval of a front plus settleSlack, because one of its
-	// datagrams may be lost.
+	// usage interval of a front plus settleSlack, because one of its datagrams may be
+	// lost.
 	settleFactor = 2.2
 	settleSlack  = 200 * time.Millisecond
+	// reportedUsageWindows is the number of latest usage windows that a holder reports.
+	reportedUsageWindows = 3
 	// usagePrefix is the key prefix of the rows that hold sealed usage windows.
 	usagePrefix = "usage/"
 )
@@ -106,6 +108,7 @@
 			heldGauge = 1
 			d.reportUsage(ctx, holder)
 		}
+		d.front.holdsDuties.Store(heldGauge > 0)
 		d.front.metrics.SetGauge("duties_held", heldGauge)
 		peridotwait.Sleep(ctx, dutyInterval)
 	}
@@ -144,13 +147,17 @@
 	if !ok {
 		return
 	}
+	settle := settleTime(f.peers.frontCount(), f.settings.UsageReportDue)
+	if peridotclock.BootTime().Sub(d.termStart) < settle {
+		return // The other fronts send their counts once they know that this one is the holder.
+	}
 	f.mu.Lock()
 	current := f.tally.WindowAt(now)
-	lastSettled := f.tally.WindowAt(now.Add(-settleTime(f.peers.frontCount(), f.settings.UsageReportDue))) - 1
+	lastSettled := f.tally.WindowAt(now.Add(-settle)) - 1
 	f.tally.DeleteOld(current)
 	f.mu.Unlock()
 	d.rewriteSeals(ctx)
-	for w := max(d.firstWindow, lastSettled-announcedUsageWindows); w <= lastSettled; w++ {
+	for w := max(d.firstWindow, lastSettled-reportedUsageWindows); w <= lastSettled; w++ {
 		if d.reported[w] {
 			continue
 		}
@@ -182,6 +189,5 @@
 // window, given the number of fronts and the time from the end of the window until
 // its report is due. At least half of the time until due is left for the report.
 func settleTime(fronts int, due time.Duration) time.Duration {
-	announceInterval := roundsPerAnnouncement * sendInterval(fronts)
-	return min(max(minSettleTime, time.Duration(settleFactor*float64(announceInterval))+settleSlack), due/2)
+	return min(max(minSettleTime, time.Duration(settleFactor*float64(usageInterval(fronts)))+settleSlack), due/2)
 }
--- a/peridotfront/duties_test.go
+++ b/peridotfront/duties_test.go
@@ -435,13 +435,13 @@
 }
 
 // TestSettleTimeCoversLostDatagram checks that a usage window settles long enough for
-// each front to announce its counts again after one datagram was lost.
+// each front to send its counts again after one datagram was lost.
 func TestSettleTimeCoversLostDatagram(t *testing.T) {
 	const due = 10 * time.Second
-	for _, fronts := range []int{1, 5, 25, 100, 130} {
-		got, announceInterval := settleTime(fronts, due), roundsPerAnnouncement*sendInterval(fronts)
-		if got < min(2*announceInterval, due/2) || got < minSettleTime || got > due/2 {
-			t.Errorf("%d fronts: got %v, want at least %v, the time in which each front announces its counts despite a lost datagram, and at most %v", fronts, got, 2*announceInterval, due/2)
+	for _, fronts := range []int{1, 5, 25, 100, 130, 300, 1170} {
+		got, interval := settleTime(fronts, due), usageInterval(fronts)
+		if got < min(2*interval, due/2) || got < minSettleTime || got > due/2 {
+			t.Errorf("%d fronts: got %v, want at least %v, the time in which each front sends its counts despite a lost datagram, and at most %v", fronts, got, 2*interval, due/2)
 		}
 	}
 	if got := settleTime(100_000, due); got != due/2 {
--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -56,6 +56,8 @@
 	startedAt time.Time
 
 	config atomic.Pointer[peridotsite.Config]
+	// holdsDuties is set while this front holds the lease of the duties.
+	holdsDuties atomic.Bool
 	// stopping is set when shutdown begins.
 	stopping atomic.Bool
 	// closeConnsAt is the value of now at which a stopping front closes its
@@ -77,6 +79,8 @@
 	placer      *peridotplace.Placer
 	retryBudget *peridotretry.WindowBudget
 	tally       *peridotusage.Tally
+	// delivery decides which counts of the tally are sent to which other fronts.
+	delivery *peridotusage.Delivery
 	// seals contains the final counts of the latest usage windows, and sealedAt the
 	// value of now when this front, as the holder of the duties, learned those of a
 	// window.
@@ -114,6 +118,7 @@
 // of the table service's clock to clock.
 func New(s Settings, platform Platform, protocol Protocol, clock *peridotclock.SharedClock, options ...Option) *Front {
 	self := peridotusage.Process{Instance: s.Instance, Incarnation: rand.Text()}
+	tally := peridotusage.NewTally(self, s.UsageWindow, keptUsageWindows)
 	f := &Front{
 		settings: s, platform: platform, protocol: protocol, clock: clock,
 		metrics:         &peridotmetric.Metrics{},
@@ -122,7 +127,8 @@
 		startedAt:       peridotclock.BootTime(),
 		placer:          peridotplace.New(xxhash.Sum64String(self.Incarnation), s.Domain),
 		retryBudget:     &peridotretry.WindowBudget{Ratio: s.RetryRatio * retryBudgetShare, Slack: 0, Window: s.RetryWindow},
-		tally:           peridotusage.NewTally(self, s.UsageWindow, keptUsageWindows),
+		tally:           tally,
+		delivery:        peridotusage.NewDelivery(tally, keptUsageWindows),
 		seals:           peridotusage.NewSeals(keptUsageWindows),
 		sealedAt:        make(map[peridotusage.Window]time.Duration),
 		limitShares:     newLimitShares(),
--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -58,6 +58,8 @@
 	Software []softwareAge `cbor:"16,keyasint,omitempty"`
 	// KnowsPast is set if Software contains those that left before the sender started.
 	KnowsPast bool `cbor:"17,keyasint,omitempty"`
+	// HoldsDuties is set if the sender holds the lease of the duties.
+	HoldsDuties bool `cbor:"19,keyasint,omitempty"`
 }
 
 // load is the encoded form of a peridotplace.Load.
--- a/peridotfront/gossip_test.go
+++ b/peridotfront/gossip_test.go
@@ -40,8 +40,8 @@
 	return f, config
 }
 
-// TestDatagramSizes sends a complete announcement to another front and checks the
-// size of its datagrams and that all loads and counts arrive.
+// TestDatagramSizes sends a complete announcement and the usage to another front and checks
+// the size of the datagrams and that all loads and counts arrive.
 func TestDatagramSizes(t *testing.T) {
 	for _, c := range []struct {
 		name              string
@@ -67,7 +67,8 @@
 				}
 			}))
 			var loads int
-			for i, m := range f.peers.messages(true) {
+			usage := f.peers.usageMessages(f.delivery.Next(f.tally.WindowAt(f.trueTime()), []string{"receiver"})["receiver"])
+			for i, m := range append(f.peers.messages(true), usage...) {
 				data, err := m.encode()
 				if err != nil {
 					t.Fatalf("datagram %d: %v", i, err)
@@ -134,14 +135,17 @@
 	}
 }
 
-// TestFinalCountsAreAnnouncedTwice guards against usage that is reported too low because no
-// announcement brought the final counts of a window to the holder of the duties.
-func TestFinalCountsAreAnnouncedTwice(t *testing.T) {
-	for _, fronts := range []int{1, 5, 21, 68, 100, 140} {
+// TestFinalCountsAreSentTwice guards against usage that is reported too low because no
+// datagram brought the final counts of a window to the holder of the duties.
+func TestFinalCountsAreSentTwice(t *testing.T) {
+	for _, fronts := range []int{1, 5, 21, 68, 100, 140, 300, 1170} {
 		for _, window := range []time.Duration{time.Second, 5 * time.Second, time.Minute} {
-			announceInterval := roundsPerAnnouncement * sendInterval(fronts)
-			if got, want := time.Duration(announcedWindows(fronts, window)-1)*window, 2*announceInterval; got < want {
-				t.Errorf("%d fronts, windows of %v: got %v after a window's end covered, want %v", fronts, window, got, want)
+			twice := 2 * usageInterval(fronts)
+			if got := time.Duration(keptUsageWindows-1) * window; got < twice {
+				t.Errorf("%d fronts, windows of %v: got %v after a window's end covered, want %v", fronts, window, got, twice)
+			}
+			if got := settleTime(fronts, 10*time.Second); got < twice {
+				t.Errorf("%d fronts: got windows that settle for %v, want %v", fronts, got, twice)
 			}
 		}
 	}
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -24,8 +24,8 @@
 	// of that time. It limits the CPU time spent on datagrams.
 	gossipIntervalPerPeer = 5 * time.Millisecond
 	// roundsPerAnnouncement is the number of rounds of datagrams from one announcement
-	// to the next. An announcement is a round that also carries usage and the addresses
-	// of other fronts.
+	// to the next. An announcement is a round that also carries the addresses of other
+	// fronts.
 	roundsPerAnnouncement = 5
 	// maxDatagramBytes is the maximum size of a datagram. IP splits a larger datagram
 	// into more fragments, and the loss of one fragment loses the whole datagram.
@@ -34,9 +34,6 @@
 	receiveBufferBytes = 2 << 20
 	// maxPlacementsPerDatagram limits the number of placements in one datagram.
 	maxPlacementsPerDatagram = 24
-	// announcedUsageWindows is the smallest number of latest usage windows that an
-	// announcement covers; see announcedWindows.
-	announcedUsageWindows = 3
 	// peerAliveTimeout is the time without a datagram from another front after which
 	// that front is no longer considered alive.
 	peerAliveTimeout = 1500 * time.Millisecond
@@ -85,6 +82,8 @@
 	// announcedSoftware is set once the front has announced the software versions that
 	// it has seen.
 	announcedSoftware bool
+	// holdsDuties is set if the front said last that it holds the lease of the duties.
+	holdsDuties bool
 	// knowsPast is set once it has said that it knows what had served before it started.
 	knowsPast bool
 }
@@ -110,6 +109,7 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	go p.receive(ctx, conn)
 	go p.front.origins.serve(ctx, conn)
+	go p.serveUsage(ctx, conn)
 	go p.followRoster(ctx)
 	for ctx.Err() == nil {
 		peridotwait.Sleep(ctx, sendInterval(p.frontCount()))
@@ -156,19 +156,19 @@
 
 // messages returns the messages of one round. The first contains the load of this
 // front. An announcement adds the software versions that this front has seen, the
-// addresses of the fronts that are alive, and further messages with the usage that this
-// front counted and the windows that it sealed.
+// addresses of the fronts that are alive, and further messages with the windows that this
+// front sealed.
 func (p *peers) messages(announce bool) []*message {
 	f := p.front
 	first := p.newMessage()
 	f.mu.Lock()
 	first.addReport(f.placer.Report(f.now(), maxPlacementsPerDatagram))
+	first.HoldsDuties = f.holdsDuties.Load()
 	first.StoreAnsweringMillis = uint32(f.storeAnsweringFor().Milliseconds())
 	f.addLimits(first, announce)
-	var windows, sealed map[peridotusage.Window]map[string]int64
+	var sealed map[peridotusage.Window]map[string]int64
 	if announce {
 		sealed = f.ownSeals()
-		windows = f.tally.OwnCounts(f.tally.WindowAt(f.trueTime()), announcedWindows(p.frontCount(), f.settings.UsageWindow))
 		ages := f.backends.software.ages(f.now())
 		first.Software = ages[:min(len(ages), maxSoftwareAges)]
 		first.KnowsPast = f.knowsPastSoftware()
@@ -184,11 +184,6 @@
 	for address := range p.alivePeers() {
 		first.Peers = append(first.Peers, address.String())
 	}
-	for _, u := range splitUsage(f.self.Incarnation, windows) {
-		m := p.newMessage()
-		m.Usage = u
-		messages = append(messages, m)
-	}
 	for _, s := range splitSeals(sealed) {
 		m := p.newMessage()
 		m.Seal = s
@@ -197,15 +192,6 @@
 	return messages
 }
 
-// announcedWindows returns the number of latest usage windows that an announcement covers,
-// the present one included. The counts of a window are final once it has ended; two
-// announcements must bring them, because one datagram may be lost.
-func announcedWindows(fronts int, window time.Duration) int {
-	announceInterval := roundsPerAnnouncement * sendInterval(fronts)
-	ended := int((2*announceInterval + window - 1) / window)
-	return min(max(announcedUsageWindows, 1+ended), keptUsageWindows)
-}
-
 func (p *peers) newMessage() *message {
 	return &message{From: p.front.settings.Instance, Address: p.front.settings.PeerAddress}
 }
@@ -411,6 +397,7 @@
 	if m.Usage == nil && m.Seal == nil {
 		state.announcedSoftware = state.announcedSoftware || len(m.Software) > 0
 		state.knowsPast = state.knowsPast || m.KnowsPast
+		state.holdsDuties = m.HoldsDuties
 		state.storeAnswering = m.StoreAnsweringMillis > 0
 		state.storeSteadySince = now - time.Duration(m.StoreAnsweringMillis)*time.Millisecond
 	}
--- a/peridotlease/rank.go
+++ b/peridotlease/rank.go
@@ -1,6 +1,8 @@
 package peridotlease
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +23,16 @@
 	return rank
 }
 
+// FirstRanked returns the n instances that should acquire the lease of a shard first, in
+// this order, or all if there are fewer.
+func FirstRanked(shard string, instances []string, n int) []string {
+	ranked := slices.Clone(instances)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Compare(rendezvousWeight(shard, b), rendezvousWeight(shard, a))
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
 func rendezvousWeight(shard, instance string) uint64 {
 	return xxhash.Sum64String(shard + "\x00" + instance)
 }
