Report loads to other fronts as often as links and processors bear

Change: 2 ms for each front instead of 5, and never more than a fifth of the front's link, by the measured size of its reports.

--- a/peridotfront/gossip_test.go
+++ b/peridotfront/gossip_test.go
@@ -150,3 +150,33 @@
 		}
 	}
 }
+
+// TestReportIntervals guards against engines that many fronts choose at once because the
+// loads that they know are older than the prefill of a long prompt, and against load reports
+// that fill the link of a small front.
+func TestReportIntervals(t *testing.T) {
+	const megabit = 1e6 / 8
+	tests := []struct {
+		fronts      int
+		reportBytes float64
+		link        float64
+		most        time.Duration
+	}{
+		{fronts: 5, reportBytes: 300, link: 1000 * megabit, most: 40 * time.Millisecond},
+		{fronts: 25, reportBytes: 300, link: 10 * megabit, most: 60 * time.Millisecond},
+		{fronts: 68, reportBytes: 300, link: 20 * megabit, most: 150 * time.Millisecond},
+		{fronts: 25, reportBytes: 1300, link: 10 * megabit, most: 150 * time.Millisecond},
+		{fronts: 300, reportBytes: 300, link: 20 * megabit, most: 700 * time.Millisecond},
+		{fronts: 1170, reportBytes: maxDatagramBytes, link: 10 * megabit, most: time.Minute},
+	}
+	for _, test := range tests {
+		got := sendInterval(test.fronts, test.reportBytes, test.link)
+		if got < gossipInterval || got > test.most {
+			t.Errorf("%d fronts, reports of %v bytes, %v bytes/s: got an interval of %v, want at least %v and at most %v", test.fronts, test.reportBytes, test.link, got, gossipInterval, test.most)
+		}
+		share := float64(test.fronts-1) * test.reportBytes / got.Seconds() / test.link
+		if share > gossipLinkShare*1.01 {
+			t.Errorf("%d fronts, reports of %v bytes, %v bytes/s: got a share of %v of the link, want at most %v", test.fronts, test.reportBytes, test.link, share, gossipLinkShare)
+		}
+	}
+}
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -22,7 +22,10 @@
 	gossipInterval = 40 * time.Millisecond
 	// gossipIntervalPerPeer, multiplied by the number of fronts, is another lower bound
 	// of that time. It limits the CPU time spent on datagrams.
-	gossipIntervalPerPeer = 5 * time.Millisecond
+	gossipIntervalPerPeer = 2 * time.Millisecond
+	// gossipLinkShare is the fraction of its network link that a front uses for load
+	// reports.
+	gossipLinkShare = 0.2
 	// roundsPerAnnouncement is the number of rounds of datagrams from one announcement
 	// to the next. An announcement is a round that also carries the addresses of other
 	// fronts.
@@ -30,6 +33,8 @@
 	// maxDatagramBytes is the maximum size of a datagram. IP splits a larger datagram
 	// into more fragments, and the loss of one fragment loses the whole datagram.
 	maxDatagramBytes = 8 << 10
+	// reportSmoothing is the weight of a new load report in the average size.
+	reportSmoothing = 0.2
 	// receiveBufferBytes is the receive buffer for datagrams; the kernel may allow less.
 	receiveBufferBytes = 2 << 20
 	// maxPlacementsPerDatagram limits the number of placements in one datagram.
@@ -61,6 +66,8 @@
 	byAddress map[netip.AddrPort]*peerState
 	// rounds counts the rounds of datagrams sent.
 	rounds int
+	// reportBytes is the moving average of the size of a load report.
+	reportBytes float64
 	// rosterRead is set once the roster has been read.
 	rosterRead bool
 	// changes counts the fronts that became known, and those heard for the first time.
@@ -112,16 +119,33 @@
 	go p.serveUsage(ctx, conn)
 	go p.followRoster(ctx)
 	for ctx.Err() == nil {
-		peridotwait.Sleep(ctx, sendInterval(p.frontCount()))
+		peridotwait.Sleep(ctx, p.sendInterval())
 		p.sendRound(conn)
 	}
 	return nil
 }
 
-// sendInterval returns the time between two rounds of datagrams, given the number
-// of fronts.
-func sendInterval(fronts int) time.Duration {
-	return max(gossipInterval, time.Duration(fronts)*gossipIntervalPerPeer)
+// sendInterval returns the time between two rounds of datagrams, given the number of
+// fronts, the size of a load report and the rate of the network link.
+func sendInterval(fronts int, reportBytes, linkBytesPerSecond float64) time.Duration {
+	interval := max(gossipInterval, time.Duration(fronts)*gossipIntervalPerPeer)
+	if linkBytesPerSecond > 0 {
+		seconds := float64(fronts-1) * reportBytes / (gossipLinkShare * linkBytesPerSecond)
+		interval = max(interval, time.Duration(seconds*float64(time.Second)))
+	}
+	return interval
+}
+
+// sendInterval returns the present time between two rounds of datagrams.
+func (p *peers) sendInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return sendInterval(len(p.byAddress)+1, p.reportBytes, p.front.settings.LinkBytesPerSecond)
+}
+
+// announceInterval returns the present time between two announcements.
+func (p *peers) announceInterval() time.Duration {
+	return roundsPerAnnouncement * p.sendInterval()
 }
 
 // sendRound sends one round of datagrams to the other fronts.
@@ -134,24 +158,36 @@
 	p.rounds++
 	announce := p.rounds%roundsPerAnnouncement == 0
 	p.mu.Unlock()
-	for _, m := range p.messages(announce) {
-		p.broadcast(conn, to, m)
+	for i, m := range p.messages(announce) {
+		bytes := p.broadcast(conn, to, m)
+		if i == 0 {
+			p.observeReport(bytes)
+		}
 	}
 }
 
-// broadcast sends one message to all addresses.
-func (p *peers) broadcast(conn *net.UDPConn, to []netip.AddrPort, m *message) {
+// observeReport updates the average size of a load report.
+func (p *peers) observeReport(bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reportBytes += (float64(bytes) - p.reportBytes) * reportSmoothing
+}
+
+// broadcast sends one message to all addresses. It returns the size of the datagram, or 0
+// if the message cannot be sent.
+func (p *peers) broadcast(conn *net.UDPConn, to []netip.AddrPort, m *message) int {
 	data, err := m.encode()
 	if err != nil {
 		p.front.metrics.Count("datagrams_not_sent")
 		log.WithError(err).Warn(logPrefix + "cannot encode a datagram for the other fronts")
-		return
+		return 0
 	}
 	for _, address := range to {
 		if _, err := conn.WriteToUDPAddrPort(data, address); err != nil {
 			p.front.metrics.Count("datagram_failures")
 		}
 	}
+	return len(data)
 }
 
 // messages returns the messages of one round. The first contains the load of this
--- a/peridotfront/seals.go
+++ b/peridotfront/seals.go
@@ -63,8 +63,7 @@
 	if len(f.peers.alivePeers()) == 0 {
 		return true
 	}
-	announceInterval := roundsPerAnnouncement * sendInterval(f.peers.frontCount())
-	wait := min(announcementsBeforeReport*announceInterval, f.settings.UsageReportDue/8)
+	wait := min(announcementsBeforeReport*f.peers.announceInterval(), f.settings.UsageReportDue/8)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.now()-f.sealedAt[w] >= wait
--- a/peridotfront/seals_test.go
+++ b/peridotfront/seals_test.go
@@ -148,7 +148,7 @@
 	if d.isAnnounced(w) {
 		t.Error("just sealed: got announced, want not announced")
 	}
-	time.Sleep(announcementsBeforeReport * roundsPerAnnouncement * sendInterval(2))
+	time.Sleep(announcementsBeforeReport * roundsPerAnnouncement * sendInterval(2, 0, 0))
 	if !d.isAnnounced(w) {
 		t.Error("after two announcements: got not announced, want announced")
 	}
