Send usage counts to the last holder of the duties, too

Change: the counts go to each front that held the duties within 30 s; only a holder that was no collector waits.

--- a/peridotfront/collectors.go
+++ b/peridotfront/collectors.go
@@ -16,6 +16,9 @@
 	// collectorsAhead is the number of fronts beside the holder of the duties to which usage
 	// counts are sent: those that should take over the duties first.
 	collectorsAhead = 3
+	// holderMemory is how long usage counts are sent to a front that held the duties: after
+	// an outage of the table service it mostly holds them again.
+	holderMemory = 30 * time.Second
 	// minUsageInterval and usageIntervalPerFront, multiplied by the number of fronts, are
 	// lower bounds of the time between two deliveries of usage counts. The latter limits
 	// what the collectors receive.
@@ -67,15 +70,17 @@
 }
 
 // collectors returns the addresses of the other fronts to which usage counts are sent, by
-// instance name: the one that holds the duties, and those that should take them over first.
+// instance name: those that have held the duties within holderMemory, and those that should
+// take them over first.
 func (p *peers) collectors() map[string]netip.AddrPort {
 	addresses := make(map[string]netip.AddrPort)
+	now := p.front.now()
 	var holders []string
 	names := []string{p.front.settings.Instance}
 	for address, state := range p.alivePeers() {
 		addresses[state.instance] = address
 		names = append(names, state.instance)
-		if state.holdsDuties {
+		if state.heldDutiesAt > 0 && now-state.heldDutiesAt < holderMemory {
 			holders = append(holders, state.instance)
 		}
 	}
--- a/peridotfront/duties.go
+++ b/peridotfront/duties.go
@@ -65,6 +65,11 @@
 	firstWindow peridotusage.Window
 	// termStart is when the current term started, as a boot time.
 	termStart time.Time
+	// collected is set if the other fronts sent their usage counts to this one already
+	// before the current term, and heldAt is the boot time at which this front held the
+	// lease last.
+	collected bool
+	heldAt    time.Time
 	// era is the era of the table service, seen first at the boot time eraSeenAt.
 	era       int64
 	eraSeenAt time.Time
@@ -106,6 +111,7 @@
 		heldGauge := 0.0
 		if holder, ok := d.currentHolder(); ok {
 			heldGauge = 1
+			d.heldAt = peridotclock.BootTime()
 			d.reportUsage(ctx, holder)
 		}
 		d.front.holdsDuties.Store(heldGauge > 0)
@@ -134,6 +140,8 @@
 	f := d.front
 	d.grantToken, d.reported = token, make(map[peridotusage.Window]bool)
 	d.termStart = peridotclock.BootTime()
+	rank := peridotlease.Rank(dutyShard, f.settings.Instance, f.peers.aliveInstances())
+	d.collected = rank < collectorsAhead || !d.heldAt.IsZero() && d.termStart.Sub(d.heldAt) < holderMemory
 	f.mu.Lock()
 	d.firstWindow = f.tally.WindowAt(f.trueTime().Add(-f.settings.UsageReportDue - f.settings.UsageWindow))
 	f.mu.Unlock()
@@ -148,7 +156,7 @@
 		return
 	}
 	settle := settleTime(f.peers.frontCount(), f.settings.UsageReportDue)
-	if peridotclock.BootTime().Sub(d.termStart) < settle {
+	if !d.collected && peridotclock.BootTime().Sub(d.termStart) < settle {
 		return // The other fronts send their counts once they know that this one is the holder.
 	}
 	f.mu.Lock()
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -89,8 +89,9 @@
 	// announcedSoftware is set once the front has announced the software versions that
 	// it has seen.
 	announcedSoftware bool
-	// holdsDuties is set if the front said last that it holds the lease of the duties.
-	holdsDuties bool
+	// heldDutiesAt is when the front said last that it holds the lease of the duties; zero
+	// means never.
+	heldDutiesAt time.Duration
 	// knowsPast is set once it has said that it knows what had served before it started.
 	knowsPast bool
 }
@@ -433,7 +434,9 @@
 	if m.Usage == nil && m.Seal == nil {
 		state.announcedSoftware = state.announcedSoftware || len(m.Software) > 0
 		state.knowsPast = state.knowsPast || m.KnowsPast
-		state.holdsDuties = m.HoldsDuties
+		if m.HoldsDuties {
+			state.heldDutiesAt = now
+		}
 		state.storeAnswering = m.StoreAnsweringMillis > 0
 		state.storeSteadySince = now - time.Duration(m.StoreAnsweringMillis)*time.Millisecond
 	}
