Do not cancel sound prefills of engines whose speed is unknown

Cause: a front that has just started assumes 300 tokens a ms, and cancels a prefill after three times the expected time and 400 ms. Change: until an engine of the service has been measured, tries may take as long as at an engine that is eight times slower, the slowness at which the placer stops counting.

--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -248,9 +248,10 @@
 }
 
 // prefillTimeout returns how long the prefill of c may take before it is canceled
-// if the prompt can be placed elsewhere.
+// if the prompt can be placed elsewhere. An engine of unknown speed may be sound although
+// it takes many times as long.
 func (x *exchange) prefillTimeout(c peridotplace.Choice) time.Duration {
-	timeout := prefillTimeoutFactor*c.Wait + prefillTimeoutSlack
+	timeout := prefillTimeoutFactor*c.Wait + prefillTimeoutSlack + c.SlowestPrefillTime - c.PrefillTime
 	if x.late {
 		return max(timeout, time.Duration(latePrefillShare*float64(x.remainingWait())))
 	}
@@ -383,7 +384,7 @@
 	x.logFields["backend"] = c.Backend
 	x.logFields["software"] = to.SoftwareVersion
 	x.logFields["late"] = x.late
-	s := &stream{exchange: x, flight: flight, expectedWait: c.Wait, software: to.SoftwareVersion}
+	s := &stream{exchange: x, flight: flight, expectedWait: c.Wait, tolerance: c.SlowestPrefillTime - c.PrefillTime, software: to.SoftwareVersion}
 	err := s.run(to, requestHead)
 	if err == nil && s.failureForwarded {
 		f.endFlight(flight, peridotplace.Failed)
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -44,6 +44,8 @@
 	// expectedWait is the Wait of the run's peridotplace.Choice: the expected time until
 	// the prefill has run and its KV cache is at the engine.
 	expectedWait time.Duration
+	// tolerance is how much longer the prefill may take at an engine of unknown speed.
+	tolerance time.Duration
 	// watch cancels the run if no event arrives for too long. It is not started if the
 	// request must not be resumed at another engine.
 	watch     *stallWatch
@@ -70,7 +72,7 @@
 	ctx, s.watch = x.watchStall(stallStream, to)
 	s.isWatched = x.canRun(x.runs + 1)
 	if s.isWatched {
-		timeout := minStallTimeout + stallWaitFactor*s.expectedWait
+		timeout := minStallTimeout + stallWaitFactor*s.expectedWait + s.tolerance
 		if x.late {
 			timeout = max(timeout, x.remainingWait()/2) // A late request may be queued behind others for that long.
 		}
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -66,6 +66,9 @@
 	PrefillTime time.Duration
 	// UncachedTokens is the estimated number of tokens that must be read.
 	UncachedTokens int
+	// SlowestPrefillTime is the time that the prefill may take at a sound engine. It is
+	// longer than PrefillTime while no engine of the service has been measured.
+	SlowestPrefillTime time.Duration
 	// FetchBackend is the ID of the engine from whose KV cache the one that does the
 	// prefill fetches a prefix of the prompt that it does not have; empty if it fetches
 	// none.
@@ -82,6 +85,10 @@
 	for pass := range 2 {
 		best, ok := p.place(now, prompt, group, pass == 1)
 		if ok {
+			best.SlowestPrefillTime = best.PrefillTime
+			if !p.isMeasured(prompt.Service) {
+				best.SlowestPrefillTime *= maxSlowness
+			}
 			return best, true
 		}
 	}
--- a/peridotplace/speed.go
+++ b/peridotplace/speed.go
@@ -75,6 +75,11 @@
 	return v
 }
 
+// isMeasured reports whether the speed of any engine of a service has been measured.
+func (p *Placer) isMeasured(service string) bool {
+	return p.speeds[speedKey{service, true}].isMeasured() || p.speeds[speedKey{service, false}].isMeasured()
+}
+
 // tokensPerMilli returns the estimated number of prompt tokens that the engines of a key
 // read in a millisecond.
 func (p *Placer) tokensPerMilli(key speedKey) float64 {
