--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"peridotstack/peridotclock"
+	"peridotstack/peridotquarantine"
 	"peridotstack/peridotsite"
 	"peridotstack/peridotverdict"
 )
@@ -52,6 +53,8 @@
 	service *peridotsite.Service
 	account string
 	body    []byte
+	// identity is what all requests have in common that ask the same.
+	identity peridotquarantine.Part
 
 	// arrivedAt is when the request arrived, on the clock of peridotclock.BootTime.
 	arrivedAt time.Time
@@ -215,7 +218,21 @@
 	if f.stopping.Load() && f.now()+x.timeout > time.Duration(f.closeConnsAt.Load()) {
 		return peridotverdict.New(peridotverdict.ShuttingDown, peridotverdict.NotRun, "this instance stops before the request could be answered", peridotverdict.RetryAfter(stoppingRetryAfter))
 	}
-	return x.readBody()
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	x.identify()
+	return nil
+}
+
+// identify sets the identity of the request once its caller and body are known.
+func (x *exchange) identify() {
+	target := hostOf(x.request) + x.request.URL.EscapedPath() + "?" + x.request.URL.RawQuery
+	prompt := uint64(0)
+	if n := len(x.call.Parts); n > 0 {
+		prompt = uint64(x.call.Parts[n-1].Hash) // Covers the parts before it.
+	}
+	x.identity = peridotquarantine.RequestOf(x.request.Method, target, x.account, prompt, x.body)
 }
 
 // hostOf returns the host of the request in lower case and without a port.
--- a/peridotquarantine/part_test.go
+++ b/peridotquarantine/part_test.go
@@ -21,3 +21,30 @@
 		}
 	}
 }
+
+// TestRequestOf guards against requests that are taken for others, and against repeats
+// that are not recognized.
+func TestRequestOf(t *testing.T) {
+	want := RequestOf("GET", "board.example/x", "parish", 0, []byte("b"))
+	if got := RequestOf("GET", "board.example/x", "parish", 0, []byte("b")); got != want || !got.IsRequest() {
+		t.Errorf("got %v for the same request, whole %v; want %v, true", got, got.IsRequest(), want)
+	}
+	for _, test := range []struct {
+		name string
+		got  Part
+	}{
+		{name: "method", got: RequestOf("POST", "board.example/x", "parish", 0, []byte("b"))},
+		{name: "target", got: RequestOf("GET", "board.example/y", "parish", 0, []byte("b"))},
+		{name: "caller", got: RequestOf("GET", "board.example/x", "", 0, []byte("b"))},
+		{name: "prompt", got: RequestOf("GET", "board.example/x", "parish", 1, []byte("b"))},
+		{name: "body", got: RequestOf("GET", "board.example/x", "parish", 0, []byte("c"))},
+		{name: "shifted fields", got: RequestOf("GET", "board.example/xparish", "", 0, []byte("b"))},
+	} {
+		if test.got == want {
+			t.Errorf("%s: got %v for another request as well", test.name, want)
+		}
+	}
+	if PartOf("a").IsRequest() || PartOf("b").IsRequest() || PartOf("c").IsRequest() {
+		t.Error("a part of a prompt is taken for a request")
+	}
+}
