Quarantine: keep whole requests from servers that end under them

Callers of a plain service saw all requests refused for seconds at a time: repeats of one request, with the same path, caller and body, ended all servers of the service, and again as soon as those were back.

Cause: what a front learns from a run that its server didn't survive is kept with the exchange (triedBackends). The quarantine took only parts of prompts that prompts share, and plain services neither reported nor asked it.

Now the whole request is a part, too: a hash of its method, host, path, query, client account, body and prompt parts. Runs of plain requests that break off are suspicions, and all requests ask before each send. A request is quarantined after three ends, as no others have it in common by chance. One that has been answered is sound and is not accused; all fronts are told so. The last part of a prompt counts, too: without it the parts that a repeated prompt shares with sound ones were blamed. Prefills that break off accuse the whole request only. Accusations of a request are stored from the second end on: each end accuses all that ran at the server.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -55,6 +55,8 @@
 	body    []byte
 	// identity is what all requests have in common that ask the same.
 	identity peridotquarantine.Part
+	// suspects are the parts under which servers may end: identity and those of the prompt.
+	suspects []peridotquarantine.Part
 
 	// arrivedAt is when the request arrived, on the clock of peridotclock.BootTime.
 	arrivedAt time.Time
@@ -114,10 +116,10 @@
 	// refusedBackends contains those of triedBackends that were full. They may be tried
 	// again for a started answer.
 	refusedBackends []string
-	// quarantinedBackends contains the backend servers to which the prompt must not be
+	// quarantinedBackends contains the backend servers to which the request must not be
 	// sent. checkQuarantine sets it before each choice of a server.
 	quarantinedBackends []string
-	// onTrial is set if the next try may send a prompt whose part may have ended servers.
+	// onTrial is set if the next try may send a request that may have ended servers.
 	onTrial bool
 	// silentFor is how long the server of the last try had sent nothing when this
 	// instance gave the try up; 0 if the try ended otherwise. stallWatch.stop sets it,
@@ -205,8 +207,8 @@
 	if x.service == nil {
 		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the route's service is not configured", peridotverdict.RetryAfter(noBackendRetryAfter))
 	}
-	if x.service.Engine != nil && !f.quarantine.isLoaded() {
-		return peridotverdict.New(peridotverdict.ConfigStale, peridotverdict.NotRun, "this instance does not know yet which prompts to refuse", peridotverdict.RetryAfter(quarantineLoadRetryAfter))
+	if !f.quarantine.isLoaded() {
+		return peridotverdict.New(peridotverdict.ConfigStale, peridotverdict.NotRun, "this instance does not know yet which requests to refuse", peridotverdict.RetryAfter(quarantineLoadRetryAfter))
 	}
 	x.timeout = defaultRequestTimeout
 	if x.route.Timeout > 0 {
@@ -225,7 +227,7 @@
 	return nil
 }
 
-// identify sets the identity of the request once its caller and body are known.
+// identify sets the identity and suspects once the caller and the body are known.
 func (x *exchange) identify() {
 	target := hostOf(x.request) + x.request.URL.EscapedPath() + "?" + x.request.URL.RawQuery
 	prompt := uint64(0)
@@ -233,6 +235,7 @@
 		prompt = uint64(x.call.Parts[n-1].Hash) // Covers the parts before it.
 	}
 	x.identity = peridotquarantine.RequestOf(x.request.Method, target, x.account, prompt, x.body)
+	x.suspects = append([]peridotquarantine.Part{x.identity}, x.call.PromptParts...)
 }
 
 // hostOf returns the host of the request in lower case and without a port.
--- a/peridotfront/plain.go
+++ b/peridotfront/plain.go
@@ -33,6 +33,10 @@
 	f := x.front
 	var errorAnswer *bufferedAnswer
 	for {
+		if err := x.checkQuarantine(); err != nil {
+			x.finishPlain(errorAnswer, err)
+			return
+		}
 		id, ok := x.placePlain()
 		if !ok && x.readmitSilent() {
 			id, ok = x.placePlain()
@@ -112,6 +116,7 @@
 		if err.Verdict != peridotverdict.NotRun {
 			x.runs++
 			x.countRun()
+			x.recordBreak(ctx, to, err, x.suspects)
 		}
 		f.endFlight(flight, x.failureOutcome(err))
 		return nil, err
@@ -119,6 +124,12 @@
 	x.runs++
 	x.countRun()
 	body, readErr := answer.ReadAll(maxAnswerBytes)
+	if readErr == nil && !answer.EndsWithConnection() {
+		f.quarantine.recordBegun(x.suspects, softwareOf(to))
+	}
+	if readErr != nil {
+		x.recordBreak(ctx, to, peridotverdict.As(readErr), x.suspects)
+	}
 	if readErr == nil && !head.Sealed && answer.StatusCode < http.StatusMultipleChoices {
 		readErr = peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.MayHaveRun, "the answer bears no seal")
 	}
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -292,10 +292,14 @@
 	isRejected := err == nil && head.NotRun || err != nil && err.Verdict == peridotverdict.NotRun
 	x.prefillAccepted = x.prefillAccepted || !isRejected
 	if err != nil {
+		if !isRejected {
+			x.recordPrefillBreak(ctx, to, err)
+		}
 		return "", peridotverdict.New(err.Code, peridotverdict.NotRun, "prefill: "+err.Message, peridotverdict.Cause(err))
 	}
 	body, readErr := answer.ReadAll(maxHandleBytes)
 	if readErr != nil {
+		x.recordPrefillBreak(ctx, to, peridotverdict.As(readErr))
 		return "", peridotverdict.New(peridotverdict.PeerLost, peridotverdict.NotRun, "prefill: the answer broke off", peridotverdict.Cause(readErr))
 	}
 	if answer.StatusCode != http.StatusOK {
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -60,9 +60,8 @@
 	MaxTokens int
 	// Parts are the parts of the prompt, in order.
 	Parts []peridotplace.Part
-	// SharedParts are the parts of the prompt but the last, which belongs to the request
-	// or its session alone.
-	SharedParts []peridotquarantine.Part
+	// PromptParts are the IDs of the parts of the prompt, in order.
+	PromptParts []peridotquarantine.Part
 }
 
 // RequestHead contains the values that the front sets in the head of a request to a
--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -20,20 +20,20 @@
 	// secondProbeDelay is the time between the two probes of a server that broke off a
 	// run. A process that ends closes its connections and its listener one by one.
 	secondProbeDelay = 100 * time.Millisecond
-	// quarantineLoadTime is how long after its start a front refuses prompts if it knows
+	// quarantineLoadTime is how long after its start a front refuses requests if it knows
 	// neither the stored accusations nor those of another front.
 	quarantineLoadTime = 2 * time.Second
 	// quarantineLoadRetryAfter is the Retry-After until then.
 	quarantineLoadRetryAfter = 100 * time.Millisecond
-	// trialSlot is the time for which one front may send a prompt on trial. It exceeds the
+	// trialSlot is the time for which one front may send a request on trial. It exceeds the
 	// time in which the other fronts learn how the trial ended.
 	trialSlot = time.Second
-	// trialRetryAfter is the Retry-After of a prompt that waits for the trial of another.
+	// trialRetryAfter is the Retry-After of a request that waits for the trial of another.
 	trialRetryAfter = 300 * time.Millisecond
 )
 
-// quarantine keeps prompts from backend servers that have a part under which servers
-// ended. It shares what it learns with the other fronts and the table service. Its methods
+// quarantine keeps requests from backend servers under which servers ended, or under a part
+// of whose prompt. It shares what it learns with the other fronts and the table service. Its methods
 // are safe for concurrent use. Front.mu may be locked when they are called, but they must
 // not lock it.
 type quarantine struct {
@@ -71,7 +71,7 @@
 	return q.loaded || q.front.now() > quarantineLoadTime
 }
 
-// recordBegun records that an answer has begun on the parts.
+// recordBegun records that an answer has begun on the parts, or has come.
 func (q *quarantine) recordBegun(parts []peridotquarantine.Part, at peridotquarantine.Software) {
 	if len(parts) == 0 {
 		return
@@ -87,16 +87,32 @@
 	for _, a := range refuted {
 		q.rows.delete(a)
 		q.news.addSound(a.Part, a.At)
-		q.front.metrics.Count("prompt_accusations_refuted")
-		log.WithFields(log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version}).Info(logPrefix + "prompt part is sound")
+		q.front.metrics.Count(kindOf(a.Part) + "_accusations_refuted")
+		log.WithFields(log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version}).Info(logPrefix + nameOf(a.Part) + " is sound")
 	}
 	if len(refuted) > 0 {
 		notify(q.changed)
 	}
 }
 
-// recordBreak records that a server broke off a run before its first event, and begins to
-// find out whether the server has ended.
+// kindOf returns the prefix of the metrics of a part.
+func kindOf(part peridotquarantine.Part) string {
+	if part.IsRequest() {
+		return "request"
+	}
+	return "prompt"
+}
+
+// nameOf returns what log lines call a part.
+func nameOf(part peridotquarantine.Part) string {
+	if part.IsRequest() {
+		return "request"
+	}
+	return "prompt part"
+}
+
+// recordBreak records that a server broke off a run, and begins to find out whether the
+// server has ended.
 func (q *quarantine) recordBreak(s peridotquarantine.Suspicion, address string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -113,7 +129,7 @@
 		peridotwait.Sleep(context.Background(), time.Duration(probe)*secondProbeDelay)
 		switch q.probe(context.Background(), address) {
 		case peridotlink.NotListening:
-			line.Warn(logPrefix + "backend server ended before the first event")
+			line.Warn(logPrefix + "backend server ended under a request")
 			q.confirm(s.End())
 			return
 		case peridotlink.PresenceUnknown:
@@ -155,14 +171,25 @@
 	for _, s := range suspicions {
 		for _, a := range s.Accusations(now) {
 			if q.accuse(now, a) {
-				q.rows.put(a)
+				q.store(a.Part)
 				q.news.addAccusation(a)
-				notify(q.changed)
 			}
 		}
 	}
 }
 
+// store puts the accusations of a part that must last into the table service. The caller
+// must hold q.mu.
+func (q *quarantine) store(part peridotquarantine.Part) {
+	if !q.table.MustLast(part) {
+		return
+	}
+	for _, a := range q.table.Of(part) {
+		q.rows.put(a)
+	}
+	notify(q.changed)
+}
+
 // accuse adds an accusation and reports whether that is new. The caller must hold q.mu.
 func (q *quarantine) accuse(now time.Time, a peridotquarantine.Accusation) bool {
 	before := q.table.IsQuarantined(now, a.Part, a.At)
@@ -171,9 +198,9 @@
 	}
 	fields := log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version, "begun": a.Begun}
 	if !before && q.table.IsQuarantined(now, a.Part, a.At) {
-		log.WithFields(fields).Warn(logPrefix + "prompt part quarantined")
+		log.WithFields(fields).Warn(logPrefix + nameOf(a.Part) + " quarantined")
 	} else {
-		log.WithFields(fields).Info(logPrefix + "prompt part accused")
+		log.WithFields(fields).Info(logPrefix + nameOf(a.Part) + " accused")
 	}
 	return true
 }
@@ -185,7 +212,7 @@
 	return slices.ContainsFunc(parts, q.table.IsAccused)
 }
 
-// judge returns what becomes of a prompt at servers of the given software, and the error
+// judge returns what becomes of a request at servers of the given software, and the error
 // with which to refuse it unless that is Allowed.
 func (q *quarantine) judge(parts []peridotquarantine.Part, at peridotquarantine.Software) (peridotquarantine.Judgment, *peridotverdict.Error) {
 	if !q.isAnyAccused(parts) {
@@ -202,10 +229,20 @@
 	case peridotquarantine.Refused:
 		retryAfter = q.table.Until(part).Sub(now)
 	}
-	return judgment, peridotverdict.New(peridotverdict.PromptQuarantined, peridotverdict.NotRun, "backend servers ended under part "+part.String()+" of the prompt", peridotverdict.RetryAfter(retryAfter))
+	return judgment, quarantineError(part, retryAfter)
+}
+
+// quarantineError returns the error of a request that is refused because servers ended
+// under a part.
+func quarantineError(part peridotquarantine.Part, retryAfter time.Duration) *peridotverdict.Error {
+	code, message := peridotverdict.PromptQuarantined, "backend servers ended under part "+part.String()+" of the prompt"
+	if part.IsRequest() {
+		code, message = peridotverdict.RequestQuarantined, "backend servers ended when they ran this request"
+	}
+	return peridotverdict.New(code, peridotverdict.NotRun, message, peridotverdict.RetryAfter(retryAfter))
 }
 
-// claimTrial reports whether this front may send one prompt on trial now. Of all fronts
+// claimTrial reports whether this front may send one request on trial now. Of all fronts
 // that know each other, one at a time may, so that trials are few in sum.
 func (q *quarantine) claimTrial() bool {
 	index, count := q.front.peers.position()
@@ -243,37 +280,46 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.table.Expire(now)
-	accused, quarantined := q.table.Counts(now)
-	q.front.metrics.SetGauge("prompt_parts_accused", float64(accused))
-	q.front.metrics.SetGauge("prompt_parts_quarantined", float64(quarantined))
+	requests, parts := q.table.Counts(now)
+	q.front.metrics.SetGauge("requests_accused", float64(requests.Accused))
+	q.front.metrics.SetGauge("requests_quarantined", float64(requests.Quarantined))
+	q.front.metrics.SetGauge("prompt_parts_accused", float64(parts.Accused))
+	q.front.metrics.SetGauge("prompt_parts_quarantined", float64(parts.Quarantined))
 }
 
-// recordBreak records that the engine broke off the run of a prompt before its first
-// event. ctx is that of the try: a run that this instance canceled says nothing about the
-// engine, and neither does the end of one that leaves.
-func (s *stream) recordBreak(ctx context.Context, at peridotsite.Backend, err *peridotverdict.Error) {
-	x := s.exchange
+// recordBreak records that a server broke off a run, under one of the given parts if it
+// has ended. ctx is that of the try: a run that this instance canceled says nothing about
+// the server, and neither does the end of one that leaves.
+func (x *exchange) recordBreak(ctx context.Context, at peridotsite.Backend, err *peridotverdict.Error, parts []peridotquarantine.Part) {
 	isBreak := err.Code == peridotverdict.PeerLost || err.Code == peridotverdict.ShortAnswer
-	if !isBreak || s.hasEvents || ctx.Err() != nil || len(x.call.SharedParts) == 0 || at.Leaving {
+	if !isBreak || ctx.Err() != nil || at.Leaving {
 		return
 	}
-	x.front.quarantine.recordBreak(peridotquarantine.Suspicion{ID: at.ID, Born: at.Born, At: softwareOf(at), Parts: x.call.SharedParts, Begun: x.headReceived}, at.Address)
+	// Answers of other servers come whole: a head says nothing about the runs beside it.
+	begun := x.headReceived && x.service.Engine != nil
+	x.front.quarantine.recordBreak(peridotquarantine.Suspicion{ID: at.ID, Born: at.Born, At: softwareOf(at), Parts: parts, Begun: begun}, at.Address)
 }
 
-// checkQuarantine finds the engines to which the prompt must not be sent. It returns an
-// error if that are all engines of the service. A prompt on trial gets the right to one
+// recordPrefillBreak records that an engine broke off a prefill. An engine that writes on
+// none of the parts can only have ended under the whole request.
+func (x *exchange) recordPrefillBreak(ctx context.Context, at peridotsite.Backend, err *peridotverdict.Error) {
+	x.recordBreak(ctx, at, err, x.suspects[:1])
+}
+
+// checkQuarantine finds the servers to which the request must not be sent. It returns an
+// error if that are all servers of the service. A request on trial gets the right to one
 // try.
 func (x *exchange) checkQuarantine() *peridotverdict.Error {
 	f := x.front
 	x.quarantinedBackends, x.onTrial = nil, false
-	if !f.quarantine.isAnyAccused(x.call.SharedParts) {
+	if !f.quarantine.isAnyAccused(x.suspects) {
 		return nil
 	}
 	var refused, onTrial []string
 	var refusal *peridotverdict.Error
 	allowed := 0
 	for _, b := range f.backendsOf(x.service.Name) {
-		switch judgment, err := f.quarantine.judge(x.call.SharedParts, softwareOf(b)); judgment {
+		switch judgment, err := f.quarantine.judge(x.suspects, softwareOf(b)); judgment {
 		case peridotquarantine.Allowed:
 			allowed++
 		case peridotquarantine.OnTrial:
@@ -293,12 +339,9 @@
 	return refusal
 }
 
-// refuseQuarantined returns an error if the prompt must not be sent to a backend server.
+// refuseQuarantined returns an error if the request must not be sent to a backend server.
 func (x *exchange) refuseQuarantined(to peridotsite.Backend) *peridotverdict.Error {
-	if x.service.Engine == nil {
-		return nil
-	}
-	judgment, err := x.front.quarantine.judge(x.call.SharedParts, softwareOf(to))
+	judgment, err := x.front.quarantine.judge(x.suspects, softwareOf(to))
 	if judgment == peridotquarantine.OnTrial && x.onTrial {
 		return nil
 	}
@@ -306,7 +349,7 @@
 }
 
 // excludedBackends returns the backend servers that must not be chosen: those that were
-// tried, and those to which the prompt must not be sent.
+// tried, and those to which the request must not be sent.
 func (x *exchange) excludedBackends() []string {
 	if len(x.quarantinedBackends) == 0 {
 		return x.triedBackends
--- a/peridotfront/quarantinerows.go
+++ b/peridotfront/quarantinerows.go
@@ -137,7 +137,7 @@
 		q.applyRow(now, row)
 	}
 	for _, a := range q.table.All() {
-		if !known[quarantineKey(a)] {
+		if !known[quarantineKey(a)] && q.table.MustLast(a.Part) {
 			q.rows.put(a)
 		}
 	}
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		if err.Verdict != peridotverdict.NotRun {
 			x.runs++
-			s.recordBreak(ctx, to, err)
+			x.recordBreak(ctx, to, err, x.suspects)
 		}
 		return err
 	}
@@ -149,7 +149,9 @@
 		if err != nil {
 			answer.Abandon()
 			failure := peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream broke off", peridotverdict.Cause(err))
-			s.recordBreak(ctx, to, failure)
+			if !s.hasEvents {
+				x.recordBreak(ctx, to, failure, x.suspects)
+			}
 			return failure
 		}
 		s.watch.pause() // A caller that reads slowly is no silence of the server.
@@ -173,7 +175,7 @@
 		s.hasEvents = true
 		x := s.exchange
 		x.countRun()
-		x.front.quarantine.recordBegun(x.call.SharedParts, peridotquarantine.Software{Service: x.service.Name, Version: s.software})
+		x.front.quarantine.recordBegun(x.suspects, peridotquarantine.Software{Service: x.service.Name, Version: s.software})
 	}
 }
 
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -175,8 +175,8 @@
 	x.triedBackends = append(x.triedBackends, backend)
 	to, _ := x.front.backend(backend)
 	fields := log.Fields{"request": x.call.ID, "backend": backend, "software": to.SoftwareVersion, "last_event": x.lastEventID, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining(), "head": x.headReceived, "identity": x.identity}
-	if len(x.call.SharedParts) > 0 {
-		fields["parts"] = x.call.SharedParts
+	if len(x.call.PromptParts) > 0 {
+		fields["parts"] = x.call.PromptParts
 	}
 	if err.Verdict == peridotverdict.NotRun && err.Code == peridotverdict.Overloaded {
 		x.refusedBackends = append(x.refusedBackends, backend)
--- a/peridotquarantine/accusation.go
+++ b/peridotquarantine/accusation.go
@@ -24,14 +24,14 @@
 	Service, Version string
 }
 
-// Accusation records that a backend server ended while it had to answer a prompt with the
-// given part, before the first event of that answer.
+// Accusation records that a backend server ended while it had to answer a request with the
+// given part, before that answer had an event or, at a server that isn't an engine, was whole.
 type Accusation struct {
 	Part Part
 	End  End
 	// At is the software that the server ran.
 	At Software
-	// Begun is set if the head of the answer had come: the server had begun to write.
+	// Begun is set if the head of a prompt's answer had come: the engine had begun to write.
 	Begun bool
 	// UnixSeconds is when the server ended, in true time.
 	UnixSeconds int64
@@ -42,16 +42,16 @@
 	return now.Unix()-a.UnixSeconds >= int64(TTL.Seconds())
 }
 
-// Suspicion is a run that broke off before its first event, for a reason that is not
-// known yet.
+// Suspicion is a run that broke off before its first event or, at a server that isn't an
+// engine, before its end, for a reason that is not known yet.
 type Suspicion struct {
 	// ID and Born identify the incarnation of the backend server.
 	ID   string
 	Born int64
 	At   Software
-	// Parts are the parts of the prompt that other prompts share.
+	// Parts are the whole request and the parts of its prompt.
 	Parts []Part
-	// Begun is set if the head of the answer had come.
+	// Begun is set if the head of a prompt's answer had come.
 	Begun bool
 }
 
--- a/peridotquarantine/table.go
+++ b/peridotquarantine/table.go
@@ -13,6 +13,12 @@
 	// known of all of them whether they had begun.
 	minBegunEnds = 3
 	minEnds      = 4
+	// minRequestEnds is that number for a whole request, begun or not: other requests
+	// don't have it in common by chance.
+	minRequestEnds = 3
+	// minStoredRequestEnds is the number of ends from which on accusations of a whole
+	// request must last. Each end accuses all requests that ran at the server.
+	minStoredRequestEnds = 2
 	// maxEndsPerPart limits the accusations kept of one part.
 	maxEndsPerPart = 8
 	// maxAccusedParts limits the parts that are accused.
@@ -20,6 +26,8 @@
 	// maxSoundParts limits the pairs of part and software that are known to be sound. One
 	// takes about 150 bytes.
 	maxSoundParts = 1 << 15
+	// maxSoundRequests limits the pairs of whole request and software in the same way.
+	maxSoundRequests = 1 << 13
 	// maxBegunEnds limits the ends of which a begun run is remembered.
 	maxBegunEnds = 4096
 )
@@ -31,7 +39,9 @@
 	// begunEnds contains the ends that a begun run has seen: runs beside it that had not
 	// begun say little.
 	begunEnds *simplelru.LRU[End, struct{}]
-	sound     *simplelru.LRU[soundPart, struct{}]
+	// sound contains parts of prompts, and soundRequests whole requests, which are so
+	// many that parts would not be remembered beside them.
+	sound, soundRequests *simplelru.LRU[soundPart, struct{}]
 	// announced is the part up to which Announce has returned the accusations.
 	announced Part
 }
@@ -47,6 +57,7 @@
 	t := &Table{accused: make(map[Part][]Accusation)}
 	t.begunEnds, _ = simplelru.NewLRU[End, struct{}](maxBegunEnds, nil) // Fails only without a size.
 	t.sound, _ = simplelru.NewLRU[soundPart, struct{}](maxSoundParts, nil)
+	t.soundRequests, _ = simplelru.NewLRU[soundPart, struct{}](maxSoundRequests, nil)
 	return t
 }
 
@@ -117,7 +128,7 @@
 // returns the accusations that this refutes.
 func (t *Table) RecordBegun(parts []Part, at Software) (refuted []Accusation) {
 	for _, part := range parts {
-		t.sound.Add(soundPart{part, at}, struct{}{})
+		t.soundOf(part).Add(soundPart{part, at}, struct{}{})
 		list := t.accused[part]
 		if len(list) == 0 {
 			continue
@@ -145,23 +156,41 @@
 // IsSound reports whether an answer is known to have begun on a part at a software
 // version.
 func (t *Table) IsSound(part Part, at Software) bool {
-	return t.sound.Contains(soundPart{part, at})
+	return t.soundOf(part).Contains(soundPart{part, at})
 }
 
-// Judgment says what becomes of a prompt.
+// soundOf returns the sound parts of the same kind.
+func (t *Table) soundOf(part Part) *simplelru.LRU[soundPart, struct{}] {
+	if part.IsRequest() {
+		return t.soundRequests
+	}
+	return t.sound
+}
+
+// MustLast reports whether the accusations of a part must outlive all instances.
+func (t *Table) MustLast(part Part) bool {
+	return !part.IsRequest() || len(t.accused[part]) >= minStoredRequestEnds
+}
+
+// Of returns the accusations of a part.
+func (t *Table) Of(part Part) []Accusation {
+	return slices.Clone(t.accused[part])
+}
+
+// Judgment says what becomes of a request.
 type Judgment int
 
 const (
-	// Allowed prompts may be sent.
+	// Allowed requests may be sent.
 	Allowed Judgment = iota
-	// OnTrial prompts have a part that may have ended servers, but another part that this
-	// prompt lacks may have done so as well. The answer to one such prompt tells.
+	// OnTrial requests have a part that may have ended servers, but another part that this
+	// one lacks may have done so as well. The answer to one such request tells.
 	OnTrial
-	// Refused prompts must not be sent.
+	// Refused requests must not be sent.
 	Refused
 )
 
-// Judge returns what becomes of a prompt with the given parts at servers of a software
+// Judge returns what becomes of a request with the given parts at servers of a software
 // version, and the part that is the reason unless that is Allowed.
 func (t *Table) Judge(now time.Time, parts []Part, at Software) (Judgment, Part) {
 	judgment, reason := Allowed, Part(0)
@@ -187,7 +216,8 @@
 			begun++
 		}
 	}
-	return (begun >= minBegunEnds || len(ends) >= minEnds) && !t.IsSound(part, at)
+	isEnough := begun >= minBegunEnds || len(ends) >= minEnds || part.IsRequest() && len(ends) >= minRequestEnds
+	return isEnough && !t.IsSound(part, at)
 }
 
 // countedEnds returns the accusations of a part that count, one for each end.
@@ -201,12 +231,12 @@
 	return list
 }
 
-// hasRival reports whether there is another part, not among those of the prompt, that
+// hasRival reports whether there is another part, not among those of the request, that
 // every server had to answer which ended under the given part. Either may be the cause.
-func (t *Table) hasRival(now time.Time, part Part, prompt []Part) bool {
+func (t *Table) hasRival(now time.Time, part Part, request []Part) bool {
 	ends := t.countedEnds(now, part)
 	for rival, list := range t.accused {
-		if rival == part || len(list) < len(ends) || slices.Contains(prompt, rival) {
+		if rival == part || len(list) < len(ends) || slices.Contains(request, rival) {
 			continue
 		}
 		missing := slices.ContainsFunc(ends, func(a Accusation) bool {
@@ -279,13 +309,24 @@
 	}
 }
 
-// Counts returns the number of parts that are accused, and of those that are quarantined
-// at software versions at which they aren't sound.
-func (t *Table) Counts(now time.Time) (accused, quarantined int) {
+// Counts contains numbers of parts of one kind.
+type Counts struct {
+	// Accused is the number of parts under which servers ended, and Quarantined that of
+	// those that are quarantined at software versions at which they aren't sound.
+	Accused, Quarantined int
+}
+
+// Counts returns the numbers of whole requests and of parts of prompts.
+func (t *Table) Counts(now time.Time) (requests, parts Counts) {
 	for part, list := range t.accused {
+		kind := &parts
+		if part.IsRequest() {
+			kind = &requests
+		}
+		kind.Accused++
 		if t.IsQuarantined(now, part, list[0].At) {
-			quarantined++
+			kind.Quarantined++
 		}
 	}
-	return len(t.accused), quarantined
+	return requests, parts
 }
--- a/peridotquarantine/table_test.go
+++ b/peridotquarantine/table_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 	"time"
+	"unicode"
 )
 
 var (
@@ -22,10 +23,15 @@
 	after    time.Duration
 }
 
+// partsOf returns the parts named by the letters: a whole request by a capital one.
 func partsOf(text string) []Part {
 	var parts []Part
 	for _, id := range text {
-		parts = append(parts, PartOf(string(id)))
+		part := PartOf(string(id))
+		if unicode.IsUpper(id) {
+			part |= wholeRequest
+		}
+		parts = append(parts, part)
 	}
 	return parts
 }
@@ -64,6 +70,14 @@
 		{name: "one server, three runs", runs: []run{ended(1, "x"), ended(1, "x"), ended(1, "x")}, prompt: "x", at: v1},
 		{name: "three ends, no run had begun", runs: []run{unseen(1, "x"), unseen(2, "x"), unseen(3, "x")}, prompt: "x", at: v1},
 		{name: "four ends, no run had begun", runs: []run{unseen(1, "x"), unseen(2, "x"), unseen(3, "x"), unseen(4, "x")}, prompt: "x", at: v1, want: Refused},
+		{name: "two ends of a request", runs: []run{unseen(1, "X"), unseen(2, "X")}, prompt: "X", at: v1},
+		{name: "three ends of a request", runs: []run{unseen(1, "X"), unseen(2, "X"), unseen(3, "X")}, prompt: "X", at: v1, want: Refused},
+		{name: "three ends of a request that was answered before", runs: []run{answered("X"), unseen(1, "X"), unseen(2, "X"), unseen(3, "X")}, prompt: "X", at: v1},
+		{name: "answered after three ends", runs: []run{unseen(1, "X"), unseen(2, "X"), unseen(3, "X"), answered("X")}, prompt: "X", at: v1},
+		{name: "sound part of a request under which servers ended", runs: []run{ended(1, "Xa"), ended(2, "Xa"), ended(3, "Xa")}, prompt: "Ya", at: v1, want: OnTrial},
+		{name: "request beside one that ended more servers", runs: []run{
+			unseen(1, "XY"), unseen(2, "XY"), unseen(3, "XY"), unseen(4, "X"),
+		}, prompt: "Y", at: v1, want: OnTrial},
 		{name: "beside runs that had begun", runs: []run{
 			unseen(1, "b"), unseen(2, "b"), unseen(3, "b"), unseen(4, "b"), ended(1, "x"), ended(2, "x"), ended(3, "x"), ended(4, "x"),
 		}, prompt: "b", at: v1},
@@ -126,8 +140,9 @@
 	for n := range 2 * maxSoundParts {
 		table.RecordBegun([]Part{Part(1<<40 + n)}, v1)
 	}
-	if accused, quarantined := table.Counts(start); accused > maxAccusedParts || quarantined != 1 {
-		t.Errorf("got %d parts accused and %d quarantined, want %d at most and 1", accused, quarantined, maxAccusedParts)
+	requests, prompts := table.Counts(start)
+	if accused := requests.Accused + prompts.Accused; accused > maxAccusedParts || requests.Quarantined+prompts.Quarantined != 1 {
+		t.Errorf("got %d parts accused, requests %v, parts of prompts %v; want %d at most and 1 quarantined", accused, requests, prompts, maxAccusedParts)
 	}
 	if got := len(table.accused[PartOf("x")]); got > maxEndsPerPart {
 		t.Errorf("got %d accusations of one part, want %d at most", got, maxEndsPerPart)
@@ -135,6 +150,9 @@
 	if got := table.sound.Len(); got > maxSoundParts {
 		t.Errorf("got %d sound parts, want %d at most", got, maxSoundParts)
 	}
+	if got := table.soundRequests.Len(); got > maxSoundRequests {
+		t.Errorf("got %d sound requests, want %d at most", got, maxSoundRequests)
+	}
 }
 
 func TestAnnounceGoesRound(t *testing.T) {
--- a/peridotverdict/code.go
+++ b/peridotverdict/code.go
@@ -22,6 +22,8 @@
 	RetryBudgetSpent Code = "retry_budget_spent"
 	// PromptQuarantined is for prompts that have a part under which backend servers ended.
 	PromptQuarantined Code = "prompt_quarantined"
+	// RequestQuarantined is for requests that ended backend servers when they came before.
+	RequestQuarantined Code = "request_quarantined"
 
 	// Unavailable parts of the system, and failures while a request runs.
 	NoBackend        Code = "no_backend"
