Front: ready once the servers and the other fronts are known

Callers of a front that had just become ready got 503 no_backend, though servers were registered: for all requests before the first list of servers had come, and for resumed streams of unknown origin until the roster of fronts was read ("the software version of the stream is unknown").

Cause: ready() asked for the configuration and the quarantine alone. It now asks for a list of servers as well, and for the roster for 2 s at most: a front serves without it while the table service is away.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -270,10 +270,24 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// ready reports whether the front has a configuration, knows which prompts to refuse and
-// is not stopping.
+// ready reports whether the front has a configuration, knows the backend servers, the other
+// fronts and which requests to refuse, and is not stopping.
 func (f *Front) ready() bool {
-	return !f.stopping.Load() && f.config.Load() != nil && f.quarantine.isLoaded()
+	return !f.stopping.Load() && f.config.Load() != nil && f.knowsBackends() && f.knowsFronts() && f.quarantine.isLoaded()
+}
+
+// knowsBackends reports whether the front has a list of backend servers. Without one it
+// refuses all requests.
+func (f *Front) knowsBackends() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.backends.known
+}
+
+// knowsFronts reports whether the roster has been read, or can't be had in time. Before, the
+// front refuses to go on with streams of unknown origin.
+func (f *Front) knowsFronts() bool {
+	return f.peers.hasReadRoster() || f.now() > rosterLoadTime
 }
 
 // servePruning calls removeExpired periodically until ctx is done.
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -51,6 +51,9 @@
 	// rosterRetryInterval is the time between two checks whether the roster must be
 	// read or written, also after a failure.
 	rosterRetryInterval = 500 * time.Millisecond
+	// rosterLoadTime is how long after its start a front is not ready if it could not read
+	// the roster.
+	rosterLoadTime = 2 * time.Second
 	// rosterPrefix is the key prefix of the rows of the roster.
 	rosterPrefix = "front/"
 )
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -23,6 +23,8 @@
 // have expired only because the table service was unavailable. Its times are values
 // of Front.now.
 type backends struct {
+	// known is set once there has been a list of backend servers.
+	known bool
 	// byID contains the known backend servers, by ID: those in use.
 	byID map[string]peridotsite.Backend
 	// idByHash contains the IDs of the known backend servers, by the hash that
@@ -133,6 +135,7 @@
 	list = f.backends.withhold(f.now(), list)
 	f.logBackends(list)
 	f.backends.setRegistered(f.now(), list)
+	f.backends.known = true
 	f.updatePlacer()
 	f.quarantine.recordBackends(f.backends.byID)
 }
