Front: an unframed answer of a server that has ended is incomplete

Callers got half an answer as a complete success: if an answer has neither a length nor chunks, its end is that of the connection, and a process that ends closes its connections like one that is done.

After such an answer the front now probes the server. If it doesn't listen any more, the run counts as broken off: a safe request is repeated, a resumable stream goes on elsewhere, and otherwise the caller gets 502 or a broken stream.

--- a/peridotfront/plain.go
+++ b/peridotfront/plain.go
@@ -124,7 +124,10 @@
 	x.runs++
 	x.countRun()
 	body, readErr := answer.ReadAll(maxAnswerBytes)
-	if readErr == nil && !answer.EndsWithConnection() {
+	if readErr == nil && f.mayBeCut(ctx, to, answer) {
+		readErr = peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the server ended with the answer")
+	}
+	if readErr == nil {
 		f.quarantine.recordBegun(x.suspects, softwareOf(to))
 	}
 	if readErr != nil {
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -142,7 +142,7 @@
 	reader := bufio.NewReaderSize(answer.Body, streamBufferBytes)
 	for {
 		event, err := readEvent(reader)
-		if err == io.EOF && len(event) == 0 && (s.hasEvents || !answer.EndsWithConnection()) {
+		if err == io.EOF && len(event) == 0 && (s.hasEvents || !answer.EndsWithConnection()) && !x.front.mayBeCut(ctx, to, answer) {
 			answer.Finish()
 			return s.finish(answer)
 		}
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -80,6 +80,12 @@
 	}
 }
 
+// mayBeCut reports whether an answer that seems complete may be a part of one: its end is
+// that of the connection, and the server has ended, too.
+func (f *Front) mayBeCut(ctx context.Context, from peridotsite.Backend, answer *peridotlink.Answer) bool {
+	return answer.EndsWithConnection() && f.pool.Probe(ctx, from.Address) != peridotlink.Listening
+}
+
 // rejectionError returns the error of a try that the backend server rejected without
 // running it. Its code is PeerLost if the address now belongs to another backend
 // server.
