Quarantine: forget requests under which a single server ended

Each end of a server accuses all requests that ran there.

They are now announced for a minute and kept for 10, unless a second server ends under the same request. TestLoneRequestsAreForgotten failed before (4 accusations announced after a minute instead of 3).

--- a/peridotfront/quarantinenews.go
+++ b/peridotfront/quarantinenews.go
@@ -112,12 +112,13 @@
 // report returns what the next round of datagrams tells of the quarantine, or nil. An
 // announcement repeats known accusations, for fronts that missed them.
 func (q *quarantine) report(announce bool) *quarantineReport {
+	now := q.front.trueTime()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.news.take()
 	if announce {
 		room := maxNewsPerDatagram - len(r.Accusations)
-		for _, a := range q.table.Announce(room) {
+		for _, a := range q.table.Announce(now, room) {
 			r.Accusations = append(r.Accusations, encodeAccusation(a))
 		}
 	}
--- a/peridotquarantine/table.go
+++ b/peridotquarantine/table.go
@@ -19,6 +19,10 @@
 	// minStoredRequestEnds is the number of ends from which on accusations of a whole
 	// request must last. Each end accuses all requests that ran at the server.
 	minStoredRequestEnds = 2
+	// loneRequestTTL is how long accusations of a whole request count that need not last,
+	// and loneRequestAnnounced how long they are announced.
+	loneRequestTTL       = 10 * time.Minute
+	loneRequestAnnounced = time.Minute
 	// maxEndsPerPart limits the accusations kept of one part.
 	maxEndsPerPart = 8
 	// maxAccusedParts limits the parts that are accused.
@@ -172,6 +176,11 @@
 	return !part.IsRequest() || len(t.accused[part]) >= minStoredRequestEnds
 }
 
+// isLone reports whether the accusations of a part need not last and are as old as age.
+func (t *Table) isLone(now time.Time, part Part, age time.Duration) bool {
+	return !t.MustLast(part) && now.Sub(t.lastEnd(part)) >= age
+}
+
 // Of returns the accusations of a part.
 func (t *Table) Of(part Part) []Accusation {
 	return slices.Clone(t.accused[part])
@@ -252,20 +261,26 @@
 // Until returns the time until which a part is quarantined at least: that of its last
 // accusation and TTL.
 func (t *Table) Until(part Part) time.Time {
+	return t.lastEnd(part).Add(TTL)
+}
+
+// lastEnd returns the time of the last accusation of a part.
+func (t *Table) lastEnd(part Part) time.Time {
 	last := int64(0)
 	for _, a := range t.accused[part] {
 		last = max(last, a.UnixSeconds)
 	}
-	return time.Unix(last, 0).Add(TTL)
+	return time.Unix(last, 0)
 }
 
 // Announce returns accusations of at least limit ends, if there are so many, and those of
-// whole parts. Consecutive calls go round all parts.
-func (t *Table) Announce(limit int) []Accusation {
-	if len(t.accused) == 0 {
+// whole parts. Consecutive calls go round all parts. It leaves out those that need not last
+// after some time.
+func (t *Table) Announce(now time.Time, limit int) []Accusation {
+	parts := slices.DeleteFunc(t.sortedParts(), func(part Part) bool { return t.isLone(now, part, loneRequestAnnounced) })
+	if len(parts) == 0 {
 		return nil
 	}
-	parts := t.sortedParts()
 	start, _ := slices.BinarySearch(parts, t.announced+1)
 	var list []Accusation
 	for i := range parts {
@@ -301,11 +316,10 @@
 func (t *Table) Expire(now time.Time) {
 	for part, list := range t.accused {
 		list = slices.DeleteFunc(list, func(a Accusation) bool { return a.Expired(now) })
-		if len(list) == 0 {
+		t.accused[part] = list
+		if len(list) == 0 || t.isLone(now, part, loneRequestTTL) {
 			delete(t.accused, part)
-			continue
 		}
-		t.accused[part] = list
 	}
 }
 
--- a/peridotquarantine/table_test.go
+++ b/peridotquarantine/table_test.go
@@ -163,7 +163,7 @@
 	}
 	seen := make(map[Part]bool)
 	for range (parts + limit - 1) / limit {
-		list := table.Announce(limit)
+		list := table.Announce(start, limit)
 		if len(list) != limit {
 			t.Errorf("got %d accusations, want %d", len(list), limit)
 		}
@@ -205,3 +205,29 @@
 		t.Errorf("got %d servers, want %d", got, maxPendingEnds)
 	}
 }
+
+// TestLoneRequestsAreForgotten guards against accusations of all requests that ever ran at
+// a server when it ended, which are announced and kept for a day.
+func TestLoneRequestsAreForgotten(t *testing.T) {
+	table := NewTable()
+	apply(table, []run{{server: 1, parts: "XYa", at: v1}, {server: 2, parts: "X", at: v1}})
+	for _, test := range []struct {
+		name            string
+		after           time.Duration
+		announced, kept int
+	}{
+		{name: "at once", announced: 4, kept: 4},
+		{name: "no longer announced", after: loneRequestAnnounced, announced: 3, kept: 4},
+		{name: "forgotten", after: loneRequestTTL, announced: 3, kept: 3},
+		{name: "after a day", after: TTL},
+	} {
+		now := start.Add(test.after)
+		table.Expire(now)
+		if got := len(table.Announce(now, maxAccusedParts)); got != test.announced {
+			t.Errorf("%s: got %d accusations announced, want %d", test.name, got, test.announced)
+		}
+		if got := len(table.All()); got != test.kept {
+			t.Errorf("%s: got %d accusations, want %d", test.name, got, test.kept)
+		}
+	}
+}
