Agent: use a connection to the backend server for one request

A caller got the answer to another request: the backend server sent a second copy of an answer, late, on a connection that was in use again, and the agent took it for the answer to the next request. Answers of these servers don't name their request, so nothing tells the copy apart.

net/http closes an idle connection on which bytes arrive, but not one on which the next request has been written. The agent now opens a connection for each request; it is on the machine of its server. What that costs was not measured on this commit.

TestLateCopyOfAnswer got "first" for the second request and "second" for the third before, and passes now (-race, with all tests of the package).

--- a/peridotbackend/backend.go
+++ b/peridotbackend/backend.go
@@ -49,8 +49,6 @@
 }
 
 const (
-	// maxIdleConns limits the idle connections to one backend server.
-	maxIdleConns         = 512
 	dialTimeout          = 2 * time.Second
 	maxAnswerBytes       = 8 << 20
 	headerRequestID      = "X-Request-Id"
@@ -65,9 +63,11 @@
 func newClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		DisableCompression:  true,
+		DialContext:        dialer.DialContext,
+		DisableCompression: true,
+		// Answers don't name their request: on a connection that is used again, a late copy
+		// of one could pass for the next.
+		DisableKeepAlives: true,
 	}}
 }
 
--- /dev/null
+++ b/peridotbackend/connection_test.go
@@ -0,0 +1,65 @@
+package peridotbackend
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+)
+
+// serveConns calls serve with each connection that is accepted, until the test ends.
+func serveConns(t *testing.T, serve func(conn net.Conn, requests *bufio.Reader)) (address string, stop func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	stop = sync.OnceFunc(func() { listener.Close() })
+	t.Cleanup(func() {
+		stop()
+		wg.Wait()
+	})
+	wg.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer conn.Close()
+				serve(conn, bufio.NewReader(conn))
+			})
+		}
+	})
+	return listener.Addr().String(), stop
+}
+
+// TestLateCopyOfAnswer guards against a second copy of an answer, which comes late on a
+// connection that is in use again, that is taken for the answer to the next request.
+func TestLateCopyOfAnswer(t *testing.T) {
+	address, _ := serveConns(t, func(conn net.Conn, requests *bufio.Reader) {
+		last := ""
+		for {
+			request, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			id := request.Header.Get(headerRequestID)
+			for _, text := range []string{last, id} {
+				if text != "" {
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+				}
+			}
+			last = id
+		}
+	})
+	s := NewService(address)
+	for _, id := range []string{"first", "second", "third"} {
+		if end, got := runRequest(t, s, Request{ID: id, Method: http.MethodPost, Path: "/x", Body: id}); end.Err != nil || got != id {
+			t.Errorf("request %q: got answer %q, error %v; want its own", id, got, end.Err)
+		}
+	}
+}
