Agent: pass redirects on instead of following them

If a backend server answered with a redirect, its agent went to the address in the Location header, whatever server that was: callers got that one's answer, and the request ran outside of what the agent guards.

TestRedirectIsNotFollowed got the answer of the other server for 301, 302 and 303 before, and passes now: the caller gets the redirect's status and body.

--- a/peridotbackend/backend.go
+++ b/peridotbackend/backend.go
@@ -62,13 +62,17 @@
 // streaming.
 func newClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:        dialer.DialContext,
-		DisableCompression: true,
-		// Answers don't name their request: on a connection that is used again, a late copy
-		// of one could pass for the next.
-		DisableKeepAlives: true,
-	}}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableCompression: true,
+			// Answers don't name their request: on a connection that is used again, a late copy
+			// of one could pass for the next.
+			DisableKeepAlives: true,
+		},
+		// A redirect is an answer, too. Following it would leave the backend server.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // nonReplayableBody is a request body that prevents net/http from sending the
--- a/peridotbackend/connection_test.go
+++ b/peridotbackend/connection_test.go
@@ -63,3 +63,23 @@
 		}
 	}
 }
+
+// TestRedirectIsNotFollowed guards against requests that leave the backend server because
+// it answers with a redirect: another server's answer would reach the caller.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	other, _ := serveConns(t, func(conn net.Conn, requests *bufio.Reader) {
+		if _, err := http.ReadRequest(requests); err == nil {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nother")
+		}
+	})
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		address, _ := serveConns(t, func(conn net.Conn, requests *bufio.Reader) {
+			if _, err := http.ReadRequest(requests); err == nil {
+				fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nLocation: http://%s/y\r\nContent-Length: 4\r\nConnection: close\r\n\r\nhere", status, other)
+			}
+		})
+		if end, got := runRequest(t, NewService(address), Request{Method: http.MethodPost, Path: "/x"}); end.Err != nil || got != "here" || end.Status != status {
+			t.Errorf("status %d: got status %d, answer %q, error %v; want the redirect itself", status, end.Status, got, end.Err)
+		}
+	}
+}
