Agent: an unframed answer of a server that has ended is incomplete

After such an answer the agent now connects to the server once more. If nothing listens there, the answer is reported as broken off.

TestUnframedAnswerOfEndedService got "ha" as a success before, and passes now, 3 of 3 runs with -race.

--- a/peridotbackend/backend.go
+++ b/peridotbackend/backend.go
@@ -75,6 +75,24 @@
 	}
 }
 
+// mayBeCut reports whether an answer that seems complete may be a part of one: it has neither
+// a length nor chunks, so that its end is that of the connection, and the server at address
+// has ended, too.
+func mayBeCut(ctx context.Context, address string, response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !isListening(ctx, address)
+}
+
+// isListening reports whether a process accepts connections at address.
+func isListening(ctx context.Context, address string) bool {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 // nonReplayableBody is a request body that prevents net/http from sending the
 // request twice. When a reused connection breaks, net/http sends a request without
 // a body again if its method or an Idempotency-Key header marks it as idempotent.
--- a/peridotbackend/connection_test.go
+++ b/peridotbackend/connection_test.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
+
+	"peridotstack/peridotverdict"
 )
 
 // serveConns calls serve with each connection that is accepted, until the test ends.
@@ -83,3 +86,42 @@
 		}
 	}
 }
+
+// TestUnframedAnswerOfEndedService guards against half an answer that looks complete,
+// because it has neither a length nor chunks and the service ended.
+func TestUnframedAnswerOfEndedService(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		ended bool
+		want  peridotverdict.Code
+	}{
+		{name: "still listening"},
+		{name: "ended", ended: true, want: peridotverdict.ShortAnswer},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var stop func()
+			var address string
+			ready := make(chan struct{})
+			address, stop = serveConns(t, func(conn net.Conn, requests *bufio.Reader) {
+				<-ready
+				if _, err := http.ReadRequest(requests); err != nil {
+					return
+				}
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\nha")
+				time.Sleep(10 * time.Millisecond)
+				if test.ended {
+					stop()
+				}
+			})
+			close(ready)
+			end, got := runRequest(t, NewService(address), Request{Method: http.MethodPost, Path: "/x"})
+			code := peridotverdict.Code("")
+			if end.Err != nil {
+				code = end.Err.Code
+			}
+			if code != test.want || code == "" && got != "ha" {
+				t.Errorf("got answer %q, code %q; want code %q", got, code, test.want)
+			}
+		})
+	}
+}
--- a/peridotbackend/engine.go
+++ b/peridotbackend/engine.go
@@ -64,7 +64,7 @@
 	}
 	defer response.Body.Close()
 	if !strings.HasPrefix(response.Header.Get(headerContentType), contentTypeEventStream) {
-		end := readBody(response, t)
+		end := readBody(ctx, e.address, response, t)
 		setUsageFromBody(&end, t)
 		return end
 	}
--- a/peridotbackend/service.go
+++ b/peridotbackend/service.go
@@ -47,16 +47,20 @@
 		return peridotstream.End{Err: newClientError(err)}
 	}
 	defer response.Body.Close()
-	return readBody(response, t)
+	return readBody(ctx, s.address, response, t)
 }
 
-// readBody appends the body of an answer that is not streamed to t as one chunk. If
-// the body exceeds maxAnswerBytes, the end has an error with the code TooLarge.
-func readBody(response *http.Response, t *peridotstream.Timeline) peridotstream.End {
+// readBody appends the body of an answer of the server at address that is not streamed to t
+// as one chunk. If the body exceeds maxAnswerBytes, the end has an error with the code
+// TooLarge.
+func readBody(ctx context.Context, address string, response *http.Response, t *peridotstream.Timeline) peridotstream.End {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return peridotstream.End{Err: peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.Ran, "the answer broke off", peridotverdict.Cause(err))}
 	}
+	if mayBeCut(ctx, address, response) {
+		return peridotstream.End{Err: peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.Ran, "the server ended with the answer")}
+	}
 	if len(body) > maxAnswerBytes {
 		return peridotstream.End{Err: peridotverdict.New(peridotverdict.TooLarge, peridotverdict.Ran, "the answer is too large")}
 	}
