Entry, agent: keep requests from servers that end under them

Callers lost the servers, and got retry_budget_spent at most.

An agent now probes its server after a run that broke off. If nothing listens, it keeps the identity of the request and of that end for 10 minutes, and tells all entry instances in its heartbeats (once a second). Those add the ends up as fronts do, and refuse the request at once after three with request_quarantined. A request that is answered is sound and isn't accused. Entry instances have no store for this: after a restart they know what the agents still tell.

--- a/peridotagent/agent.go
+++ b/peridotagent/agent.go
@@ -50,6 +50,7 @@
 	leaving    atomic.Bool
 	onceKeeper *peridotonce.Keeper
 	usage      *peridotusage.Counter
+	ends       ends
 
 	mu   sync.Mutex
 	jobs map[string]*job
@@ -233,6 +234,7 @@
 		Load:        a.currentLoad(),
 		Leaving:     a.leaving.Load(),
 		Quiet:       a.isQuiesced(),
+		Ended:       a.ends.list(time.Now()),
 	}
 	if pong.Leaving {
 		// An empty Incarnation means that this process is no longer a witness.
--- a/peridotagent/job.go
+++ b/peridotagent/job.go
@@ -107,7 +107,7 @@
 		Priority:       r.Priority,
 		IdempotencyKey: r.IdempotencyKey,
 	}
-	sent := true
+	sent, sentAt := true, time.Now()
 	if r.Idempotent {
 		peridotbackend.Run(ctx, a.backend, request, &j.timeline)
 	} else {
@@ -120,6 +120,9 @@
 		a.cancelOnEngine(r.RequestID)
 	}
 	a.retainEndedJob(r.RequestID)
+	if sent {
+		a.recordEnd(ctx, sentAt, r, j.timeline.End())
+	}
 }
 
 // cancelOnEngine asks the engine to cancel a request that no reader waits for.
--- a/peridotbackend/backend.go
+++ b/peridotbackend/backend.go
@@ -82,6 +82,17 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !isListening(ctx, address)
 }
 
+// IsListening reports whether a process accepts connections at the address of b.
+func IsListening(ctx context.Context, b Backend) bool {
+	switch b := b.(type) {
+	case *Engine:
+		return isListening(ctx, b.address)
+	case *Service:
+		return isListening(ctx, b.address)
+	}
+	return false
+}
+
 // isListening reports whether a process accepts connections at address.
 func isListening(ctx context.Context, address string) bool {
 	dialer := &net.Dialer{Timeout: dialTimeout}
--- a/peridotentry/caller.go
+++ b/peridotentry/caller.go
@@ -183,6 +183,10 @@
 func (e *Entry) serveRun(ctx context.Context, w http.ResponseWriter, run peridotwire.Run) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(run.TimeoutMillis)*time.Millisecond)
 	defer cancel()
+	if refusal := e.quarantine.check(run); refusal != nil {
+		e.refuse(w, refusal, "")
+		return
+	}
 	c := newCall(e.settings.Instance, run)
 	choice, refusal := e.traffic.admit(c)
 	if refusal != nil {
--- a/peridotentry/entry.go
+++ b/peridotentry/entry.go
@@ -50,6 +50,7 @@
 	traffic     *traffic
 	callerConns connTracker
 	usage       *peridotusage.Counter
+	quarantine  *quarantine
 	// usageNow returns the wall-clock time that decides when a usage window is
 	// sealed.
 	usageNow func() time.Time
@@ -79,7 +80,7 @@
 
 // New returns an entry instance that has not been started.
 func New(s peridotsettings.Entry, platform *peridotplatform.Client, options ...Option) *Entry {
-	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}, createdAt: time.Now(), usageNow: time.Now}
+	e := &Entry{settings: s, platform: platform, metrics: &peridotmetric.Metrics{}, createdAt: time.Now(), usageNow: time.Now, quarantine: newQuarantine()}
 	e.closing, e.startClosing = context.WithCancel(context.Background())
 	e.usage = peridotusage.NewCounter(peridotusage.Process{Instance: s.Instance, Incarnation: rand.Text()}, 0)
 	for _, option := range options {
@@ -92,6 +93,7 @@
 	e.pool.identity = e.identity
 	e.traffic = newTraffic(seedFor(s.Instance), e.pool, e.Config)
 	e.pool.observeLoad = e.traffic.observeLoad
+	e.pool.observeEnds = e.quarantine.observe
 	return e
 }
 
--- a/peridotentry/fleet_test.go
+++ b/peridotentry/fleet_test.go
@@ -74,6 +74,9 @@
 	// bodyTimeoutMillis bounds the time in which a request must be received. 0 means
 	// fleetGraceMillis.
 	bodyTimeoutMillis int64
+	// serveEngine, if set, serves an engine in place of serveStandIn and returns its
+	// address.
+	serveEngine func(t *testing.T, h http.Handler) (address string)
 }
 
 func startFleet(t *testing.T, o fleetOptions) *fleet {
@@ -84,6 +87,9 @@
 	if o.bodyTimeoutMillis == 0 {
 		o.bodyTimeoutMillis = fleetGraceMillis
 	}
+	if o.serveEngine == nil {
+		o.serveEngine = serveStandIn
+	}
 	f := &fleet{platform: peridotstandin.NewPlatform()}
 	platform := serveStandIn(t, f.platform.Handler())
 	f.platformAddress = platform
@@ -91,7 +97,7 @@
 	var instances []peridotplatform.Instance
 	for i := range f.engines {
 		f.engines[i] = peridotstandin.NewEngine(peridotstandin.EngineOptions{Model: fleetModel, Version: "v1", Role: string(peridotconfig.Mixed)})
-		s := peridotsettings.Agent{PeerAddress: freeAddress(t), EngineAddress: serveStandIn(t, f.engines[i].Handler())}
+		s := peridotsettings.Agent{PeerAddress: freeAddress(t), EngineAddress: o.serveEngine(t, f.engines[i].Handler())}
 		s.Process = peridotsettings.Process{Instance: fmt.Sprint("agent-", i), Domain: fmt.Sprint("domain-", i), ShutdownGraceMillis: o.graceMillis}
 		f.agents[i] = startProcess(t, peridotagent.New(s, peridotplatform.NewClient(platform)).Serve)
 		address := s.PeerAddress
--- a/peridotentry/pool.go
+++ b/peridotentry/pool.go
@@ -12,6 +12,7 @@
 
 	"peridotstack/peridotmember"
 	"peridotstack/peridotplatform"
+	"peridotstack/peridotquarantine"
 	"peridotstack/peridotroute"
 	"peridotstack/peridotsync"
 	"peridotstack/peridotverdict"
@@ -70,6 +71,9 @@
 	// observeLoad is called with the load that an agent reported in its answer to a
 	// ping.
 	observeLoad func(instance string, l peridotwire.Load)
+	// observeEnds is called with the requests under which, by that answer, the agent's
+	// backend server ended.
+	observeEnds func([]peridotquarantine.Accusation)
 	// collectors receive the usage figures that agents hand over.
 	collectors collectors
 
@@ -91,6 +95,7 @@
 		domain:        domain,
 		listInstances: list,
 		observeLoad:   func(string, peridotwire.Load) {},
+		observeEnds:   func([]peridotquarantine.Accusation) {},
 		links:         make(map[string]*link),
 		exchanges:     make(map[string]*exchange),
 	}
@@ -260,6 +265,7 @@
 		return err
 	}
 	p.observeLoad(p.recordPong(l, peer, pong), pong.Load)
+	p.observeEnds(pong.Ended)
 	return nil
 }
 
--- a/peridotentry/retry.go
+++ b/peridotentry/retry.go
@@ -35,6 +35,7 @@
 		})
 		if err == nil {
 			e.traffic.recordSuccess(c.run.Account, choice.Instance)
+			e.quarantine.recordAnswered(c.run)
 			e.traffic.settle(c, tokenCountsOf(&c.run, end))
 			return end, nil
 		}
@@ -78,7 +79,7 @@
 		return peridotroute.Choice{}, d.Err
 	}
 	peridotwait.Sleep(ctx, d.Delay)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || e.quarantine.check(c.run) != nil {
 		return peridotroute.Choice{}, attempt.FinalError()
 	}
 	choice, err := e.traffic.chooseForRetry(c, d.Exclude)
--- a/peridotwire/message.go
+++ b/peridotwire/message.go
@@ -1,6 +1,9 @@
 package peridotwire
 
 import (
+	"cmp"
+
+	"peridotstack/peridotquarantine"
 	"peridotstack/peridotstream"
 	"peridotstack/peridotverdict"
 )
@@ -72,6 +75,17 @@
 	UsageWindow int64
 }
 
+// Identity returns what all requests have in common that ask the same.
+func (r Run) Identity() peridotquarantine.Part {
+	target := r.Service + " " + r.Model + " " + r.Path + "?" + r.Query
+	return peridotquarantine.RequestOf(r.Method, target, r.Account, 0, []byte(r.Body))
+}
+
+// Software returns what runs the request. Its version is empty, as requests don't choose it.
+func (r Run) Software() peridotquarantine.Software {
+	return peridotquarantine.Software{Service: cmp.Or(r.Service, r.Model)}
+}
+
 // Resume asks for the chunks of a running or ended request that follow a
 // checkpoint.
 type Resume struct {
@@ -166,6 +180,8 @@
 	// Quiet is set while the process admits no requests because an order is about
 	// to be applied to its engine.
 	Quiet bool
+	// Ended contains requests under which the backend server of the process ended.
+	Ended []peridotquarantine.Accusation `json:",omitempty"`
 }
 
 // Fetch asks for the configuration commits after the number After.
