Front: comments of a server don't keep a stalled stream alive

Callers of a resumable stream waited for its whole time at an engine that had stalled but sent a comment (":" and a blank line) now and then: each event, also one without an ID, restarted the watch for silence. Other bytes didn't: half an event, blank lines.

Only an event with an ID restarts the watch now. stallWatch.resume goes on with the silence as it was before the comment.

--- a/peridotfront/stall.go
+++ b/peridotfront/stall.go
@@ -45,6 +45,8 @@
 	// limit is the longest allowed silence; 0 means that the watch is not running, even
 	// if the timer is.
 	limit time.Duration
+	// pausedLimit is the limit before the last pause.
+	pausedLimit time.Duration
 	// since is the value of Front.now when the silence began.
 	since time.Duration
 	// expiresAt is the value of Front.now at which the timer is to call expire.
@@ -78,7 +80,7 @@
 	}
 }
 
-// start starts the watch, or restarts it after the server has sent something. The
+// start starts the watch, or restarts it after the server has made progress. The
 // caller must have checked that the request may run once more after this try.
 func (w *stallWatch) start(limit time.Duration) {
 	w.mu.Lock()
@@ -108,7 +110,18 @@
 func (w *stallWatch) pause() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limit = 0
+	w.pausedLimit, w.limit = w.limit, 0
+}
+
+// resume ends a pause. The silence goes on: what the server has sent is no progress.
+func (w *stallWatch) resume() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.limit = w.pausedLimit; w.limit == 0 {
+		return
+	}
+	now := w.exchange.front.now()
+	w.setTimer(now, max(0, w.since+w.limit-now))
 }
 
 // stop ends the try. If the watch canceled it, stop passes the length of the silence
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -156,6 +156,7 @@
 		}
 		s.watch.pause() // A caller that reads slowly is no silence of the server.
 		s.recordProgress()
+		lastEventID := x.lastEventID
 		if err := s.forwardEvent(answer, event); err != nil {
 			answer.Abandon()
 			return err
@@ -163,7 +164,11 @@
 		if x.answerStarted && reader.Buffered() == 0 && answer.Buffered() == 0 {
 			x.flush()
 		}
-		s.restartWatch()
+		if x.lastEventID == lastEventID {
+			s.watch.resume() // Comments alone don't show that the server goes on.
+		} else {
+			s.restartWatch()
+		}
 	}
 }
 
