Front: an answer without an ID on a reused connection belongs to no request

A server may send a second copy of an answer, late, on a connection that is in use again. Fronts compare the request's ID, but took answers to prefills and refusals without one. A prompt was then answered on the KV cache of another prompt, and a caller was told by 503 that its request hadn't run though it had.

Such answers are now taken only on a new connection, on which nothing was sent before. Servers that name the ID, as the protocol asks, notice nothing.

--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -68,7 +68,9 @@
 			return nil, AnswerHead{}, failure
 		}
 		head := f.protocol.DecodeAnswer(answer.StatusCode, answer.Header)
-		if head.ID != x.call.ID && (head.ID != "" || !head.NotRun && !requestHead.Prefill) {
+		// An answer without an ID may be a late copy of an earlier one on a reused connection.
+		mayLackID := !reused && (head.NotRun || requestHead.Prefill)
+		if head.ID != x.call.ID && (head.ID != "" || !mayLackID) {
 			answer.Abandon()
 			return nil, AnswerHead{}, peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.MayHaveRun, "the answer belongs to another request")
 		}
