--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -32,10 +32,10 @@
 	trialRetryAfter = 300 * time.Millisecond
 )
 
-// quarantine keeps requests from backend servers under which servers ended, or under a part
-// of whose prompt. It shares what it learns with the other fronts and the table service. Its methods
-// are safe for concurrent use. Front.mu may be locked when they are called, but they must
-// not lock it.
+// quarantine keeps requests from backend servers if servers ended under them, or under a
+// part of their prompts. It shares what it learns with the other fronts and the table
+// service. Its methods are safe for concurrent use. Front.mu may be locked when they are
+// called, but they must not lock it.
 type quarantine struct {
 	front *Front
 	// probe finds out whether a process listens at an address.
--- a/peridotquarantine/part.go
+++ b/peridotquarantine/part.go
@@ -28,7 +28,7 @@
 func RequestOf(method, target, caller string, prompt uint64, body []byte) Part {
 	var digest xxhash.Digest
 	digest.Reset()
-	// The lengths keep the fields apart. Writes to a digest never fail.
+	// Quotes and the length keep the fields apart. Writes to a digest never fail.
 	_, _ = fmt.Fprintf(&digest, "%q %q %q %x %d\n", method, target, caller, prompt, len(body))
 	_, _ = digest.Write(body)
 	return Part(digest.Sum64()) | wholeRequest
