--- a/peridotquarantine/part_test.go
+++ b/peridotquarantine/part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 )
 
@@ -48,3 +49,15 @@
 		t.Error("a part of a prompt is taken for a request")
 	}
 }
+
+// BenchmarkRequestOf measures what the identity of each request costs.
+func BenchmarkRequestOf(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 20 << 10} {
+		b.Run(fmt.Sprint(size, " bytes"), func(b *testing.B) {
+			body := make([]byte, size)
+			for b.Loop() {
+				RequestOf("POST", "board.example/x?y=1", "parish", 1, body)
+			}
+		})
+	}
+}
