Front: log version, source and age of what is known of a resumed stream

New fields origin, origin_age_ms and origin_software distinguish the hypotheses. No decision changes; go test ./peridotorigin ./peridotfront passes.

--- a/peridotfront/originlookup.go
+++ b/peridotfront/originlookup.go
@@ -43,15 +43,24 @@
 // findOrigin returns the software version that began the stream of the given request. It
 // asks other fronts if this one doesn't know. It returns false if no front knows, if
 // none answers within 120 ms or none is known within 200 ms, or once ctx is done.
-func (f *Front) findOrigin(ctx context.Context, request string) (software string, ok bool) {
+// The result is one of those for the metrics, or empty if the request is.
+func (f *Front) findOrigin(ctx context.Context, request string) (software, result string, ok bool) {
 	if request == "" {
-		return "", false
+		return "", "", false
 	}
 	start := f.now()
-	software, result := f.origins.find(ctx, peridotorigin.KeyOf(request))
+	software, result = f.origins.find(ctx, peridotorigin.KeyOf(request))
 	f.metrics.CountOriginLookup(result)
 	f.metrics.RecordDuration("origin_lookup", f.now()-start)
-	return software, result == lookupOwn || result == lookupFound
+	return software, result, result == lookupOwn || result == lookupFound
+}
+
+// originAge returns how long this front has known the origin of the stream of the given
+// request, or 0 if it does not know it.
+func (f *Front) originAge(request string) time.Duration {
+	f.origins.mu.Lock()
+	defer f.origins.mu.Unlock()
+	return f.origins.table.Age(f.now(), peridotorigin.KeyOf(request))
 }
 
 // find looks an origin up and returns its version and the result for the metrics.
--- a/peridotfront/origins_test.go
+++ b/peridotfront/origins_test.go
@@ -94,7 +94,7 @@
 			}
 			for at, f := range fronts[c.killed:] {
 				for i := range 20 {
-					got, ok := f.findOrigin(t.Context(), fmt.Sprint("request-", i))
+					got, _, ok := f.findOrigin(t.Context(), fmt.Sprint("request-", i))
 					if want := fmt.Sprint("v", i%2); !ok || got != want {
 						t.Errorf("request %d at front %d: got %q, %v, want %q", i, c.killed+at, got, ok, want)
 					}
@@ -114,7 +114,7 @@
 	kill[0]()
 	fresh, _ := startFront(t, c, "fresh")
 	start := time.Now()
-	if got, ok := fresh.findOrigin(t.Context(), "request"); !ok || got != "v1" {
+	if got, _, ok := fresh.findOrigin(t.Context(), "request"); !ok || got != "v1" {
 		t.Errorf("got %q, %v after %v, want v1", got, ok, time.Since(start))
 	}
 }
@@ -129,11 +129,11 @@
 	kill[0]()
 	fresh, _ := startFront(t, c, "fresh")
 	peridotawait.Until(t, "front 1 heard", func() bool { return len(fresh.peers.heardAddresses()) == 1 })
-	if got, ok := fresh.findOrigin(t.Context(), "request"); !ok || got != "v1" {
+	if got, _, ok := fresh.findOrigin(t.Context(), "request"); !ok || got != "v1" {
 		t.Fatalf("before the other front is killed: got %q, %v, want v1", got, ok)
 	}
 	kill[1]()
-	if got, ok := fresh.findOrigin(t.Context(), "request"); !ok || got != "v1" {
+	if got, _, ok := fresh.findOrigin(t.Context(), "request"); !ok || got != "v1" {
 		t.Errorf("after the other front was killed: got %q, %v, want v1", got, ok)
 	}
 }
@@ -153,7 +153,7 @@
 		fastest := time.Hour
 		for i := range 10 {
 			start := time.Now()
-			if got, ok := fronts[0].findOrigin(t.Context(), fmt.Sprint("unknown-", i)); ok {
+			if got, _, ok := fronts[0].findOrigin(t.Context(), fmt.Sprint("unknown-", i)); ok {
 				t.Errorf("%d fronts: got %q, want unknown", c.fronts, got)
 			}
 			fastest = min(fastest, time.Since(start))
@@ -209,7 +209,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := c.front()
 			start := time.Now()
-			if got, ok := f.findOrigin(c.ctx, "unknown"); ok {
+			if got, _, ok := f.findOrigin(c.ctx, "unknown"); ok {
 				t.Errorf("got %q, want unknown", got)
 			}
 			if took := time.Since(start); took > c.most {
@@ -233,7 +233,7 @@
 	if got := copies(fronts, "ended"); got != 1 {
 		t.Errorf("got %d copies, want that of the front itself", got)
 	}
-	if got, ok := fronts[1].findOrigin(t.Context(), "ended"); !ok || got != "v1" {
+	if got, _, ok := fronts[1].findOrigin(t.Context(), "ended"); !ok || got != "v1" {
 		t.Errorf("got %q, %v, want v1 of the front that began the stream", got, ok)
 	}
 }
@@ -253,10 +253,10 @@
 	if got := f.origins.pending.Len(); got != peridotorigin.MaxPending {
 		t.Errorf("got %d origins waiting, want %d", got, peridotorigin.MaxPending)
 	}
-	if _, ok := f.findOrigin(t.Context(), "long"); ok {
+	if _, _, ok := f.findOrigin(t.Context(), "long"); ok {
 		t.Error("version that fits no datagram: got it, want it dropped")
 	}
-	if _, ok := f.findOrigin(t.Context(), ""); ok {
+	if _, _, ok := f.findOrigin(t.Context(), ""); ok {
 		t.Error("no request named: got a version, want none")
 	}
 }
--- a/peridotfront/resumption_test.go
+++ b/peridotfront/resumption_test.go
@@ -134,7 +134,7 @@
 	f.startedAt = f.startedAt.Add(-100 * time.Second)
 	f.recordOrigin("begun", "v1") // Resumed.
 	f.startedAt = f.startedAt.Add(-30 * time.Second)
-	if got, ok := f.findOrigin(t.Context(), "begun"); got != "v1" || !ok {
+	if got, _, ok := f.findOrigin(t.Context(), "begun"); got != "v1" || !ok {
 		t.Errorf("30 s after a resumption: got %q, %v; want v1", got, ok)
 	}
 }
@@ -182,7 +182,7 @@
 			var group sync.WaitGroup
 			for i := range n {
 				group.Go(func() {
-					if _, ok := started.findOrigin(t.Context(), fmt.Sprint(i)); ok {
+					if _, _, ok := started.findOrigin(t.Context(), fmt.Sprint(i)); ok {
 						found.Add(1)
 					}
 				})
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -182,7 +182,10 @@
 	}
 	f := x.front
 	x.resumption = resumedKnown
-	if origin, ok := f.findOrigin(x.ctx, x.call.Resumes); ok {
+	origin, source, ok := f.findOrigin(x.ctx, x.call.Resumes)
+	x.logFields["origin"] = source
+	if ok {
+		x.logFields["origin_age_ms"] = f.originAge(x.call.Resumes)
 		if err := x.resumeAt(decodeOrigin(origin)); err != nil {
 			x.countResumption(resumptionNoServer)
 			return err
@@ -194,6 +197,7 @@
 	}
 	x.logFields["resumption"] = string(x.resumption)
 	if x.softwareFixed {
+		x.logFields["origin_software"] = x.software
 		return nil
 	}
 	x.countResumption(resumptionUnknown)
@@ -205,6 +209,7 @@
 // does not lead to the service any more.
 func (x *exchange) resumeAt(service, software string) *peridotverdict.Error {
 	x.software, x.softwareFixed = software, true
+	x.logFields["origin_software"] = software
 	if service == "" || service == x.service.Name {
 		return nil
 	}
--- a/peridotorigin/table.go
+++ b/peridotorigin/table.go
@@ -100,6 +100,16 @@
 	return o.version, ok
 }
 
+// Age returns the time since the origin of a stream was recorded or renewed, or 0 if the
+// table doesn't contain the stream.
+func (t *Table) Age(now time.Duration, key Key) time.Duration {
+	o, ok := t.origins[key]
+	if !ok {
+		return 0
+	}
+	return now - (o.expiresAt - t.ttl)
+}
+
 // Expire removes the origins that have expired.
 func (t *Table) Expire(now time.Duration) {
 	for t.first < len(t.queue) && now >= t.queue[t.first].expiresAt {
