Front: keep origins and software versions in the table service

After a restart of all fronts, callers got streams joined of two software versions (200) if the old version's servers had left, and 503 for every resumption while both served. Cause: which version began a stream, and which versions have served, was known to fronts only. Fronts that started took each other's announcements for the record of the past. Change: rows software/* name the versions that have served, with a row that says in which era they are complete; a front knows the past only from them, from a front that does, or after five minutes. Fronts read the rows before they are ready, and again, once a second at most, for an origin that nobody knows. A version that registers while all are down is known to be new. TestStartingFrontGathersSoftware expected the fault in two rows (all announcements of fronts that have just started; no other front): they now expect that nothing is guessed, with rows added for a front that has read the history. TestReadyOnceFleetIsKnown has one condition more. Both tests that set rosterRead to mean a known past set that itself.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -87,6 +87,7 @@
 	seals       *peridotusage.Seals
 	sealedAt    map[peridotusage.Window]time.Duration
 	backends    backends
+	history     softwareHistory
 	peers       *peers
 	origins     *origins
 	quarantine  *quarantine
@@ -139,6 +140,7 @@
 	f.closing, f.startClosing = context.WithCancel(context.Background())
 	f.backends.byID = make(map[string]peridotsite.Backend)
 	f.backends.departures = make(departures)
+	f.history = newSoftwareHistory()
 	f.peers = newPeers(f)
 	f.origins = newOrigins(f)
 	f.quarantine = newQuarantine(f)
@@ -176,6 +178,7 @@
 	tree.Add(peridottree.Component{Name: "beliefs", Run: f.serveSnapshots})
 	tree.Add(peridottree.Component{Name: "hand-over", Run: f.copyPeerState})
 	tree.Add(peridottree.Component{Name: "quarantine", Run: f.quarantine.followRows})
+	tree.Add(peridottree.Component{Name: "origins", Run: f.origins.followRows})
 	tree.Add(peridottree.Component{Name: "clock", Run: f.anchorClock})
 	tree.Add(peridottree.Component{Name: "prune", Run: f.servePruning})
 	tree.ServeBackground(serveCtx)
@@ -271,9 +274,10 @@
 }
 
 // ready reports whether the front has a configuration, knows the backend servers, the other
-// fronts and which requests to refuse, and is not stopping.
+// fronts, which software versions began the streams of late and which requests to refuse, and
+// is not stopping.
 func (f *Front) ready() bool {
-	return !f.stopping.Load() && f.config.Load() != nil && f.knowsBackends() && f.knowsFronts() && f.quarantine.isLoaded()
+	return !f.stopping.Load() && f.config.Load() != nil && f.knowsBackends() && f.knowsFronts() && f.origins.storedLoaded() && f.quarantine.isLoaded()
 }
 
 // knowsBackends reports whether the front has a list of backend servers. Without one it
--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -58,6 +58,11 @@
 	Software []softwareAge `cbor:"16,keyasint,omitempty"`
 	// KnowsPast is set if Software contains those that left before the sender started.
 	KnowsPast bool `cbor:"17,keyasint,omitempty"`
+	// StoredOrigins contains origins that the receiver is to store in the table service.
+	StoredOrigins []originGroup `cbor:"20,keyasint,omitempty"`
+	// PastSoftware contains the software versions that were the only ones of their services
+	// when the sender started.
+	PastSoftware []softwareAge `cbor:"21,keyasint,omitempty"`
 	// HoldsDuties is set if the sender holds the lease of the duties.
 	HoldsDuties bool `cbor:"19,keyasint,omitempty"`
 }
--- /dev/null
+++ b/peridotfront/history.go
@@ -0,0 +1,364 @@
+package peridotfront
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"peridotstack/peridottable"
+)
+
+const (
+	// historyPrefix is the key prefix of the rows of software versions that have served
+	// within softwareMemory, one row each.
+	historyPrefix = "software/"
+	// historyCompleteKey is the key of the row that says that no version lacks its row. Its
+	// value is the era in which that was so: a restored copy may be older than some rows.
+	historyCompleteKey = historyPrefix + "complete"
+	// historyTurnTime is the time after which a front stores a software version that the
+	// front whose turn it is has not stored. Each front waits longer than the one before.
+	historyTurnTime = 500 * time.Millisecond
+	historyTurnStep = 50 * time.Millisecond
+	maxHistoryTurns = 20
+	// historyReadInterval is the time between two reads of a complete history. One that is
+	// not complete is read after historyRetryInterval or historyRetryPerFront multiplied by
+	// the number of fronts, whichever is longer.
+	historyReadInterval  = 30 * time.Second
+	historyRetryInterval = 500 * time.Millisecond
+	historyRetryPerFront = 5 * time.Millisecond
+	// pastSoftwareTime is how long after its first read of the history a front lets a stream
+	// of unknown origin go on at the only version of that time. Callers whose streams broke
+	// off when the fronts were restarted come back within it.
+	pastSoftwareTime = 10 * time.Second
+	// noHistoryEra is the era of a history that this front has not read or stored.
+	noHistoryEra = -1
+)
+
+// historyRow is the value of the row of a software version.
+type historyRow struct {
+	Service, Version string
+}
+
+func (s serviceSoftware) rowKey() string {
+	return fmt.Sprintf("%s%016x", historyPrefix, xxhash.Sum64String(encodeOrigin(s.service, s.version)))
+}
+
+// softwareHistory tracks which software versions the table service knows to have served, so
+// that fronts know the past after all of them were restarted. Its times are values of
+// Front.now.
+type softwareHistory struct {
+	// knowsPast is set once this front knows all software versions that have served within
+	// softwareMemory before it started.
+	knowsPast bool
+	// completeEra is the newest era in which the table service is known to lack no version.
+	completeEra int64
+	// readAt is when the rows were last read in the era readEra; zero means never.
+	readAt  time.Duration
+	readEra int64
+	// stored contains the versions of the rows by software version.
+	stored map[serviceSoftware]int64
+	// missingSince is when this front noticed first that the rows lack a software version
+	// that serves; zero if they lack none.
+	missingSince time.Duration
+	// past contains, by service, the only software version that had served when this front,
+	// or another one that has run since, first read the history.
+	past map[string]pastVersion
+}
+
+// pastVersion is the only software version that a service had at a time.
+type pastVersion struct {
+	version string
+	at      time.Duration
+}
+
+func newSoftwareHistory() softwareHistory {
+	return softwareHistory{completeEra: noHistoryEra, readEra: noHistoryEra, stored: make(map[serviceSoftware]int64), past: make(map[string]pastVersion)}
+}
+
+// syncHistory reads and stores the history as far as it is due.
+func (f *Front) syncHistory(ctx context.Context) {
+	era := f.platform.Era()
+	if f.historyStale(era) && !f.readHistory(ctx) {
+		return
+	}
+	if f.historyTurn(era) && f.readHistory(ctx) {
+		f.storeHistory(ctx, era)
+	}
+	if f.holdsDuties.Load() {
+		f.pruneHistory(ctx, era)
+	}
+}
+
+// historyStale reports whether the history has to be read in an era.
+func (f *Front) historyStale(era int64) bool {
+	fronts := f.peers.frontCount()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := &f.history
+	interval := historyReadInterval
+	if h.completeEra != era {
+		interval = max(historyRetryInterval, time.Duration(fronts)*historyRetryPerFront)
+	}
+	return h.readEra != era || f.now()-h.readAt >= interval
+}
+
+// readHistory reads the rows of the history. It reports whether it could.
+func (f *Front) readHistory(ctx context.Context) bool {
+	rows, err := scanAll(ctx, f.platform, historyPrefix)
+	if err != nil {
+		f.metrics.Count("history_read_failures")
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applyHistory(f.platform.Era(), rows)
+	return true
+}
+
+// scanAll reads all rows with a key prefix.
+func scanAll(ctx context.Context, store peridottable.Store, prefix string) ([]peridottable.Row, error) {
+	var all []peridottable.Row
+	after := ""
+	for {
+		rows, err := store.Scan(ctx, peridottable.Range{Prefix: prefix, After: after})
+		if err != nil || len(rows) == 0 {
+			return all, err
+		}
+		all = append(all, rows...)
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// applyHistory records the rows that were read in an era. The caller must hold f.mu.
+func (f *Front) applyHistory(era int64, rows []peridottable.Row) {
+	h, now := &f.history, f.now()
+	stored := make(map[serviceSoftware]int64, len(rows))
+	f.backends.recordSoftware(now)
+	for _, row := range rows {
+		if row.Key == historyCompleteKey {
+			if completeEra, err := strconv.ParseInt(string(row.Value), 10, 64); err == nil {
+				h.completeEra = max(h.completeEra, completeEra)
+			}
+			continue
+		}
+		var s historyRow
+		if err := json.Unmarshal(row.Value, &s); err != nil || (serviceSoftware{s.Service, s.Version}).rowKey() != row.Key {
+			f.metrics.Count("unreadable_rows")
+			log.WithField("row", row.Key).Warn(logPrefix + "ignoring a row that cannot be decoded")
+			continue
+		}
+		software := serviceSoftware{s.Service, s.Version}
+		stored[software] = row.Version
+		_, registered := f.backends.software[software]
+		if _, known := h.stored[software]; !known && !registered {
+			f.backends.software[software] = now // It may have served until now.
+		}
+	}
+	h.stored, h.readAt, h.readEra = stored, now, era
+	if h.completeEra == era && !h.knowsPast {
+		h.knowsPast = true
+		for service, version := range solePast(stored) {
+			h.past[service] = pastVersion{version: version, at: now}
+		}
+		log.WithFields(log.Fields{"era": era, "versions": len(stored)}).Info(logPrefix + "read which software versions have served")
+	}
+}
+
+// solePast returns the software version of each service that has just one.
+func solePast(stored map[serviceSoftware]int64) map[string]string {
+	past, versions := make(map[string]string), make(map[string]int)
+	for s := range stored {
+		versions[s.service]++
+		past[s.service] = s.version
+	}
+	for service, n := range versions {
+		if n > 1 {
+			delete(past, service)
+		}
+	}
+	return past
+}
+
+// pastSoftware returns the only software version that a service had when this front
+// started. A stream that no front knows began there, if its caller comes back soon: fronts
+// share the origins of streams that began later.
+func (f *Front) pastSoftware(service string) (version string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.history.past[service]
+	return p.version, ok && f.now()-p.at <= pastSoftwareTime
+}
+
+// recentPast returns the entries of past that other fronts may use: one that started a
+// moment later may have read a history with the next software version in it. The caller must
+// hold f.mu.
+func (f *Front) recentPast() []softwareAge {
+	var list []softwareAge
+	for service, p := range f.history.past {
+		if age := f.now() - p.at; age <= pastSoftwareTime && len(p.version) <= maxAnnouncedBytes && len(list) < maxSoftwareAges {
+			list = append(list, softwareAge{Service: service, Version: p.version, Millis: uint32(age.Milliseconds())})
+		}
+	}
+	return list
+}
+
+// observePast records what another front has announced of the past. The caller must hold
+// f.mu.
+func (f *Front) observePast(list []softwareAge) {
+	for _, a := range list {
+		if _, ok := f.history.past[a.Service]; !ok {
+			f.history.past[a.Service] = pastVersion{version: a.Version, at: f.now() - time.Duration(a.Millis)*time.Millisecond}
+		}
+	}
+}
+
+// historyTurn reports whether this front is to store what the history lacks in an era.
+func (f *Front) historyTurn(era int64) bool {
+	index, _ := f.peers.position()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h, now := &f.history, f.now()
+	f.knowsPastSoftware()
+	if len(f.missingSoftware(era)) == 0 && (h.completeEra == era || !h.knowsPast) {
+		h.missingSince = 0
+		return false
+	}
+	if h.missingSince == 0 {
+		h.missingSince = now
+	}
+	wait := time.Duration(0)
+	if index > 0 {
+		wait = historyTurnTime + time.Duration(min(index, maxHistoryTurns))*historyTurnStep
+	}
+	return now-h.missingSince >= wait
+}
+
+// missingSoftware returns the software versions that the history lacks: those that serve,
+// and all others that have served if it was not complete in this era. The caller must hold
+// f.mu.
+func (f *Front) missingSoftware(era int64) []serviceSoftware {
+	h := &f.history
+	f.backends.recordSoftware(f.now())
+	var missing []serviceSoftware
+	lacks := func(s serviceSoftware) bool {
+		_, ok := h.stored[s]
+		return !ok && !slices.Contains(missing, s)
+	}
+	for _, b := range f.backends.byID {
+		if s := (serviceSoftware{b.Service, b.SoftwareVersion}); lacks(s) {
+			missing = append(missing, s)
+		}
+	}
+	if h.completeEra == era {
+		return missing
+	}
+	for _, record := range []softwareRecord{f.backends.software, f.backends.peerSoftware} {
+		for s := range record {
+			if lacks(s) {
+				missing = append(missing, s)
+			}
+		}
+	}
+	return missing
+}
+
+// storeHistory stores what the history lacks in an era, and that it is complete if this
+// front knows the past.
+func (f *Front) storeHistory(ctx context.Context, era int64) {
+	t := peridottable.Txn{ID: f.self.Incarnation, Era: era}
+	f.mu.Lock()
+	missing := f.missingSoftware(era)
+	isComplete := f.history.knowsPast && len(missing) <= maxRowsPerCommit
+	f.mu.Unlock()
+	missing = missing[:min(len(missing), maxRowsPerCommit)]
+	for _, s := range missing {
+		if data, err := json.Marshal(historyRow{Service: s.service, Version: s.version}); err == nil { // Strings can be encoded.
+			t.Puts = append(t.Puts, peridottable.Put{Key: s.rowKey(), Value: data})
+		}
+	}
+	if isComplete {
+		t.Puts = append(t.Puts, historyComplete(era))
+	}
+	if len(t.Puts) == 0 {
+		return
+	}
+	version, err := f.platform.Commit(ctx, t)
+	if err != nil {
+		f.metrics.Count("history_write_failures")
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range missing {
+		f.history.stored[s] = version
+	}
+	if isComplete {
+		f.history.completeEra = max(f.history.completeEra, era)
+	}
+	log.WithFields(log.Fields{"versions": len(missing), "complete": isComplete, "era": era}).Info(logPrefix + "stored which software versions have served")
+}
+
+// historyComplete returns the row that says that the history is complete in an era.
+func historyComplete(era int64) peridottable.Put {
+	return peridottable.Put{Key: historyCompleteKey, Value: strconv.AppendInt(nil, era, 10)}
+}
+
+// pruneHistory deletes the rows of the software versions that have not served within
+// softwareMemory while this front ran.
+func (f *Front) pruneHistory(ctx context.Context, era int64) {
+	t := peridottable.Txn{ID: f.self.Incarnation, Era: era}
+	var gone []serviceSoftware
+	f.mu.Lock()
+	f.backends.recordSoftware(f.now())
+	for s, version := range f.history.stored {
+		_, known := f.backends.software[s]
+		_, knownToOthers := f.backends.peerSoftware[s]
+		if !known && !knownToOthers && len(gone) < maxRowsPerCommit/2 {
+			gone = append(gone, s)
+			t.Checks = append(t.Checks, peridottable.Check{Key: s.rowKey(), Version: version})
+			t.Deletes = append(t.Deletes, s.rowKey())
+		}
+	}
+	f.mu.Unlock()
+	if len(gone) == 0 {
+		return
+	}
+	if _, err := f.platform.Commit(ctx, t); err != nil {
+		f.metrics.Count("history_write_failures")
+		if peridottable.IsConflict(err) {
+			f.readHistory(ctx)
+		}
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range gone {
+		delete(f.history.stored, s)
+	}
+}
+
+// mixedServices returns the services whose streams cannot be told apart by their service
+// alone: those of which several software versions have served, or may have.
+func (f *Front) mixedServices() map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backends.recordSoftware(f.now())
+	knowsPast := f.knowsPastSoftware()
+	versions, mixed := make(map[string]string), make(map[string]bool)
+	for _, record := range []softwareRecord{f.backends.software, f.backends.peerSoftware} {
+		for s := range record {
+			version, known := versions[s.service]
+			if !knowsPast || known && version != s.version {
+				mixed[s.service] = true
+			}
+			versions[s.service] = s.version
+		}
+	}
+	return mixed
+}
--- a/peridotfront/originlookup.go
+++ b/peridotfront/originlookup.go
@@ -25,6 +25,7 @@
 const (
 	lookupOwn      = "own"
 	lookupFound    = "found"
+	lookupStored   = "stored"
 	lookupUnknown  = "unknown"
 	lookupTimedOut = "timed_out"
 	lookupCanceled = "canceled"
@@ -52,7 +53,7 @@
 	software, result = f.origins.find(ctx, peridotorigin.KeyOf(request))
 	f.metrics.CountOriginLookup(result)
 	f.metrics.RecordDuration("origin_lookup", f.now()-start)
-	return software, result, result == lookupOwn || result == lookupFound
+	return software, result, result == lookupOwn || result == lookupFound || result == lookupStored
 }
 
 // originAge returns how long this front has known the origin of the stream of the given
@@ -63,11 +64,23 @@
 	return f.origins.table.Age(f.now(), peridotorigin.KeyOf(request))
 }
 
-// find looks an origin up and returns its version and the result for the metrics.
+// find looks an origin up and returns its version and the result for the metrics. If no
+// other front knows it, it may be in the table service.
 func (o *origins) find(ctx context.Context, key peridotorigin.Key) (version, result string) {
 	if version, ok := o.version(key); ok {
 		return version, lookupOwn
 	}
+	version, result = o.ask(ctx, key)
+	if (result == lookupUnknown || result == lookupTimedOut) && o.awaitRows(ctx) {
+		if version, ok := o.version(key); ok {
+			return version, lookupStored
+		}
+	}
+	return version, result
+}
+
+// ask asks the other fronts for an origin.
+func (o *origins) ask(ctx context.Context, key peridotorigin.Key) (version, result string) {
 	l := o.openLookup(key)
 	if l == nil {
 		return "", lookupRejected
--- /dev/null
+++ b/peridotfront/originrows.go
@@ -0,0 +1,312 @@
+package peridotfront
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"peridotstack/peridotorigin"
+	"peridotstack/peridottable"
+	"peridotstack/peridotwait"
+)
+
+const (
+	// originRowPrefix is the key prefix of the rows of origins. The incarnation of the
+	// writer follows, and the number of the row in its journal.
+	originRowPrefix = "origin/"
+	// originStoreInterval is the time between two writes of one front. If all fronts are
+	// killed, the origins of that time are lost.
+	originStoreInterval = 100 * time.Millisecond
+	// originRetryInterval is the time between two checks of what is due, also after a
+	// failure.
+	originRetryInterval = 250 * time.Millisecond
+	// maxOriginWriters is the number of fronts that write rows of origins; the others send
+	// theirs to these. With originStoreInterval, it limits the writes of all fronts
+	// together to 80 a second.
+	maxOriginWriters = 8
+	// originReadTimeout is how long a look-up waits for a read of the rows.
+	originReadTimeout = 300 * time.Millisecond
+	// minOriginReadInterval, and originReadIntervalPerFront multiplied by the number of
+	// fronts, are lower bounds of the time between two reads.
+	minOriginReadInterval      = time.Second
+	originReadIntervalPerFront = 5 * time.Millisecond
+	// originPruneInterval is the time between two reads in which the holder of the duties
+	// looks for rows whose writer is gone.
+	originPruneInterval = time.Minute
+)
+
+// originRow is the value of a row of origins.
+type originRow struct {
+	_      struct{} `cbor:",toarray"`
+	Groups []originGroup
+}
+
+// originStorage tracks which origins the table service keeps, so that they outlive all
+// fronts. It is guarded by origins.mu, but for rows, which only followRows uses. Its times
+// are values of Front.now.
+type originStorage struct {
+	journal peridotorigin.Journal
+	// relayed contains the origins for the fronts that write rows, if this front is none.
+	relayed peridotorigin.Pending
+	// running contains the streams that began or went on at this front and have not ended,
+	// with their origins.
+	running map[peridotorigin.Key]string
+	// mixed contains the services of which the origins are stored.
+	mixed map[string]bool
+	// writers are the addresses of the fronts that write rows, in the same order at all
+	// fronts; isWriter is set if this front is one of them.
+	writers  []netip.AddrPort
+	isWriter bool
+	// loaded is set once the rows have been read, and readAt is when that was last begun.
+	loaded bool
+	readAt time.Duration
+	// read is closed at the end of the next read, and wanted is set if a look-up waits for
+	// one.
+	read   chan struct{}
+	wanted bool
+	// rows contains the versions of the rows that were read last, and when each was first
+	// seen.
+	rows map[string]seenRow
+}
+
+// seenRow is a version of a row and the time at which it was first seen.
+type seenRow struct {
+	version int64
+	at      time.Duration
+}
+
+// keep makes the origin of a stream outlive all fronts if several software versions of its
+// service serve. The caller must hold o.mu.
+func (o *origins) keep(now time.Duration, key peridotorigin.Key, origin string) {
+	if service, _ := decodeOrigin(origin); !o.stored.mixed[service] {
+		return
+	}
+	if o.stored.isWriter {
+		o.stored.journal.Add(now, key, origin)
+	} else if o.stored.relayed.Add(key, origin) {
+		o.front.metrics.Count("origins_dropped")
+	}
+	notify(o.storedChanged)
+}
+
+// updateMixed records the services of which several software versions serve. It keeps the
+// origins of the running streams of those that were none before.
+func (o *origins) updateMixed(mixed map[string]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	before := o.stored.mixed
+	o.stored.mixed = mixed
+	now := o.front.now()
+	for key, origin := range o.stored.running {
+		if service, _ := decodeOrigin(origin); mixed[service] && !before[service] {
+			o.keep(now, key, origin)
+		}
+	}
+}
+
+// updateWriters chooses the fronts that write rows among this one and the others that are
+// alive. The caller must hold o.mu.
+func (o *origins) updateWriters(alive []netip.AddrPort) {
+	self, err := netip.ParseAddrPort(o.front.settings.PeerAddress)
+	if err != nil {
+		return
+	}
+	writers := peridotorigin.NewFronts(append(alive, self)).Choose(peridotorigin.KeyOf(originRowPrefix), maxOriginWriters)
+	o.stored.writers, o.stored.isWriter = writers, false
+	for _, address := range writers {
+		o.stored.isWriter = o.stored.isWriter || address == self
+	}
+}
+
+// writersOf returns the front that writes the row of a stream's origin. The caller must hold
+// o.mu.
+func (o *origins) writersOf(key peridotorigin.Key) []netip.AddrPort {
+	n := len(o.stored.writers)
+	if n == 0 {
+		return nil
+	}
+	i := int(uint64(key) % uint64(n))
+	return o.stored.writers[i : i+1]
+}
+
+// followRows keeps the rows of the table service up to date until ctx is done: those of
+// origins and those of software versions.
+func (o *origins) followRows(ctx context.Context) error {
+	var prunedAt time.Duration
+	writtenEra := o.front.platform.Era()
+	for ctx.Err() == nil {
+		o.front.syncHistory(ctx)
+		o.updateMixed(o.front.mixedServices())
+		if o.readDue() {
+			o.readRows(ctx)
+		}
+		if era := o.front.platform.Era(); era != writtenEra {
+			writtenEra = era
+			o.renewRows()
+		}
+		o.writeRows(ctx)
+		if now := o.front.now(); o.front.holdsDuties.Load() && now-prunedAt >= originPruneInterval {
+			prunedAt = now
+			o.pruneRows(ctx)
+		}
+		select {
+		case <-o.storedChanged:
+			peridotwait.Sleep(ctx, originStoreInterval)
+		case <-o.readWanted:
+		case <-time.After(originRetryInterval):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// readDue reports whether the rows have to be read.
+func (o *origins) readDue() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.stored.loaded || o.stored.wanted
+}
+
+// readRows reads the rows and records the origins in them.
+func (o *origins) readRows(ctx context.Context) {
+	o.mu.Lock()
+	o.stored.readAt, o.stored.wanted = o.front.now(), false
+	o.mu.Unlock()
+	rows, err := scanAll(ctx, o.front.platform, originRowPrefix)
+	if err != nil {
+		o.front.metrics.Count("origin_row_read_failures")
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.front.now()
+	seen := make(map[string]seenRow, len(rows))
+	for _, row := range rows {
+		at := o.stored.rows[row.Key]
+		if at.version != row.Version {
+			at = seenRow{version: row.Version, at: now}
+			o.applyRow(now, row)
+		}
+		seen[row.Key] = at
+	}
+	if !o.stored.loaded {
+		log.WithFields(log.Fields{"rows": len(rows), "origins": o.table.Len()}).Info(logPrefix + "read the origins of streams")
+	}
+	o.stored.rows, o.stored.loaded = seen, true
+	close(o.stored.read)
+	o.stored.read = make(chan struct{})
+}
+
+// applyRow records the origins in a row. The caller must hold o.mu.
+func (o *origins) applyRow(now time.Duration, row peridottable.Row) {
+	var r originRow
+	if err := cbor.Unmarshal(row.Value, &r); err != nil {
+		o.front.metrics.Count("unreadable_rows")
+		log.WithField("row", row.Key).Warn(logPrefix + "ignoring a row that cannot be decoded")
+		return
+	}
+	for _, g := range r.Groups {
+		for _, key := range g.Keys {
+			o.table.Record(now, peridotorigin.Key(key), g.Version)
+		}
+	}
+}
+
+// awaitRows waits for a read of the rows, for originReadTimeout at most. It reports whether
+// one has ended.
+func (o *origins) awaitRows(ctx context.Context) bool {
+	interval := max(minOriginReadInterval, time.Duration(o.front.peers.frontCount())*originReadIntervalPerFront)
+	o.mu.Lock()
+	if len(o.stored.mixed) == 0 || o.stored.loaded && o.front.now()-o.stored.readAt < interval {
+		o.mu.Unlock()
+		return false
+	}
+	read := o.stored.read
+	o.stored.wanted = true
+	o.mu.Unlock()
+	notify(o.readWanted)
+	timer := time.NewTimer(originReadTimeout)
+	defer timer.Stop()
+	select {
+	case <-read:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// renewRows makes this front write its rows again.
+func (o *origins) renewRows() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stored.journal.Renew()
+}
+
+// writeRows writes what the table service lacks of this front's journal.
+func (o *origins) writeRows(ctx context.Context) {
+	o.mu.Lock()
+	changes := o.stored.journal.Changes(maxRowsPerCommit)
+	t := o.rowsTxn(changes)
+	o.mu.Unlock()
+	if changes.Empty() {
+		return
+	}
+	if _, err := o.front.platform.Commit(ctx, t); err != nil {
+		o.front.metrics.Count("origin_row_write_failures")
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stored.journal.Stored(changes)
+}
+
+// rowsTxn returns the transaction that stores changes of the journal.
+func (o *origins) rowsTxn(changes peridotorigin.Changes) peridottable.Txn {
+	t := peridottable.Txn{ID: o.front.self.Incarnation, Era: peridottable.AnyEra}
+	for _, r := range changes.Puts {
+		if data, err := cbor.Marshal(originRow{Groups: encodeGroups(r.Groups)}); err == nil { // Integers and strings can be encoded.
+			t.Puts = append(t.Puts, peridottable.Put{Key: o.rowKey(r.Number), Value: data})
+		}
+	}
+	for _, n := range changes.Deletes {
+		t.Deletes = append(t.Deletes, o.rowKey(n))
+	}
+	return t
+}
+
+func (o *origins) rowKey(number int) string {
+	return fmt.Sprintf("%s%s/%08d", originRowPrefix, o.front.self.Incarnation, number)
+}
+
+// pruneRows deletes the rows that have not changed for the time for which origins are kept:
+// their writers are gone.
+func (o *origins) pruneRows(ctx context.Context) {
+	o.readRows(ctx)
+	t := peridottable.Txn{ID: o.front.self.Incarnation, Era: peridottable.AnyEra}
+	now := o.front.now()
+	o.mu.Lock()
+	for key, row := range o.stored.rows {
+		if now-row.at >= peridotorigin.TTL && len(t.Deletes) < maxRowsPerCommit {
+			t.Deletes = append(t.Deletes, key)
+		}
+	}
+	o.mu.Unlock()
+	if len(t.Deletes) == 0 {
+		return
+	}
+	if _, err := o.front.platform.Commit(ctx, t); err != nil {
+		o.front.metrics.Count("origin_row_write_failures")
+	}
+}
+
+// storedLoaded reports whether the rows have been read, or can't be had in time.
+func (o *origins) storedLoaded() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.stored.loaded || o.front.now() > rosterLoadTime
+}
--- a/peridotfront/origins.go
+++ b/peridotfront/origins.go
@@ -60,7 +60,7 @@
 
 // hasOrigins reports whether the message is about origins.
 func (m *message) hasOrigins() bool {
-	return len(m.Origins) > 0 || len(m.questions()) > 0 || len(m.answers()) > 0
+	return len(m.Origins) > 0 || len(m.StoredOrigins) > 0 || len(m.questions()) > 0 || len(m.answers()) > 0
 }
 
 // questions returns all questions of the message, and answers all its answers.
@@ -81,7 +81,7 @@
 // hasValidOrigins reports whether the message keeps the limits of messages about
 // origins.
 func (m *message) hasValidOrigins() bool {
-	groups := m.Origins
+	groups := append(slices.Clip(m.Origins), m.StoredOrigins...)
 	for _, a := range m.answers() {
 		groups = append(slices.Clip(groups), a.Known...)
 	}
@@ -103,6 +103,9 @@
 	front *Front
 	// added gets a value when origins wait for their batch.
 	added chan struct{}
+	// storedChanged gets a value when the rows of the table service may have to change, and
+	// readWanted when a look-up waits for them.
+	storedChanged, readWanted chan struct{}
 	// outbox contains the datagrams to send.
 	outbox chan datagram
 
@@ -115,6 +118,7 @@
 	sets        frontSets
 	setsBuiltAt time.Duration
 	setsChanges int
+	stored      originStorage
 }
 
 // datagram is an encoded message for one front.
@@ -130,8 +134,10 @@
 func newOrigins(f *Front) *origins {
 	return &origins{
 		front: f, added: make(chan struct{}, 1), outbox: make(chan datagram, maxQueuedDatagrams),
-		table:   peridotorigin.NewTable(peridotorigin.TTL, peridotorigin.MaxOrigins),
-		lookups: make(map[uint64]*originLookup),
+		table:         peridotorigin.NewTable(peridotorigin.TTL, peridotorigin.MaxOrigins),
+		lookups:       make(map[uint64]*originLookup),
+		stored:        originStorage{running: make(map[peridotorigin.Key]string), read: make(chan struct{}), isWriter: true},
+		storedChanged: make(chan struct{}, 1), readWanted: make(chan struct{}, 1),
 	}
 }
 
@@ -148,7 +154,15 @@
 	o := f.origins
 	key := peridotorigin.KeyOf(request)
 	o.mu.Lock()
-	dropped := o.table.Record(f.now(), key, software) && o.pending.Add(key, software)
+	now := f.now()
+	isNew := o.table.Record(now, key, software)
+	dropped := isNew && o.pending.Add(key, software)
+	if known, ok := o.table.Version(now, key); ok && known == software {
+		o.stored.running[key] = software
+	}
+	if isNew {
+		o.keep(now, key, software)
+	}
 	o.mu.Unlock()
 	if dropped {
 		f.metrics.Count("origins_dropped")
@@ -163,7 +177,11 @@
 	o := f.origins
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.pending.End(peridotorigin.KeyOf(request))
+	key := peridotorigin.KeyOf(request)
+	o.pending.End(key)
+	o.stored.relayed.End(key)
+	o.stored.journal.End(key)
+	delete(o.stored.running, key)
 }
 
 // frontSets contains the other fronts among which copies are distributed.
@@ -184,6 +202,7 @@
 	now := o.front.now()
 	if changes != o.setsChanges || now-o.setsBuiltAt >= frontSetsInterval {
 		o.sets = frontSets{known: peridotorigin.NewFronts(p.targetAddresses()), heard: peridotorigin.NewFronts(p.heardAddresses())}
+		o.updateWriters(p.aliveAddresses())
 		o.setsBuiltAt, o.setsChanges = now, changes
 	}
 	return o.sets
@@ -304,13 +323,17 @@
 // sendBatches sends the origins that are due to the fronts that keep copies.
 func (o *origins) sendBatches() {
 	sets := o.fronts()
-	var batches []peridotorigin.Batch
+	var batches, relayed []peridotorigin.Batch
 	o.mu.Lock()
+	relayed = o.stored.relayed.Take(o.writersOf)
 	if sets.known.Len() > 0 {
 		batches = o.pending.Take(func(key peridotorigin.Key) []netip.AddrPort { return sets.choose(key, peridotorigin.Replicas) })
 	}
-	again := o.pending.Len() > 0
+	again := o.pending.Len() > 0 || o.stored.relayed.Len() > 0
 	o.mu.Unlock()
+	for _, b := range relayed {
+		o.enqueue(&message{StoredOrigins: encodeGroups(b.Groups)}, b.To)
+	}
 	for _, b := range batches {
 		o.enqueue(&message{Origins: encodeGroups(b.Groups)}, b.To)
 	}
@@ -351,6 +374,7 @@
 			o.table.Record(now, peridotorigin.Key(key), g.Version)
 		}
 	}
+	o.storeRelayed(now, m.StoredOrigins)
 	for _, q := range m.questions() {
 		o.enqueue(&message{Answer: o.answer(now, &q)}, from)
 	}
@@ -376,10 +400,31 @@
 func (o *origins) removeExpired() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Expire(o.front.now())
+	now := o.front.now()
+	o.table.Expire(now)
+	o.stored.journal.Expire(now)
+	for key := range o.stored.running {
+		if _, ok := o.table.Version(now, key); !ok {
+			delete(o.stored.running, key)
+		}
+	}
 	return o.table.Len()
 }
 
+// storeRelayed stores the origins that another front has sent because it writes no rows.
+// The caller must hold o.mu.
+func (o *origins) storeRelayed(now time.Duration, groups []originGroup) {
+	for _, g := range groups {
+		for _, key := range g.Keys {
+			o.table.Record(now, peridotorigin.Key(key), g.Version)
+			o.stored.journal.Add(now, peridotorigin.Key(key), g.Version)
+		}
+	}
+	if len(groups) > 0 {
+		notify(o.storedChanged)
+	}
+}
+
 // encodeGroups returns the encoded form of groups.
 func encodeGroups(groups []peridotorigin.Group) []originGroup {
 	encoded := make([]originGroup, 0, len(groups))
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -212,6 +214,7 @@
 		ages := f.backends.software.ages(f.now())
 		first.Software = ages[:min(len(ages), maxSoftwareAges)]
 		first.KnowsPast = f.knowsPastSoftware()
+		first.PastSoftware = f.recentPast()
 	}
 	f.mu.Unlock()
 	messages := []*message{first}
@@ -296,6 +299,11 @@
 	return list
 }
 
+// aliveAddresses returns the addresses of the other fronts that are alive.
+func (p *peers) aliveAddresses() []netip.AddrPort {
+	return slices.Collect(maps.Keys(p.alivePeers()))
+}
+
 // storeAnsweredSince reports whether the table service has answered at least one
 // other front without interruption since the given time. Only fronts that are alive
 // are considered.
@@ -417,6 +425,7 @@
 	}
 	f.handleLimits(m)
 	f.backends.observeSoftware(f.now(), m.Software)
+	f.observePast(m.PastSoftware)
 	f.placer.Observe(f.now(), m.From, m.report(f.backends.idByHash))
 }
 
@@ -487,15 +496,26 @@
 	}
 }
 
-// registerSelf writes the address of this front to the roster. It reports whether it
+// registerSelf writes the address of this front to the roster. The first front of all also
+// begins the history of software versions: nothing has served before. It reports whether it
 // succeeded.
 func (p *peers) registerSelf(ctx context.Context) bool {
 	f := p.front
-	_, err := f.platform.Commit(ctx, peridottable.Txn{
+	t := peridottable.Txn{
 		ID:   f.self.Incarnation,
 		Era:  peridottable.AnyEra,
 		Puts: []peridottable.Put{{Key: rosterPrefix + f.settings.Instance, Value: []byte(f.settings.PeerAddress)}},
-	})
+	}
+	if rows, err := f.platform.Scan(ctx, peridottable.Range{Prefix: rosterPrefix, Limit: 1}); err == nil && len(rows) == 0 && f.platform.Era() == 0 {
+		first := t
+		first.Era, first.Checks = 0, []peridottable.Check{{Key: historyCompleteKey}}
+		first.Puts = append(slices.Clip(t.Puts), historyComplete(0))
+		if _, err := f.platform.Commit(ctx, first); err == nil {
+			log.Info(logPrefix + "added this front to the roster as the first one")
+			return true
+		}
+	}
+	_, err := f.platform.Commit(ctx, t)
 	if err != nil {
 		f.metrics.Count("roster_write_failures")
 		return false
--- a/peridotfront/ready_test.go
+++ b/peridotfront/ready_test.go
@@ -10,15 +10,16 @@
 // backend servers and the other fronts, and refuse them.
 func TestReadyOnceFleetIsKnown(t *testing.T) {
 	for _, test := range []struct {
-		name                                 string
-		config, backends, roster, quarantine bool
-		want                                 bool
+		name                                          string
+		config, backends, roster, quarantine, origins bool
+		want                                          bool
 	}{
-		{name: "all known", config: true, backends: true, roster: true, quarantine: true, want: true},
-		{name: "no configuration", backends: true, roster: true, quarantine: true},
-		{name: "no list of servers", config: true, roster: true, quarantine: true},
-		{name: "other fronts unknown", config: true, backends: true, quarantine: true},
-		{name: "quarantine unknown", config: true, backends: true, roster: true},
+		{name: "all known", config: true, backends: true, roster: true, quarantine: true, origins: true, want: true},
+		{name: "no configuration", backends: true, roster: true, quarantine: true, origins: true},
+		{name: "no list of servers", config: true, roster: true, quarantine: true, origins: true},
+		{name: "other fronts unknown", config: true, backends: true, quarantine: true, origins: true},
+		{name: "quarantine unknown", config: true, backends: true, roster: true, origins: true},
+		{name: "origins unknown", config: true, backends: true, roster: true, quarantine: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newFront(t, newPlatform(), "front-0")
@@ -28,7 +29,7 @@
 			if test.backends {
 				f.SetBackends(nil)
 			}
-			f.peers.rosterRead, f.quarantine.loaded = test.roster, test.quarantine
+			f.peers.rosterRead, f.quarantine.loaded, f.origins.stored.loaded = test.roster, test.quarantine, test.origins
 			if got := f.ready(); got != test.want {
 				t.Errorf("got %v, want %v", got, test.want)
 			}
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -138,18 +138,25 @@
 	return f.backends.soleSoftware(f.now(), service)
 }
 
-// knowsPastSoftware reports whether this front has run for softwareMemory or has heard
-// from the other fronts which software versions have served: from all that are known, or
-// after softwareGatherTime from one that knew the past itself.
+// knowsPastSoftware reports whether this front knows which software versions have served
+// within softwareMemory: it has run for that time, has read a complete history, or has heard
+// from another front that knows. What fronts have seen that don't know the past themselves
+// proves nothing. The caller must hold f.mu.
 func (f *Front) knowsPastSoftware() bool {
-	if f.now() > softwareMemory {
-		return true
+	if !f.history.knowsPast {
+		f.history.knowsPast = f.now() > softwareMemory || f.hasHeardPast()
 	}
+	return f.history.knowsPast
+}
+
+// hasHeardPast reports whether all other fronts, or after softwareGatherTime some, have
+// announced the software versions that they have seen, one of them from the past on.
+func (f *Front) hasHeardPast() bool {
 	if !f.peers.hasReadRoster() {
 		return false // Other fronts may exist.
 	}
 	a := f.peers.softwareAnnouncers()
-	return a.announced == a.known || a.knowPast > 0 && f.now() > softwareGatherTime
+	return a.knowPast > 0 && (a.announced == a.known || f.now() > softwareGatherTime)
 }
 
 // resumption is the result of a request that resumes a stream, in metrics and logs.
@@ -161,6 +168,9 @@
 	// resumedSingle streams have an unknown origin and go on at the only software
 	// version of their service.
 	resumedSingle resumption = "single"
+	// resumedPast streams have an unknown origin and go on at the only software version that
+	// their service had before this front started.
+	resumedPast resumption = "past"
 	// resumptionUnknown streams have an unknown origin and are refused.
 	resumptionUnknown resumption = "refused_unknown"
 	// resumptionNoServer streams are refused because no server of their software
@@ -195,6 +205,10 @@
 		x.resumption = resumedSingle
 		x.software, x.softwareFixed = f.onlySoftware(x.service.Name)
 	}
+	if !x.softwareFixed && source == lookupUnknown {
+		x.resumption = resumedPast
+		x.software, x.softwareFixed = f.pastSoftware(x.service.Name)
+	}
 	x.logFields["resumption"] = string(x.resumption)
 	if x.softwareFixed {
 		x.logFields["origin_software"] = x.software
--- a/peridotfront/software_test.go
+++ b/peridotfront/software_test.go
@@ -83,7 +83,7 @@
 // service and takes the version that it knows for the only one.
 func TestOnlySoftwareNeedsTableService(t *testing.T) {
 	f := newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-0")
-	f.peers.rosterRead = true
+	f.history.knowsPast = true
 	f.FeedAnswered(FeedBackends)
 	f.SetBackends(withVersions("v1"))
 	if got, ok := f.onlySoftware("llm"); got != "v1" || !ok {
@@ -154,6 +154,8 @@
 		// known is the number of other fronts, of which announcing have sent an
 		// announcement and silent a datagram without one.
 		known, announcing, silent int
+		// historyRead is set if the front has read a complete history.
+		historyRead bool
 		// rosterUnread is set if the front has not read the roster of the fronts yet, and
 		// othersStarted if the other fronts have just started, too.
 		rosterUnread, othersStarted bool
@@ -161,14 +163,17 @@
 		uptime time.Duration
 		want   bool
 	}{
-		{name: "no other front", want: true},
+		{name: "no other front"},
+		{name: "no other front, history read", historyRead: true, want: true},
+		{name: "history read before the roster", historyRead: true, rosterUnread: true, want: true},
 		{name: "roster not read", rosterUnread: true},
 		{name: "no other front heard", known: 2},
 		{name: "only loads heard", known: 2, silent: 2},
 		{name: "some announcements", known: 2, announcing: 1},
 		{name: "all announcements", known: 2, announcing: 2, want: true},
 		{name: "some announcements, another front is away", known: 2, announcing: 1, uptime: softwareGatherTime + time.Second, want: true},
-		{name: "all announcements, of fronts that have just started", known: 2, announcing: 2, othersStarted: true, want: true},
+		{name: "all announcements, of fronts that have just started", known: 2, announcing: 2, othersStarted: true},
+		{name: "all announcements, of fronts that have just started, after a while", known: 2, announcing: 2, othersStarted: true, uptime: softwareGatherTime + time.Second},
 		{name: "some announcements, of a front that has just started", known: 2, announcing: 1, othersStarted: true, uptime: softwareGatherTime + time.Second},
 		{name: "out of touch", known: 2, uptime: time.Minute},
 		{name: "out of touch for long", known: 2, uptime: softwareMemory + time.Second, want: true},
@@ -178,6 +183,9 @@
 		f.startedAt = f.startedAt.Add(-test.uptime)
 		f.peers.rosterRead = !test.rosterUnread
 		f.SetBackends(withVersions("v1"))
+		if test.historyRead {
+			f.applyHistory(0, []peridottable.Row{{Key: historyCompleteKey, Value: []byte("0")}})
+		}
 		for i := range test.known {
 			f.peers.addAddress(mustParseAddrPort(t, fmt.Sprint("10.0.0.", i, ":7660")))
 		}
@@ -218,7 +226,7 @@
 	for _, test := range tests {
 		f := newFront(t, &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}, "front-0")
 		f.metrics = testMetrics()
-		f.peers.rosterRead = true
+		f.history.knowsPast = true
 		f.SetBackends(withVersions(test.versions...))
 		f.recordOrigin("begun", "v1")
 		x := &exchange{
