Front: the first event of a stream follows the caller's Last-Event-Id

Callers that resumed a stream behind event n got events twice or lost some, in an answer that ended as complete, if the server began with another event than n+1; callers of a new stream lost its first events likewise. Cause: exchange.lastEventID was 0 until the first event of the answer, and the check that IDs are consecutive was skipped then, so a first event with any ID was sent on. Evidence: TestFirstEventFollowsLastEventID failed on in 8 of its 9 cases, such as 200 with events 1 to 6 for a stream resumed behind 3, and 200 with event 5 first. Change: lastEventID begins with the caller's Last-Event-Id, and a new stream with event 1. Another first event counts as a broken run: another server gets the request if the route allows it, otherwise the caller gets 502, before a byte of the answer was sent. Result: all 9 cases pass, 3 of 3 runs with -race.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -83,7 +83,8 @@
 	headReceived bool
 	// answerStarted is set once the head of the answer has been sent to the caller.
 	answerStarted bool
-	// lastEventID is the ID of the last stream event sent to the caller; 0 if none.
+	// lastEventID is the ID of the last stream event that the caller has, from this answer
+	// or the one that it goes on with; 0 if none.
 	lastEventID int64
 	// software is the software version whose servers may generate the answer. It is
 	// valid only if softwareFixed is set.
@@ -224,6 +225,7 @@
 		return err
 	}
 	x.identify()
+	x.setLastEventID()
 	return nil
 }
 
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -261,6 +261,14 @@
 	return x.call.LastEventID
 }
 
+// setLastEventID sets the ID of the event behind which the stream begins. The IDs of a new
+// stream, and of one resumed behind an event whose ID is no number, begin with 1.
+func (x *exchange) setLastEventID() {
+	if id, err := strconv.ParseInt(x.call.LastEventID, 10, 64); err == nil && id > 0 {
+		x.lastEventID = id
+	}
+}
+
 // resumable reports whether another run could continue the answer: an event ID is
 // known unless the answer has not started.
 func (x *exchange) resumable() bool {
@@ -268,7 +276,7 @@
 }
 
 // forwardEvent sends one event to the caller. The IDs of the events must be
-// consecutive, also across runs. It holds back an event without an ID.
+// consecutive, also across runs and requests. It holds back an event without an ID.
 func (s *stream) forwardEvent(answer *peridotlink.Answer, event []byte) *peridotverdict.Error {
 	x := s.exchange
 	id, ok := eventID(event)
@@ -279,7 +287,7 @@
 		}
 		return nil
 	}
-	if x.lastEventID > 0 && id != x.lastEventID+1 {
+	if id != x.lastEventID+1 {
 		return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "event "+strconv.FormatInt(id, 10)+" came behind "+strconv.FormatInt(x.lastEventID, 10))
 	}
 	x.fixSoftware(s.software)
