Front: a new stream without events is not complete

Callers of a new stream got 200 with an empty body that ended as complete, if a server sent the head of the stream and then its end with no event between. Cause: forwardEvents took a marked end (last chunk, or length 0) for that of the stream whatever came before; only an end with the connection was taken for a broken stream. Evidence: TestNewStreamWithoutEvents failed on in 4 of its 6 cases (200, body "", one request at the servers). Change: mayEnd takes an end without events for that of the stream only if the caller has events already, from this answer or the one that it goes on with; otherwise another server gets the request if the route allows it, and the caller gets 502 if not. Result: all 6 cases pass, 3 of 3 runs with -race; the tests of streams, unframed and trickled answers, resumptions and software versions pass, 1 run.

--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -134,15 +134,13 @@
 	return nil
 }
 
-// forwardEvents forwards each complete event to the caller as it arrives. A stream without
-// events whose end is that of the connection has been broken off: a run generates one at
-// least.
+// forwardEvents forwards each complete event to the caller as it arrives.
 func (s *stream) forwardEvents(ctx context.Context, to peridotsite.Backend, answer *peridotlink.Answer) *peridotverdict.Error {
 	x := s.exchange
 	reader := bufio.NewReaderSize(answer.Body, streamBufferBytes)
 	for {
 		event, err := readEvent(reader)
-		if err == io.EOF && len(event) == 0 && (s.hasEvents || !answer.EndsWithConnection()) && !x.front.mayBeCut(ctx, to, answer) {
+		if err == io.EOF && len(event) == 0 && s.mayEnd(answer) && !x.front.mayBeCut(ctx, to, answer) {
 			answer.Finish()
 			return s.finish(answer)
 		}
@@ -172,6 +170,13 @@
 	}
 }
 
+// mayEnd reports whether the end of the answer may be that of the stream. A new stream has
+// one event at least; a resumed one may have none left, but not if its end is only that of
+// the connection.
+func (s *stream) mayEnd(answer *peridotlink.Answer) bool {
+	return s.hasEvents || s.exchange.lastEventID > 0 && !answer.EndsWithConnection()
+}
+
 // recordProgress records that an event has arrived. It counts the run on the first
 // event.
 func (s *stream) recordProgress() {
@@ -196,8 +201,7 @@
 	}
 }
 
-// finish completes the answer. A stream without events is a complete answer too if its end
-// was marked.
+// finish completes the answer.
 func (s *stream) finish(answer *peridotlink.Answer) *peridotverdict.Error {
 	s.exchange.startAnswer(answer)
 	if err := s.exchange.write(s.unnumbered); err != nil {
