--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -134,15 +134,13 @@
 	return nil
 }
 
-// forwardEvents forwards each complete event to the caller as it arrives. A stream without
-// events whose end is that of the connection has been broken off: a run generates one at
-// least.
+// forwardEvents forwards each complete event to the caller as it arrives.
 func (s *stream) forwardEvents(ctx context.Context, to peridotsite.Backend, answer *peridotlink.Answer) *peridotverdict.Error {
 	x := s.exchange
 	reader := bufio.NewReaderSize(answer.Body, streamBufferBytes)
 	for {
 		event, err := readEvent(reader)
-		if err == io.EOF && len(event) == 0 && (s.hasEvents || !answer.EndsWithConnection()) && !x.front.mayBeCut(ctx, to, answer) {
+		if err == io.EOF && len(event) == 0 && s.mayEnd(answer) && !x.front.mayBeCut(ctx, to, answer) {
 			answer.Finish()
 			return s.finish(answer)
 		}
@@ -172,6 +170,13 @@
 	}
 }
 
+// mayEnd reports whether the end of the answer may be that of the stream. A new stream has
+// one event at least; a resumed one may have none left, but not if its end is only that of
+// the connection.
+func (s *stream) mayEnd(answer *peridotlink.Answer) bool {
+	return s.hasEvents || s.exchange.lastEventID > 0 && !answer.EndsWithConnection()
+}
+
 // recordProgress records that an event has arrived. It counts the run on the first
 // event.
 func (s *stream) recordProgress() {
@@ -196,8 +201,7 @@
 	}
 }
 
-// finish completes the answer. A stream without events is a complete answer too if its end
-// was marked.
+// finish completes the answer.
 func (s *stream) finish(answer *peridotlink.Answer) *peridotverdict.Error {
 	s.exchange.startAnswer(answer)
 	if err := s.exchange.write(s.unnumbered); err != nil {
@@ -261,6 +265,14 @@
 	return x.call.LastEventID
 }
 
+// setLastEventID sets the ID of the event behind which the stream begins. The IDs of a new
+// stream, and of one resumed behind an event whose ID is no number, begin with 1.
+func (x *exchange) setLastEventID() {
+	if id, err := strconv.ParseInt(x.call.LastEventID, 10, 64); err == nil && id > 0 {
+		x.lastEventID = id
+	}
+}
+
 // resumable reports whether another run could continue the answer: an event ID is
 // known unless the answer has not started.
 func (x *exchange) resumable() bool {
@@ -268,7 +280,7 @@
 }
 
 // forwardEvent sends one event to the caller. The IDs of the events must be
-// consecutive, also across runs. It holds back an event without an ID.
+// consecutive, also across runs and requests. It holds back an event without an ID.
 func (s *stream) forwardEvent(answer *peridotlink.Answer, event []byte) *peridotverdict.Error {
 	x := s.exchange
 	id, ok := eventID(event)
@@ -279,7 +291,7 @@
 		}
 		return nil
 	}
-	if x.lastEventID > 0 && id != x.lastEventID+1 {
+	if id != x.lastEventID+1 {
 		return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "event "+strconv.FormatInt(id, 10)+" came behind "+strconv.FormatInt(x.lastEventID, 10))
 	}
 	x.fixSoftware(s.software)
