Front: close the gaps that a review of the stored origins found

Streams could still go on at another version, and did in unit tests of the reviewer: if a version's row came up to 1.5 s late, if a front that has just started guessed without having read the rows, if such a guess reached a front that had run for long, and if a front vouched for a past that it knew by hearsay. Change: versions are stored from a loop of their own, by one front after the other 5 ms apart; guesses need a read of the rows that ended after the request, and no front that has failed; only fronts that start accept another one's; only own knowledge is announced as knowledge; readiness waits for the history. Rows of another era are read again.

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -73,6 +73,9 @@
 	// bodyBytes is the memory used by request bodies that have been read completely.
 	bodyBytes atomic.Int64
 
+	// backendsChanged gets a value when the backend servers have changed.
+	backendsChanged chan struct{}
+
 	// mu guards the fields below, except for peers, origins and quarantine, which have
 	// mutexes of their own.
 	mu          sync.Mutex
@@ -136,6 +139,7 @@
 		lostFeeds:       make(map[string]bool),
 		feedAnsweredAt:  make(map[string]time.Duration),
 		feedSteadySince: make(map[string]time.Duration),
+		backendsChanged: make(chan struct{}, 1),
 	}
 	f.closing, f.startClosing = context.WithCancel(context.Background())
 	f.backends.byID = make(map[string]peridotsite.Backend)
@@ -178,6 +182,7 @@
 	tree.Add(peridottree.Component{Name: "beliefs", Run: f.serveSnapshots})
 	tree.Add(peridottree.Component{Name: "hand-over", Run: f.copyPeerState})
 	tree.Add(peridottree.Component{Name: "quarantine", Run: f.quarantine.followRows})
+	tree.Add(peridottree.Component{Name: "history", Run: f.followHistory})
 	tree.Add(peridottree.Component{Name: "origins", Run: f.origins.followRows})
 	tree.Add(peridottree.Component{Name: "clock", Run: f.anchorClock})
 	tree.Add(peridottree.Component{Name: "prune", Run: f.servePruning})
@@ -277,7 +282,7 @@
 // fronts, which software versions began the streams of late and which requests to refuse, and
 // is not stopping.
 func (f *Front) ready() bool {
-	return !f.stopping.Load() && f.config.Load() != nil && f.knowsBackends() && f.knowsFronts() && f.origins.storedLoaded() && f.quarantine.isLoaded()
+	return !f.stopping.Load() && f.config.Load() != nil && f.knowsBackends() && f.knowsFronts() && f.hasReadHistory() && f.origins.storedLoaded() && f.quarantine.isLoaded()
 }
 
 // knowsBackends reports whether the front has a list of backend servers. Without one it
--- a/peridotfront/history.go
+++ b/peridotfront/history.go
@@ -21,11 +21,11 @@
 	// historyCompleteKey is the key of the row that says that no version lacks its row. Its
 	// value is the era in which that was so: a restored copy may be older than some rows.
 	historyCompleteKey = historyPrefix + "complete"
-	// historyTurnTime is the time after which a front stores a software version that the
-	// front whose turn it is has not stored. Each front waits longer than the one before.
-	historyTurnTime = 500 * time.Millisecond
-	historyTurnStep = 50 * time.Millisecond
-	maxHistoryTurns = 20
+	// historyTurnStep, multiplied by the number of fronts with lower addresses, is how long a
+	// front leaves it to these to store a software version.
+	historyTurnStep = 5 * time.Millisecond
+	// historyCheckInterval is the time between two checks of what is due.
+	historyCheckInterval = 100 * time.Millisecond
 	// historyReadInterval is the time between two reads of a complete history. One that is
 	// not complete is read after historyRetryInterval or historyRetryPerFront multiplied by
 	// the number of fronts, whichever is longer.
@@ -54,8 +54,9 @@
 // Front.now.
 type softwareHistory struct {
 	// knowsPast is set once this front knows all software versions that have served within
-	// softwareMemory before it started.
-	knowsPast bool
+	// softwareMemory before it started, and hasReadPast if it has them from the table service
+	// itself.
+	knowsPast, hasReadPast bool
 	// completeEra is the newest era in which the table service is known to lack no version.
 	completeEra int64
 	// readAt is when the rows were last read in the era readEra; zero means never.
@@ -81,6 +82,20 @@
 	return softwareHistory{completeEra: noHistoryEra, readEra: noHistoryEra, stored: make(map[serviceSoftware]int64), past: make(map[string]pastVersion)}
 }
 
+// followHistory keeps the history up to date until ctx is done.
+func (f *Front) followHistory(ctx context.Context) error {
+	for ctx.Err() == nil {
+		f.syncHistory(ctx)
+		f.origins.updateMixed(f.mixedServices())
+		select {
+		case <-f.backendsChanged:
+		case <-time.After(historyCheckInterval):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
 // syncHistory reads and stores the history as far as it is due.
 func (f *Front) syncHistory(ctx context.Context) {
 	era := f.platform.Era()
@@ -161,6 +176,7 @@
 		}
 	}
 	h.stored, h.readAt, h.readEra = stored, now, era
+	h.hasReadPast = h.hasReadPast || h.completeEra == era
 	if h.completeEra == era && !h.knowsPast {
 		h.knowsPast = true
 		for service, version := range solePast(stored) {
@@ -187,8 +203,11 @@
 
 // pastSoftware returns the only software version that a service had when this front
 // started. A stream that no front knows began there, if its caller comes back soon: fronts
-// share the origins of streams that began later.
+// share the origins of streams that began later, unless one of them has failed.
 func (f *Front) pastSoftware(service string) (version string, ok bool) {
+	if f.peers.hasLostFront() {
+		return "", false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p, ok := f.history.past[service]
@@ -208,9 +227,12 @@
 	return list
 }
 
-// observePast records what another front has announced of the past. The caller must hold
-// f.mu.
+// observePast records what another front has announced of the past, if this one has just
+// started, too. The caller must hold f.mu.
 func (f *Front) observePast(list []softwareAge) {
+	if f.now() > pastSoftwareTime {
+		return
+	}
 	for _, a := range list {
 		if _, ok := f.history.past[a.Service]; !ok {
 			f.history.past[a.Service] = pastVersion{version: a.Version, at: f.now() - time.Duration(a.Millis)*time.Millisecond}
@@ -232,11 +254,7 @@
 	if h.missingSince == 0 {
 		h.missingSince = now
 	}
-	wait := time.Duration(0)
-	if index > 0 {
-		wait = historyTurnTime + time.Duration(min(index, maxHistoryTurns))*historyTurnStep
-	}
-	return now-h.missingSince >= wait
+	return now-h.missingSince >= time.Duration(index)*historyTurnStep
 }
 
 // missingSoftware returns the software versions that the history lacks: those that serve,
@@ -304,11 +322,35 @@
 	log.WithFields(log.Fields{"versions": len(missing), "complete": isComplete, "era": era}).Info(logPrefix + "stored which software versions have served")
 }
 
+// beginHistory records that this front is the first one of all and has stored a complete
+// history in era 0.
+func (f *Front) beginHistory() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := &f.history
+	h.knowsPast, h.hasReadPast, h.completeEra = true, true, max(h.completeEra, 0)
+}
+
+// hasReadHistory reports whether the history has been read, or can't be had in time.
+func (f *Front) hasReadHistory() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.history.readAt > 0 || f.now() > rosterLoadTime
+}
+
 // historyComplete returns the row that says that the history is complete in an era.
 func historyComplete(era int64) peridottable.Put {
 	return peridottable.Put{Key: historyCompleteKey, Value: strconv.AppendInt(nil, era, 10)}
 }
 
+// vouchesForPast reports whether this front may tell others that it has announced all
+// software versions that have served within softwareMemory: it has not heard of them from
+// others only, and ages is the whole list. The caller must hold f.mu.
+func (f *Front) vouchesForPast(ages []softwareAge) bool {
+	ownPast := f.history.hasReadPast || f.now() > softwareMemory
+	return ownPast && len(ages) == len(f.backends.software) && len(ages) <= maxSoftwareAges
+}
+
 // pruneHistory deletes the rows of the software versions that have not served within
 // softwareMemory while this front ran.
 func (f *Front) pruneHistory(ctx context.Context, era int64) {
--- a/peridotfront/originlookup.go
+++ b/peridotfront/originlookup.go
@@ -26,6 +26,7 @@
 	lookupOwn      = "own"
 	lookupFound    = "found"
 	lookupStored   = "stored"
+	lookupUnread   = "unread"
 	lookupUnknown  = "unknown"
 	lookupTimedOut = "timed_out"
 	lookupCanceled = "canceled"
@@ -71,14 +72,25 @@
 		return version, lookupOwn
 	}
 	version, result = o.ask(ctx, key)
-	if (result == lookupUnknown || result == lookupTimedOut) && o.awaitRows(ctx) {
-		if version, ok := o.version(key); ok {
-			return version, lookupStored
-		}
+	if !o.keepsAny() || result != lookupUnknown && result != lookupTimedOut {
+		return version, result
+	}
+	if !o.awaitRows(ctx) {
+		return "", lookupUnread
+	}
+	if version, ok := o.version(key); ok {
+		return version, lookupStored
 	}
 	return version, result
 }
 
+// keepsAny reports whether the origins of some service are in the table service.
+func (o *origins) keepsAny() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.stored.mixed) > 0 || !o.stored.loaded
+}
+
 // ask asks the other fronts for an origin.
 func (o *origins) ask(ctx context.Context, key peridotorigin.Key) (version, result string) {
 	l := o.openLookup(key)
--- a/peridotfront/originrows.go
+++ b/peridotfront/originrows.go
@@ -23,7 +23,7 @@
 	originStoreInterval = 100 * time.Millisecond
 	// originRetryInterval is the time between two checks of what is due, also after a
 	// failure.
-	originRetryInterval = 250 * time.Millisecond
+	originRetryInterval = 100 * time.Millisecond
 	// maxOriginWriters is the number of fronts that write rows of origins; the others send
 	// theirs to these. With originStoreInterval, it limits the writes of all fronts
 	// together to 80 a second.
@@ -32,7 +32,7 @@
 	originReadTimeout = 300 * time.Millisecond
 	// minOriginReadInterval, and originReadIntervalPerFront multiplied by the number of
 	// fronts, are lower bounds of the time between two reads.
-	minOriginReadInterval      = time.Second
+	minOriginReadInterval      = 100 * time.Millisecond
 	originReadIntervalPerFront = 5 * time.Millisecond
 	// originPruneInterval is the time between two reads in which the holder of the duties
 	// looks for rows whose writer is gone.
@@ -75,8 +75,8 @@
 
 // seenRow is a version of a row and the time at which it was first seen.
 type seenRow struct {
-	version int64
-	at      time.Duration
+	era, version int64
+	at           time.Duration
 }
 
 // keep makes the origin of a stream outlive all fronts if several software versions of its
@@ -91,6 +91,7 @@
 		o.front.metrics.Count("origins_dropped")
 	}
 	notify(o.storedChanged)
+	notify(o.added)
 }
 
 // updateMixed records the services of which several software versions serve. It keeps the
@@ -133,14 +134,11 @@
 	return o.stored.writers[i : i+1]
 }
 
-// followRows keeps the rows of the table service up to date until ctx is done: those of
-// origins and those of software versions.
+// followRows keeps the rows of origins in the table service up to date until ctx is done.
 func (o *origins) followRows(ctx context.Context) error {
 	var prunedAt time.Duration
 	writtenEra := o.front.platform.Era()
 	for ctx.Err() == nil {
-		o.front.syncHistory(ctx)
-		o.updateMixed(o.front.mixedServices())
 		if o.readDue() {
 			o.readRows(ctx)
 		}
@@ -166,9 +164,10 @@
 
 // readDue reports whether the rows have to be read.
 func (o *origins) readDue() bool {
+	interval := max(minOriginReadInterval, time.Duration(o.front.peers.frontCount())*originReadIntervalPerFront)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return !o.stored.loaded || o.stored.wanted
+	return !o.stored.loaded || o.stored.wanted && o.front.now()-o.stored.readAt >= interval
 }
 
 // readRows reads the rows and records the origins in them.
@@ -187,8 +186,8 @@
 	seen := make(map[string]seenRow, len(rows))
 	for _, row := range rows {
 		at := o.stored.rows[row.Key]
-		if at.version != row.Version {
-			at = seenRow{version: row.Version, at: now}
+		if at.version != row.Version || at.era != row.Era {
+			at = seenRow{era: row.Era, version: row.Version, at: now}
 			o.applyRow(now, row)
 		}
 		seen[row.Key] = at
@@ -219,12 +218,7 @@
 // awaitRows waits for a read of the rows, for originReadTimeout at most. It reports whether
 // one has ended.
 func (o *origins) awaitRows(ctx context.Context) bool {
-	interval := max(minOriginReadInterval, time.Duration(o.front.peers.frontCount())*originReadIntervalPerFront)
 	o.mu.Lock()
-	if len(o.stored.mixed) == 0 || o.stored.loaded && o.front.now()-o.stored.readAt < interval {
-		o.mu.Unlock()
-		return false
-	}
 	read := o.stored.read
 	o.stored.wanted = true
 	o.mu.Unlock()
--- a/peridotfront/origins_test.go
+++ b/peridotfront/origins_test.go
@@ -29,6 +29,7 @@
 func startFront(t *testing.T, c *fakePlatform, name string) (f *Front, kill func()) {
 	t.Helper()
 	f = newFront(t, c, name)
+	f.origins.stored.loaded = true // The table service has no origins.
 	ctx, stop := context.WithCancel(t.Context())
 	wait := run(ctx, t, f.peers.serve)
 	kill = func() {
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -213,7 +213,7 @@
 		sealed = f.ownSeals()
 		ages := f.backends.software.ages(f.now())
 		first.Software = ages[:min(len(ages), maxSoftwareAges)]
-		first.KnowsPast = f.knowsPastSoftware()
+		first.KnowsPast = f.vouchesForPast(ages)
 		first.PastSoftware = f.recentPast()
 	}
 	f.mu.Unlock()
@@ -304,6 +304,19 @@
 	return slices.Collect(maps.Keys(p.alivePeers()))
 }
 
+// hasLostFront reports whether a front that has sent datagrams to this one is silent.
+func (p *peers) hasLostFront() bool {
+	now := p.front.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, state := range p.byAddress {
+		if state.heardAt > 0 && now-state.heardAt >= peerAliveTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // storeAnsweredSince reports whether the table service has answered at least one
 // other front without interruption since the given time. Only fronts that are alive
 // are considered.
@@ -511,6 +524,7 @@
 		first.Era, first.Checks = 0, []peridottable.Check{{Key: historyCompleteKey}}
 		first.Puts = append(slices.Clip(t.Puts), historyComplete(0))
 		if _, err := f.platform.Commit(ctx, first); err == nil {
+			f.beginHistory()
 			log.Info(logPrefix + "added this front to the roster as the first one")
 			return true
 		}
--- a/peridotfront/ready_test.go
+++ b/peridotfront/ready_test.go
@@ -12,6 +12,7 @@
 	for _, test := range []struct {
 		name                                          string
 		config, backends, roster, quarantine, origins bool
+		historyUnread                                 bool
 		want                                          bool
 	}{
 		{name: "all known", config: true, backends: true, roster: true, quarantine: true, origins: true, want: true},
@@ -20,6 +21,7 @@
 		{name: "other fronts unknown", config: true, backends: true, quarantine: true, origins: true},
 		{name: "quarantine unknown", config: true, backends: true, roster: true, origins: true},
 		{name: "origins unknown", config: true, backends: true, roster: true, quarantine: true},
+		{name: "history unknown", config: true, backends: true, roster: true, quarantine: true, origins: true, historyUnread: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newFront(t, newPlatform(), "front-0")
@@ -30,6 +32,9 @@
 				f.SetBackends(nil)
 			}
 			f.peers.rosterRead, f.quarantine.loaded, f.origins.stored.loaded = test.roster, test.quarantine, test.origins
+			if !test.historyUnread {
+				f.applyHistory(0, nil)
+			}
 			if got := f.ready(); got != test.want {
 				t.Errorf("got %v, want %v", got, test.want)
 			}
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -138,7 +138,7 @@
 	f.backends.known = true
 	f.updatePlacer()
 	f.quarantine.recordBackends(f.backends.byID)
-	notify(f.origins.readWanted) // A software version may be new.
+	notify(f.backendsChanged)
 }
 
 // logBackends logs each backend server that was added, changed or removed. The
