--- a/peridotfront/history.go
+++ b/peridotfront/history.go
@@ -64,8 +64,8 @@
 	readEra int64
 	// stored contains the versions of the rows by software version.
 	stored map[serviceSoftware]int64
-	// missingSince is when this front noticed first that the rows lack a software version
-	// that serves; zero if they lack none.
+	// missingSince is when this front noticed first that the rows lack something; zero if
+	// they lack nothing.
 	missingSince time.Duration
 	// past contains, by service, the only software version that had served when this front,
 	// or another one that has run since, first read the history.
--- a/peridotfront/originrows.go
+++ b/peridotfront/originrows.go
@@ -46,8 +46,7 @@
 }
 
 // originStorage tracks which origins the table service keeps, so that they outlive all
-// fronts. It is guarded by origins.mu, but for rows, which only followRows uses. Its times
-// are values of Front.now.
+// fronts. It is guarded by origins.mu. Its times are values of Front.now.
 type originStorage struct {
 	journal peridotorigin.Journal
 	// relayed contains the origins for the fronts that write rows, if this front is none.
@@ -68,8 +67,7 @@
 	// one.
 	read   chan struct{}
 	wanted bool
-	// rows contains the versions of the rows that were read last, and when each was first
-	// seen.
+	// rows contains the versions of the rows that were read last.
 	rows map[string]seenRow
 }
 
--- a/peridotfront/origins.go
+++ b/peridotfront/origins.go
@@ -118,7 +118,8 @@
 	sets        frontSets
 	setsBuiltAt time.Duration
 	setsChanges int
-	stored      originStorage
+	// stored tracks what the table service keeps.
+	stored originStorage
 }
 
 // datagram is an encoded message for one front.
