Review: a manifest without tenants opens all routes

review/1 withdraws the only tenant of a small deployment: afterwards both fronts pass on requests with the withdrawn key, with a key that never was and without a key. The stand-ins of the review's scripts come with it.

--- /dev/null
+++ b/review/standin/prlimit_arm64.go
@@ -0,0 +1,4 @@
+package main
+
+// sysPrlimit64 is the number of the system call prlimit64.
+const sysPrlimit64 = 261
