--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,7 +30,7 @@
 }
 
 var cases = map[string]func(b *bench) (broken bool, err error){
-	"last-tenant": lastTenant, "uploads": uploads, "channels": channels,
+	"last-tenant": lastTenant, "uploads": uploads, "channels": channels, "stream-ids": streamIDs, "early-streams": earlyStreams,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -53,10 +56,23 @@
 	slots, queue chan struct{}
 	// quiet leaves its runs out of the record.
 	quiet bool
+	// early leaves it to answer to read the body.
+	early bool
 }
 
+// receiveBuffer is the receive buffer of a worker's channels in bytes: the platform's
+// channels have small windows.
+const receiveBuffer = 16 << 10
+
 func newWorker(id, service string, rec *record, all *runs) (*worker, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		return errors.Join(err, optionErr)
+	}}
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -76,9 +92,14 @@
 func (b *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Peridotstack-Request-Id")
 	w.Header().Set("X-Peridotstack-Request-Id", id)
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
+	var body []byte
+	if b.early {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	} else {
+		var err error
+		if body, err = io.ReadAll(r.Body); err != nil {
+			return
+		}
 	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("X-Peridotstack-Instance-Id", b.id)
