--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # run. It needs target/peridot, as the deploy file builds it, and review/build.sh.
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")"
-exec ../target/standin stream-ids . ../..
+exec ../target/standin plain-streams . ../..
