--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,7 +31,7 @@
 
 var cases = map[string]func(b *bench) (broken bool, err error){
 	"last-tenant": lastTenant, "uploads": uploads, "channels": channels, "stream-ids": streamIDs, "early-streams": earlyStreams,
-	"moved-streams": movedStreams, "plain-streams": plainStreamsWhole,
+	"leaving-workers": leavingWorkers, "moved-streams": movedStreams, "plain-streams": plainStreamsWhole,
 }
 
 func main() {
