--- a/review/standin/plainstream.go
+++ b/review/standin/plainstream.go
@@ -15,6 +15,7 @@
 const (
 	plainStreamEvents = 10
 	plainStreams      = 300
+	plainCallers      = 4
 	// breakEvery is the reciprocal of the share of answers that a worker breaks off.
 	breakEvery = 20
 )
@@ -57,24 +58,31 @@
 		return false, err
 	}
 	b.settle()
-	c := newClient(b.record)
-	short, whole, other := 0, 0, 0
-	for range plainStreams {
-		got := c.send(f.address(), http.MethodPost, "/ask/2f", "quadro.example", "key-of-musicians", []byte("which hymn?"), 15*time.Second)
-		isWhole := strings.HasSuffix(got.body, fmt.Sprintf("data: end of %s\n\n", got.id))
-		switch {
-		case got.status == http.StatusOK && got.err == nil && !isWhole:
-			short++
-			_, wasBroken := broken.Load(got.id)
-			b.record.add("BROKEN: %s ends as complete (200, seal %q), behind %q; its worker broke it off: %v", got.id, got.seal, got.body[max(0, len(got.body)-40):], wasBroken)
-		case got.status == http.StatusOK && got.err == nil:
-			whole++
-		default:
-			other++
-		}
+	var short, whole, other atomic.Int64
+	start := time.Now()
+	var wg sync.WaitGroup
+	for range plainCallers {
+		wg.Go(func() {
+			c := newClient(b.record)
+			for range plainStreams / plainCallers {
+				got := c.send(f.address(), http.MethodPost, "/ask/2f", "quadro.example", "key-of-musicians", []byte("which hymn?"), 15*time.Second)
+				isWhole := strings.HasSuffix(got.body, fmt.Sprintf("data: end of %s\n\n", got.id))
+				switch {
+				case got.status == http.StatusOK && got.err == nil && !isWhole:
+					short.Add(1)
+					_, wasBroken := broken.Load(got.id)
+					b.record.add("BROKEN: %s ends as complete (200, seal %q), behind %q; its worker broke it off: %v", got.id, got.seal, got.body[max(0, len(got.body)-40):], wasBroken)
+				case got.status == http.StatusOK && got.err == nil:
+					whole.Add(1)
+				default:
+					other.Add(1)
+				}
+			}
+		})
 	}
-	b.record.add("%d streams: %d whole, %d ended as complete before their last event, %d others", plainStreams, whole, short, other)
-	return short > 0, nil
+	wg.Wait()
+	b.record.add("%d streams in %.1f s: %d whole, %d ended as complete before their last event, %d others", plainStreams, time.Since(start).Seconds(), whole.Load(), short.Load(), other.Load())
+	return short.Load() > 0, nil
 }
 
 // writeUnframed writes a stream without a length, which ends with the channel.
