Front: log the framing and the events of an answer, and whether keys are needed

A stream of a plain service that its server had cut could not be told in the log from a whole one, and a configuration without client accounts not from one whose accounts were all withdrawn.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -86,6 +86,8 @@
 	// lastEventID is the ID of the last stream event that the caller has, from this answer
 	// or the one that it goes on with; 0 if none.
 	lastEventID int64
+	// events is the number of events that were read one by one, of all runs.
+	events int
 	// software is the software version whose servers may generate the answer. It is
 	// valid only if softwareFixed is set.
 	software string
--- a/peridotfront/refuse.go
+++ b/peridotfront/refuse.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"peridotstack/peridotclock"
+	"peridotstack/peridotsite"
 	"peridotstack/peridotverdict"
 )
 
@@ -120,6 +121,9 @@
 	if status != 0 {
 		x.logFields["status"] = status
 	}
+	if x.route != nil && x.route.Kind == peridotsite.Stream {
+		x.logFields["events"] = x.events
+	}
 	if x.call.LastEventID != "" {
 		x.logFields["resumes"] = x.call.Resumes
 		x.logFields["after_event"] = x.call.LastEventID
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -121,7 +121,7 @@
 	f.config.Store(c)
 	f.updatePlacer()
 	f.metrics.SetGauge("config_version", float64(c.Version))
-	log.WithFields(log.Fields{"version": c.Version, "routes": len(c.Routes), "accounts": len(c.Accounts)}).Info(logPrefix + "configuration in force")
+	log.WithFields(log.Fields{"version": c.Version, "routes": len(c.Routes), "accounts": len(c.Accounts), "keys_needed": c.NeedsKey(&peridotsite.Route{})}).Info(logPrefix + "configuration in force")
 }
 
 // SetBackends implements Watcher.
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -152,6 +152,7 @@
 			}
 			return failure
 		}
+		x.events++
 		s.watch.pause() // A caller that reads slowly is no silence of the server.
 		s.recordProgress()
 		lastEventID := x.lastEventID
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -78,6 +78,7 @@
 		x.recordHold(to, head)
 		x.recordLimit(to, head, sentAt)
 		x.headReceived = !head.NotRun
+		x.logFields["unframed"] = answer.EndsWithConnection()
 		return answer, head, nil
 	}
 }
