Front: forward every stream route event by event, whatever service is behind it

Cause: Front.ServeHTTP chose the path of a request by its service. Only requests to engines were forwarded event by event; all others were buffered, and the end of the connection ended the answer. Nothing looked at the events.

Change: the kind of the route chooses the path. One loop, exchange.serve, places, admits and retries all requests; servePlain and servePrompt had one each. A try forwards events or sends a whole answer. A stream ends at the caller as it did at the server: readPiece finds the end inside an event, the body reader that inside a chunk or before the length. Plain services promise increasing IDs only, so that gaps are allowed there, repeats are not, and an event without an ID is sent at once but can't be resumed behind. Placer.Place takes over from PlacePlain, with the software version that a resumption needs. giveUp delivers the last error answer of a server, for streams too.

Why it works: an answer is ended towards the caller only by finish, which is reached only at io.EOF between two events; every other end aborts the connection or goes on at another server. No path to the caller is left on a stream route that does not read the events.

Other tests change in names of functions only, and TestTrial places at both kinds of service.

--- a/peridotfront/departures_test.go
+++ b/peridotfront/departures_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"peridotstack/peridotplace"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottable"
 )
@@ -50,7 +51,7 @@
 		if got := f.backends.byID["b"].Leaving; got != test.want {
 			t.Errorf("%s: got leaving %v, want %v", test.name, got, test.want)
 		}
-		if _, placed := f.placer.PlacePlain(f.now(), "s", nil); placed == test.want {
+		if _, placed := f.placer.Place(f.now(), peridotplace.Prompt{Service: "s"}); placed == test.want {
 			t.Errorf("%s: got it placed %v, want %v", test.name, placed, !test.want)
 		}
 	}
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -86,8 +86,11 @@
 	// lastEventID is the ID of the last stream event that the caller has, from this answer
 	// or the one that it goes on with; 0 if none.
 	lastEventID int64
-	// events is the number of events that were read one by one, of all runs.
+	// events is the number of events read from servers, of all runs.
 	events int
+	// unnumberedSent is set if the caller has an event without an ID behind that with the
+	// ID lastEventID. Another run would send it again.
+	unnumberedSent bool
 	// software is the software version whose servers may generate the answer. It is
 	// valid only if softwareFixed is set.
 	software string
@@ -103,6 +106,9 @@
 	budgetSpent bool
 	// lastErr is the error of the last failed try; nil if none has failed.
 	lastErr *peridotverdict.Error
+	// failure is the last error answer of a server, which the caller gets if no other
+	// server answers better; nil if none has come.
+	failure *bufferedAnswer
 	// logFields contains the fields of the request's log line.
 	logFields log.Fields
 }
@@ -158,11 +164,7 @@
 	defer context.AfterFunc(f.closing, cancel)()
 	x.ctx = ctx
 	f.recordDemand(x.service.Name)
-	if x.service.Engine != nil {
-		x.servePrompt()
-	} else {
-		x.servePlain()
-	}
+	x.serve()
 }
 
 // answerPanic logs and counts a panic of the handler. It refuses the request, which may
--- a/peridotfront/handler_test.go
+++ b/peridotfront/handler_test.go
@@ -15,7 +15,6 @@
 
 	"peridotstack/peridotmetric"
 	"peridotstack/peridotplace"
-	"peridotstack/peridotsite"
 	"peridotstack/peridottable"
 	"peridotstack/peridotverdict"
 )
@@ -126,7 +125,7 @@
 		name string
 		run  func(x *exchange)
 	}{
-		{name: "plain request", run: func(x *exchange) { x.tryPlain(peridotsite.Backend{ID: "a"}) }},
+		{name: "whole answer", run: func(x *exchange) { x.tryWhole(choice) }},
 		{name: "prefill", run: func(x *exchange) { x.prefill(choice) }},
 		{name: "end of a prefill", run: func(x *exchange) { x.front.endPrefill(&peridotplace.Flight{}) }},
 		{name: "generation", run: func(x *exchange) { x.generate(choice, nil) }},
--- a/peridotfront/refuse.go
+++ b/peridotfront/refuse.go
@@ -85,14 +85,19 @@
 	x.log(log.InfoLevel, "refused", status)
 }
 
-// giveUp answers a request that is not tried again, with the code and message of err
-// or of the last failed try. The verdict is NotRun only if no try can have run.
+// giveUp answers a request that is not tried again: with the error answer of a server if
+// there is one, otherwise with the code and message of err or of the last failed try. The
+// verdict is NotRun only if no try can have run.
 func (x *exchange) giveUp(err *peridotverdict.Error) {
 	if x.callerDisconnected() {
 		x.front.metrics.Count("callers_left")
 		x.log(log.InfoLevel, "caller left", 0)
 		panic(http.ErrAbortHandler)
 	}
+	if x.failure != nil && !x.answerStarted {
+		x.deliver(x.failure)
+		return
+	}
 	retryAfter := max(err.RetryAfter, noBackendRetryAfter)
 	if x.lastErr != nil && err.Code == peridotverdict.NoBackend {
 		err = x.lastErr // Report why the tried servers failed.
--- a/peridotfront/resumption_test.go
+++ b/peridotfront/resumption_test.go
@@ -112,7 +112,7 @@
 	x.software = unnamed.SoftwareVersion
 	var tried []string
 	for {
-		c, ok := x.placePrompt(x.software)
+		c, ok := x.place(x.software)
 		if !ok {
 			break
 		}
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -286,7 +286,7 @@
 // softwareChangedError returns the error of a try at a server that was chosen with
 // another software version than it has now.
 func softwareChangedError(to peridotsite.Backend) *peridotverdict.Error {
-	return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the engine has another software version now: "+to.SoftwareVersion)
+	return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the server has another software version now: "+to.SoftwareVersion)
 }
 
 // countNoServer counts a resumed stream if no server has taken it.
--- a/peridotfront/stall_test.go
+++ b/peridotfront/stall_test.go
@@ -179,7 +179,7 @@
 func TestFailureIsRecordedForReplacement(t *testing.T) {
 	x := newStartedExchange(t)
 	x.triedBackends = []string{"a"}
-	if err := x.tryPrompt(peridotplace.Choice{Backend: "left"}); err == nil {
+	if err := x.tryStream(peridotplace.Choice{Backend: "left"}); err == nil {
 		t.Fatal("got no error, want that b cannot be reached")
 	}
 	if want := []string{"a", "b"}; !slices.Equal(x.triedBackends, want) {
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -5,10 +5,13 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/apex/log"
+
 	"peridotstack/peridotclock"
 	"peridotstack/peridotlink"
 	"peridotstack/peridotplace"
@@ -20,41 +23,49 @@
 const (
 	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes = 1 << 20
-	// maxUnnumberedBytes limits the bytes without an event ID in sequence: blank lines
-	// between two events, and events without an ID between two others.
+	// maxUnnumberedBytes limits the pieces without an ID that are held back until the next
+	// event.
 	maxUnnumberedBytes = 64 << 10
 	// streamBufferBytes is the size of the read buffer of a stream.
 	streamBufferBytes = 4 << 10
 )
 
-// stream forwards the events of one run to the caller.
+// stream forwards the answer of one run to the caller event by event.
 type stream struct {
 	exchange *exchange
 	flight   *peridotplace.Flight
-	// software is the software version of the engine.
+	// software is the software version of the server.
 	software string
-	// hasEvents is set once the first event of the run has arrived.
-	hasEvents bool
-	// unnumbered contains the events without an ID since the last other event. They
-	// are sent to the caller with the next one, or at the end of the stream.
-	unnumbered []byte
-	// failureForwarded is set once an error answer of the engine has been sent to the
-	// caller.
-	failureForwarded bool
+	// counted is set once the run is counted in the usage of the client account.
+	counted bool
+	// hasEvents is set once the first event of the run has arrived, and hasNumbered once
+	// the first one with an ID has.
+	hasEvents, hasNumbered bool
+	// held contains the pieces without an ID that wait for the next event.
+	held []byte
+	// outcome is that of the flight once the answer has been sent to the caller.
+	outcome peridotplace.Outcome
 	// expectedWait is the Wait of the run's peridotplace.Choice: the expected time until
 	// the prefill has run and its KV cache is at the engine.
 	expectedWait time.Duration
 	// tolerance is how much longer the prefill may take at an engine of unknown speed.
 	tolerance time.Duration
 	// watch cancels the run if no event arrives for too long. It is not started if the
-	// request must not be resumed at another engine.
+	// request must not be resumed at another server.
 	watch     *stallWatch
 	isWatched bool
 }
 
+// isGeneration reports whether an engine generates the events. It numbers them from 1 on
+// and sends at least one, and has read the whole prompt by then. Of the events of a plain
+// service it is only known that those with an ID have increasing ones.
+func (s *stream) isGeneration() bool {
+	return s.exchange.service.Engine != nil
+}
+
 const (
 	// minStallTimeout is the shortest time without an event after which a stream is
-	// resumed at another engine. It is well above the pauses of a busy engine.
+	// resumed at another server. It is well above the pauses of a busy engine.
 	minStallTimeout = 600 * time.Millisecond
 	// stallGapFactor is the stall timeout between two events as a multiple of the
 	// route's Gap, if that is longer than minStallTimeout.
@@ -65,14 +76,18 @@
 )
 
 // startWatch returns a context that is canceled if the stream stalls and can be
-// resumed at another engine.
+// resumed at another server.
 func (s *stream) startWatch(to peridotsite.Backend) context.Context {
 	x := s.exchange
 	var ctx context.Context
 	ctx, s.watch = x.watchStall(stallStream, to)
 	s.isWatched = x.canRun(x.runs + 1)
 	if s.isWatched {
-		timeout := minStallTimeout + stallWaitFactor*s.expectedWait + s.tolerance
+		wait := s.expectedWait
+		if !s.isGeneration() {
+			wait = x.route.Objective // The queue of a plain server is unknown.
+		}
+		timeout := minStallTimeout + stallWaitFactor*wait + s.tolerance
 		if x.late {
 			timeout = max(timeout, x.remainingWait()/2) // A late request may be queued behind others for that long.
 		}
@@ -81,14 +96,16 @@
 	return ctx
 }
 
-// restartWatch restarts the watch after an event.
+// restartWatch restarts the watch after an event. Without a Gap, a plain service may pause
+// for any time.
 func (s *stream) restartWatch() {
-	if s.isWatched {
-		s.watch.start(max(minStallTimeout, stallGapFactor*s.exchange.route.Gap))
+	gap := s.exchange.route.Gap
+	if s.isWatched && (s.isGeneration() || gap > 0) {
+		s.watch.start(max(minStallTimeout, stallGapFactor*gap))
 	}
 }
 
-// run sends the request to an engine and forwards its answer to the caller. Its error
+// run sends the request to a server and forwards its answer to the caller. Its error
 // has the verdict NotRun only if the request did not run there and never will.
 func (s *stream) run(to peridotsite.Backend, requestHead RequestHead) *peridotverdict.Error {
 	x := s.exchange
@@ -98,6 +115,7 @@
 	if err != nil {
 		if err.Verdict != peridotverdict.NotRun {
 			x.runs++
+			s.countPlainRun()
 			x.recordBreak(ctx, to, err, x.suspects)
 		}
 		return err
@@ -107,8 +125,9 @@
 		return rejectionError(head, answer.StatusCode)
 	}
 	x.runs++
-	if answer.StatusCode != http.StatusOK {
-		return s.forwardFailure(answer)
+	s.countPlainRun()
+	if !x.isEventStream(answer) {
+		return s.forwardWhole(ctx, to, answer, head)
 	}
 	if !head.Sealed {
 		answer.Abandon()
@@ -117,20 +136,41 @@
 	return s.forwardEvents(ctx, to, answer)
 }
 
-// forwardFailure sends an error answer of the engine to the caller. If the request
-// may be retried or an answer has already been started, it returns an error instead.
-func (s *stream) forwardFailure(answer *peridotlink.Answer) *peridotverdict.Error {
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// isEventStream reports whether an answer consists of events: a success on a stream route
+// does unless it states another media type.
+func (x *exchange) isEventStream(answer *peridotlink.Answer) bool {
+	if answer.StatusCode != http.StatusOK || x.request.Method == http.MethodHead {
+		return false
+	}
+	text := answer.Header.Get("Content-Type")
+	mediaType, _, _ := mime.ParseMediaType(text) // Malformed parameters don't matter.
+	return text == "" || mediaType == eventStreamType
+}
+
+// forwardWhole sends an answer that is no stream of events to the caller, such as an error.
+// If it is a failure and the request may be retried, or an answer has already been started,
+// it returns an error instead.
+func (s *stream) forwardWhole(ctx context.Context, to peridotsite.Backend, answer *peridotlink.Answer, head AnswerHead) *peridotverdict.Error {
 	x := s.exchange
-	body, err := answer.ReadAll(maxAnswerBytes)
+	whole, err := x.readWhole(ctx, to, answer, head)
 	if err != nil {
-		return peridotverdict.As(err)
+		return err
 	}
-	if x.answerStarted || x.route.Idempotent() && x.runs < x.route.Attempts {
-		return peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.Ran, "engine answered "+strconv.Itoa(answer.StatusCode))
+	if x.answerStarted {
+		return failureError(whole.status)
 	}
-	x.countRun()
-	s.failureForwarded = true
-	x.deliver(&bufferedAnswer{status: answer.StatusCode, header: x.front.protocol.AnswerHeader(answer.Header), body: body})
+	if whole.isFailure() {
+		x.failure = whole
+		if x.canRun(x.runs) {
+			return failureError(whole.status)
+		}
+	}
+	s.countRun()
+	s.outcome = whole.outcome()
+	x.deliver(whole)
 	return nil
 }
 
@@ -139,54 +179,82 @@
 	x := s.exchange
 	reader := bufio.NewReaderSize(answer.Body, streamBufferBytes)
 	for {
-		event, err := readEvent(reader)
-		if err == io.EOF && len(event) == 0 && s.mayEnd(answer) && !x.front.mayBeCut(ctx, to, answer) {
+		piece, err := readPiece(reader)
+		if err == io.EOF && s.mayEnd(answer) && !x.front.mayBeCut(ctx, to, answer) {
 			answer.Finish()
 			return s.finish(answer)
 		}
 		if err != nil {
 			answer.Abandon()
 			failure := peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream broke off", peridotverdict.Cause(err))
-			if !s.hasEvents {
+			if !s.hasEvents || !s.isGeneration() { // A plain server may end under any event.
 				x.recordBreak(ctx, to, failure, x.suspects)
 			}
 			return failure
 		}
-		x.events++
 		s.watch.pause() // A caller that reads slowly is no silence of the server.
-		s.recordProgress()
-		lastEventID := x.lastEventID
-		if err := s.forwardEvent(answer, event); err != nil {
+		if isEvent(piece) {
+			s.recordProgress()
+		}
+		progressed, failure := s.forwardPiece(answer, piece)
+		if failure != nil {
 			answer.Abandon()
-			return err
+			return failure
 		}
 		if x.answerStarted && reader.Buffered() == 0 && answer.Buffered() == 0 {
 			x.flush()
 		}
-		if x.lastEventID == lastEventID {
-			s.watch.resume() // Comments alone don't show that the server goes on.
-		} else {
+		if progressed {
 			s.restartWatch()
+		} else {
+			s.watch.resume() // Comments alone don't show that the server goes on.
 		}
 	}
 }
 
-// mayEnd reports whether the end of the answer may be that of the stream. A new stream has
-// one event at least; a resumed one may have none left, but not if its end is only that of
-// the connection.
+// mayEnd reports whether the end of the answer may be that of the stream. A generation that
+// is not resumed has one event at least. An answer without events may be empty or have none
+// left, but not if its end is only that of the connection.
 func (s *stream) mayEnd(answer *peridotlink.Answer) bool {
-	return s.hasEvents || s.exchange.lastEventID > 0 && !answer.EndsWithConnection()
+	if s.hasEvents {
+		return true
+	}
+	return !answer.EndsWithConnection() && (s.exchange.lastEventID > 0 || !s.isGeneration())
 }
 
 // recordProgress records that an event has arrived. It counts the run on the first
 // event.
 func (s *stream) recordProgress() {
 	s.reportProgress()
-	if !s.hasEvents {
-		s.hasEvents = true
-		x := s.exchange
-		x.countRun()
-		x.front.quarantine.recordBegun(x.suspects, peridotquarantine.Software{Service: x.service.Name, Version: s.software})
+	s.exchange.events++
+	if s.hasEvents {
+		return
+	}
+	s.hasEvents = true
+	s.countRun()
+	if s.isGeneration() {
+		s.recordSound()
+	}
+}
+
+// recordSound records that the server did not end under the request.
+func (s *stream) recordSound() {
+	x := s.exchange
+	x.front.quarantine.recordBegun(x.suspects, peridotquarantine.Software{Service: x.service.Name, Version: s.software})
+}
+
+// countPlainRun counts a run at a plain server, which begins before its first event.
+func (s *stream) countPlainRun() {
+	if !s.isGeneration() {
+		s.countRun()
+	}
+}
+
+// countRun counts the run in the usage of the client account, once.
+func (s *stream) countRun() {
+	if !s.counted {
+		s.counted = true
+		s.exchange.countRun()
 	}
 }
 
@@ -204,45 +272,58 @@
 
 // finish completes the answer.
 func (s *stream) finish(answer *peridotlink.Answer) *peridotverdict.Error {
-	s.exchange.startAnswer(answer)
-	if err := s.exchange.write(s.unnumbered); err != nil {
+	x := s.exchange
+	if !s.isGeneration() {
+		s.recordSound()
+	}
+	x.startAnswer(answer)
+	if err := x.write(s.held); err != nil {
 		return err
 	}
-	s.exchange.flush()
+	x.flush()
+	s.outcome = peridotplace.Answered
+	x.log(log.DebugLevel, "answered", http.StatusOK)
 	return nil
 }
 
-// readEvent reads one event and the blank line that ends it. At the end of the
-// stream it returns io.EOF, or io.ErrUnexpectedEOF and the partial event if the
-// stream ends within one. It returns peridotlink.ErrTooLong for an event larger than
-// maxEventBytes, or more than maxUnnumberedBytes of blank lines before it.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	lineStart, blankBytes := 0, 0
+// readPiece reads the next piece of a stream: an event or a comment with the blank line
+// that ends it, or a blank line alone. Lines end with LF or CR LF. At the end of the
+// stream it returns io.EOF, or io.ErrUnexpectedEOF and the partial piece if the stream ends
+// within one. It returns peridotlink.ErrTooLong for a piece larger than maxEventBytes.
+func readPiece(r *bufio.Reader) ([]byte, error) {
+	var piece []byte
+	lineStart := 0
 	for {
 		read, err := r.ReadSlice('\n')
-		event = append(event, read...)
-		line := event[lineStart:]
+		piece = append(piece, read...)
 		switch {
 		case err == bufio.ErrBufferFull:
-		case err == io.EOF && len(event) > 0:
-			return event, io.ErrUnexpectedEOF
+		case err == io.EOF && len(piece) > 0:
+			return piece, io.ErrUnexpectedEOF
 		case err != nil:
-			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) == len(line):
-			event = event[:0] // Skip blank lines between events.
-			blankBytes += len(line)
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			return event, nil
+			return piece, err
+		case len(bytes.TrimRight(piece[lineStart:], "\r\n")) == 0:
+			return piece, nil
 		default:
-			lineStart = len(event)
+			lineStart = len(piece)
 		}
-		if len(event) > maxEventBytes || blankBytes > maxUnnumberedBytes {
-			return event, peridotlink.ErrTooLong
+		if len(piece) > maxEventBytes {
+			return piece, peridotlink.ErrTooLong
 		}
 	}
 }
 
+// isEvent reports whether a piece of a stream has a line that is neither blank nor a
+// comment.
+func isEvent(piece []byte) bool {
+	for line := range bytes.Lines(piece) {
+		if len(bytes.TrimRight(line, "\r\n")) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the number in the id field of an event. It returns false if there
 // is none.
 func eventID(event []byte) (int64, bool) {
@@ -274,35 +355,66 @@
 	}
 }
 
-// resumable reports whether another run could continue the answer: an event ID is
-// known unless the answer has not started.
+// resumable reports whether another run could continue the answer: the ID of the last
+// event is known unless the answer has not started.
 func (x *exchange) resumable() bool {
-	return !x.answerStarted || x.lastEventID > 0
+	return !x.answerStarted || x.lastEventID > 0 && !x.unnumberedSent
 }
 
-// forwardEvent sends one event to the caller. The IDs of the events must be
-// consecutive, also across runs and requests. It holds back an event without an ID.
-func (s *stream) forwardEvent(answer *peridotlink.Answer, event []byte) *peridotverdict.Error {
+// forwardPiece sends one piece of the stream to the caller. It reports whether the piece
+// shows that the server goes on.
+func (s *stream) forwardPiece(answer *peridotlink.Answer, piece []byte) (progressed bool, err *peridotverdict.Error) {
 	x := s.exchange
-	id, ok := eventID(event)
+	id, ok := eventID(piece)
 	if !ok {
-		s.unnumbered = append(s.unnumbered, event...)
-		if len(s.unnumbered) > maxUnnumberedBytes {
-			return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream goes on without event IDs", peridotverdict.Cause(peridotlink.ErrTooLong))
-		}
-		return nil
+		return s.forwardUnnumbered(answer, piece)
 	}
-	if id != x.lastEventID+1 {
-		return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "event "+strconv.FormatInt(id, 10)+" came behind "+strconv.FormatInt(x.lastEventID, 10))
+	if !s.follows(id) {
+		return false, peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "event "+strconv.FormatInt(id, 10)+" came behind "+strconv.FormatInt(x.lastEventID, 10))
 	}
 	x.fixSoftware(s.software)
-	x.lastEventID = id
+	x.lastEventID, s.hasNumbered, x.unnumberedSent = id, true, false
+	return true, s.send(answer, piece)
+}
+
+// follows reports whether an event with the given ID may come next. The IDs must increase,
+// by one in a generation, also across runs and requests.
+func (s *stream) follows(id int64) bool {
+	last := s.exchange.lastEventID
+	if s.isGeneration() {
+		return id == last+1
+	}
+	return id > last || last == 0 && !s.hasNumbered
+}
+
+// forwardUnnumbered sends a piece without an ID to the caller. It holds back what may come
+// again if the stream goes on at another server: the pieces of a generation, and comments
+// before the first event.
+func (s *stream) forwardUnnumbered(answer *peridotlink.Answer, piece []byte) (progressed bool, err *peridotverdict.Error) {
+	x := s.exchange
+	if !s.isGeneration() && (x.answerStarted || isEvent(piece)) {
+		if isEvent(piece) {
+			x.fixSoftware(s.software)
+			progressed, x.unnumberedSent = true, true
+		}
+		return progressed, s.send(answer, piece)
+	}
+	s.held = append(s.held, piece...)
+	if len(s.held) > maxUnnumberedBytes {
+		return false, peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream goes on without event IDs", peridotverdict.Cause(peridotlink.ErrTooLong))
+	}
+	return false, nil
+}
+
+// send sends the held pieces and another one to the caller.
+func (s *stream) send(answer *peridotlink.Answer, piece []byte) *peridotverdict.Error {
+	x := s.exchange
 	x.startAnswer(answer)
-	if err := x.write(s.unnumbered); err != nil {
+	if err := x.write(s.held); err != nil {
 		return err
 	}
-	s.unnumbered = s.unnumbered[:0]
-	return x.write(event)
+	s.held = s.held[:0]
+	return x.write(piece)
 }
 
 // write sends bytes of the answer to the caller.
--- a/peridotfront/trial_test.go
+++ b/peridotfront/trial_test.go
@@ -26,22 +26,20 @@
 		{name: "mutating request, no server", kind: peridotsite.Mutating, exclude: []string{"a", "b"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			x := newStartedExchange(t)
-			x.route.Kind, x.route.Resumable, x.triedBackends = test.kind, test.resumable, test.exclude
-			f := x.front
-			now := f.now()
-			for range 10 {
-				longAgo := now - time.Minute
-				f.placer.Done(longAgo, f.placer.Begin(longAgo, "a"), peridotplace.Unavailable)
-			}
-			for range 60 { // Makes b the more expensive choice.
-				f.placer.Begin(now, "b")
-			}
-			if got, _ := x.placePlain(); got != test.want {
-				t.Errorf("plain: got %q, want %q", got, test.want)
-			}
-			if got, _ := x.placePrompt(""); got.Backend != test.want {
-				t.Errorf("prompt: got %q, want %q", got.Backend, test.want)
+			for service, x := range map[string]*exchange{"plain": newStallExchange(t), "engines": newStartedExchange(t)} {
+				x.route.Kind, x.route.Resumable, x.triedBackends = test.kind, test.resumable, test.exclude
+				f := x.front
+				now := f.now()
+				for range 10 {
+					longAgo := now - time.Minute
+					f.placer.Done(longAgo, f.placer.Begin(longAgo, "a"), peridotplace.Unavailable)
+				}
+				for range 60 { // Makes b the more expensive choice.
+					f.placer.Begin(now, "b")
+				}
+				if got, _ := x.place(""); got.Backend != test.want {
+					t.Errorf("%s: got %q, want %q", service, got.Backend, test.want)
+				}
 			}
 		})
 	}
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -254,15 +254,8 @@
 	return peridotplace.Failed
 }
 
-// beginFlight reports to the placer that a plain request is sent to a backend server.
-func (f *Front) beginFlight(backend string) *peridotplace.Flight {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.placer.Begin(f.now(), backend)
-}
-
-// beginPrefill reports to the placer that the prompt is sent to an engine of c, which reads
-// it.
+// beginPrefill reports to the placer that the request is sent to a server of c, which reads
+// its prompt if it is an engine.
 func (x *exchange) beginPrefill(backend string, c peridotplace.Choice) *peridotplace.Flight {
 	f := x.front
 	f.mu.Lock()
--- a/peridotplace/alternative.go
+++ b/peridotplace/alternative.go
@@ -20,9 +20,8 @@
 }
 
 // HasAlternative reports whether a server fulfills a that may get requests and has not
-// failed often. In contrast to Place and PlacePlain, it accepts neither other servers nor
-// trials; in contrast to both, it accepts a busy server that has no reason to send
-// anything yet.
+// failed often. In contrast to Place, it accepts neither other servers nor trials, but it
+// accepts a busy server that has no reason to send anything yet.
 func (p *Placer) HasAlternative(now time.Duration, a Alternative) bool {
 	return slices.ContainsFunc(p.groups[groupKey{a.Service, a.SoftwareVersion}], func(s *server) bool {
 		return s.canReplace(now) && !slices.Contains(a.Exclude, s.ID) && (!a.Generates || s.generates())
@@ -55,7 +54,7 @@
 	return s != nil && s.usable(now)
 }
 
-// canReplace reports whether the server can replace another one now. A plain server sends
+// canReplace reports whether the server can replace another one now. A plain server may send
 // nothing before the end of a request, so its silence says nothing.
 func (s *server) canReplace(now time.Duration) bool {
 	return s.reachable(now) && !s.failing() && (s.engine == nil || !s.unresponsive(now) || s.firstTokenPending(now))
--- a/peridotplace/hold_test.go
+++ b/peridotplace/hold_test.go
@@ -96,7 +96,7 @@
 		if test.prepare != nil {
 			test.prepare(p, list, config)
 		}
-		_, plain := p.PlacePlain(test.at, "plain", nil)
+		_, plain := p.Place(test.at, Prompt{Service: "plain"})
 		_, short := p.Place(test.at, Prompt{Service: service, Tokens: 200})
 		if plain != test.accepted || short != test.accepted || p.Accepts(test.at, "p0") != test.accepted || p.Accepts(test.at, "w0") != test.accepted {
 			t.Errorf("%s: got placed %v and %v, accepted %v and %v; want %v", test.name, plain, short, p.Accepts(test.at, "p0"), p.Accepts(test.at, "w0"), test.accepted)
--- a/peridotplace/placer_test.go
+++ b/peridotplace/placer_test.go
@@ -250,24 +250,25 @@
 		{ID: "far", Service: "plain", Domain: "b", Slots: 6},
 	}
 	p.SetBackends(0, list, config)
-	if got, _ := p.PlacePlain(0, "plain", nil); got != "near" {
-		t.Errorf("idle: got %q, want near", got)
+	plain := Prompt{Service: "plain"}
+	if got, _ := p.Place(0, plain); got.Backend != "near" {
+		t.Errorf("idle: got %q, want near", got.Backend)
 	}
-	if got, _ := p.PlacePlain(0, "plain", []string{"near"}); got != "far" {
-		t.Errorf("near excluded: got %q, want far", got)
+	if got, _ := p.Place(0, Prompt{Service: "plain", Exclude: []string{"near"}}); got.Backend != "far" {
+		t.Errorf("near excluded: got %q, want far", got.Backend)
 	}
-	if _, ok := p.PlacePlain(0, "plain", []string{"near", "far"}); ok {
+	if _, ok := p.Place(0, Prompt{Service: "plain", Exclude: []string{"near", "far"}}); ok {
 		t.Error("all excluded: got a server, want none")
 	}
 	p.Begin(0, "near")
-	if got, _ := p.PlacePlain(0, "plain", nil); got != "far" {
-		t.Errorf("near busy: got %q, want far", got)
+	if got, _ := p.Place(0, plain); got.Backend != "far" {
+		t.Errorf("near busy: got %q, want far", got.Backend)
 	}
 	for range 10 {
 		p.Done(0, p.Begin(0, "far"), Failed)
 	}
-	if got, _ := p.PlacePlain(0, "plain", nil); got != "near" {
-		t.Errorf("far failing: got %q, want near", got)
+	if got, _ := p.Place(0, plain); got.Backend != "near" {
+		t.Errorf("far failing: got %q, want near", got.Backend)
 	}
 }
 
--- a/peridotplace/plain.go
+++ b/peridotplace/plain.go
@@ -17,15 +17,15 @@
 	referenceSlots = 6.0
 )
 
-// PlacePlain returns the ID of the server of a plain service with the least work relative
+// placePlain returns the server of a group of a plain service with the least work relative
 // to its size, or false if every server is excluded, leaving or held. It returns an
 // unusable server only if no other is left.
-func (p *Placer) PlacePlain(now time.Duration, service string, exclude []string) (string, bool) {
+func (p *Placer) placePlain(now time.Duration, group []*server, exclude []string) (Choice, bool) {
 	var best *server
 	leastCost := 0.0
 	for pass := range 2 {
 		ties := 1
-		for _, s := range p.groups[groupKey{service: service}] {
+		for _, s := range group {
 			if !s.accepts(now) || slices.Contains(exclude, s.ID) || pass == 0 && !s.usable(now) {
 				continue
 			}
@@ -41,10 +41,10 @@
 			}
 		}
 		if best != nil {
-			return best.ID, true
+			return Choice{Backend: best.ID}, true
 		}
 	}
-	return "", false
+	return Choice{}, false
 }
 
 // plainCost returns the cost of sending another request to a server: its requests
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -32,7 +32,8 @@
 	runningCostMillis = 0.15
 )
 
-// Prompt is a request for a model engine.
+// Prompt is a request for a service: for model engines one with a prompt, for the servers of
+// a plain service any request.
 type Prompt struct {
 	Service string
 	Parts   []Part
@@ -77,10 +78,14 @@
 
 // Place returns the engine or pair of engines with the least estimated cost for a
 // prompt. The cost combines the time to the first token with the work of the engines.
-// The engines of a pair have the same software version. Place considers unusable engines
+// The engines of a pair have the same software version. Of a plain service, Place returns
+// the server with the least work relative to its size. Place considers unusable servers
 // only if the usable ones cannot serve the prompt, but never leaving or held ones, and
-// returns false if no engine can serve it.
+// returns false if no server can serve it.
 func (p *Placer) Place(now time.Duration, prompt Prompt) (Choice, bool) {
+	if all := p.groups[groupKey{prompt.Service, prompt.SoftwareVersion}]; len(all) > 0 && all[0].engine == nil {
+		return p.placePlain(now, all, prompt.Exclude)
+	}
 	group := p.candidates(prompt)
 	for pass := range 2 {
 		best, ok := p.place(now, prompt, group, pass == 1)
