Site: a configuration whose accounts were all withdrawn lets nobody in

Cause: Config.NeedsKey was len(Accounts) > 0.

That keys which never were are served, on new connections too, rules out an index or a connection that is kept from before.

Change: Config.Keyless, set only if the manifest has no tenants at all. The other fields of the manifest were listed with what absent, empty and zero mean; zero permitted what it should rule out in the weights of a route, max-conns and max-body-bytes, and keys of a tenant without a name were let in. A route whose weights are all 0 no longer makes the whole manifest unreadable, which kept withdrawn keys in force.

Why it works: no list is read as a permission any more. null counts as empty, and a field of another type leaves the former configuration in force.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -270,8 +270,8 @@
 // readBody reads the whole body into memory, because a retry sends it again.
 func (x *exchange) readBody() *peridotverdict.Error {
 	limit := int64(defaultMaxBodyBytes)
-	if x.config.Limits.BodyBytes > 0 {
-		limit = int64(x.config.Limits.BodyBytes)
+	if x.config.Limits.BodyBytes != 0 {
+		limit = int64(max(0, x.config.Limits.BodyBytes))
 	}
 	if x.request.ContentLength > limit {
 		return tooLargeError(limit)
--- a/peridotfront/snapshot_test.go
+++ b/peridotfront/snapshot_test.go
@@ -38,6 +38,45 @@
 	}
 }
 
+// TestCopiedConfigurationNeedsKeys guards against a front that serves requests without a key
+// because the configuration that it copied from another front has no client accounts any more,
+// or is the copy of an older front, which does not say whether there ever were any.
+func TestCopiedConfigurationNeedsKeys(t *testing.T) {
+	c := &fakePlatform{Faulty: peridottable.Faulty{Store: &peridottable.Memory{}}}
+	route := []peridotsite.Route{{Host: "h", Prefix: "/"}}
+	for _, test := range []struct {
+		name   string
+		config *peridotsite.Config
+		want   bool
+	}{
+		{name: "accounts withdrawn", config: &peridotsite.Config{Version: 7, Routes: route}, want: true},
+		{name: "keyless", config: &peridotsite.Config{Version: 7, Routes: route, Keyless: true}, want: false},
+	} {
+		old, fresh := newFront(t, c, "front-0"), newFront(t, c, "front-1")
+		old.SetConfig(test.config.BuildIndex())
+		server := httptest.NewServer(http.HandlerFunc(old.writeSnapshot))
+		if !fresh.copyStateFrom(t.Context(), &http.Client{Timeout: time.Second}, server.Listener.Addr().String(), "front-0") {
+			t.Fatalf("%s: the configuration was not copied", test.name)
+		}
+		server.Close()
+		got := fresh.config.Load()
+		if needed := got.NeedsKey(got.Route("h", "/x")); needed != test.want {
+			t.Errorf("%s: got key needed %v, want %v", test.name, needed, test.want)
+		}
+	}
+	older := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"Config":{"Version":7,"Routes":[{"Host":"h","Prefix":"/"}],"Accounts":null}}`))
+	}))
+	defer older.Close()
+	fresh := newFront(t, c, "front-1")
+	if !fresh.copyStateFrom(t.Context(), &http.Client{Timeout: time.Second}, older.Listener.Addr().String(), "front-0") {
+		t.Fatal("older front: the configuration was not copied")
+	}
+	if got := fresh.config.Load(); !got.NeedsKey(got.Route("h", "/x")) {
+		t.Error("older front: got no key needed, want one")
+	}
+}
+
 // TestTableServiceOverridesSnapshot checks that a snapshot does not replace newer data
 // from the table service, and that malformed snapshots are rejected.
 func TestTableServiceOverridesSnapshot(t *testing.T) {
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -103,7 +103,7 @@
 // connLimit returns the maximum number of connections from this front to one backend
 // server of s; 0 means no limit.
 func (f *Front) connLimit(s *peridotsite.Service) int {
-	if s.MaxConns <= 0 {
+	if s.MaxConns == 0 {
 		return 0
 	}
 	return max(minConns, int(connLimitShare*float64(s.MaxConns))/f.peers.frontCount())
--- a/peridotsite/config.go
+++ b/peridotsite/config.go
@@ -50,8 +50,8 @@
 	// Attempts is the maximum number of backend servers on which one request may run;
 	// at least 1.
 	Attempts int
-	// Targets are the services that share the requests by weight; there is at least
-	// one.
+	// Targets are the services that share the requests by weight. Without any, no request
+	// is served.
 	Targets []Target
 }
 
@@ -68,7 +68,8 @@
 }
 
 // PickService divides the interval from 0 to 1 among the targets in proportion to
-// their weights, and returns the service of the target whose part contains point.
+// their weights, and returns the service of the target whose part contains point. It
+// returns an empty string if there are no targets.
 func (r *Route) PickService(point float64) string {
 	total := 0
 	for _, t := range r.Targets {
@@ -81,6 +82,9 @@
 			return t.Service
 		}
 	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
 	return r.Targets[len(r.Targets)-1].Service
 }
 
@@ -88,7 +92,7 @@
 type Service struct {
 	Name string
 	// MaxConns is the maximum number of connections that one backend server accepts
-	// from all instances together; 0 means unknown.
+	// from all instances together; 0 means unknown, and a negative number none.
 	MaxConns int
 	// Engine describes the model engines. It is nil for a plain service.
 	Engine *Engine
@@ -116,8 +120,8 @@
 
 // Limits contains limits on the requests of callers.
 type Limits struct {
-	// HeaderBytes and BodyBytes are the maximum sizes of the header and of the body,
-	// in bytes.
+	// HeaderBytes and BodyBytes are the maximum sizes of the header and of the body, in
+	// bytes; 0 means unknown, and a negative BodyBytes that no body is allowed.
 	HeaderBytes int
 	BodyBytes   int
 	// HeaderTimeout is the maximum time that the header may take to arrive.
@@ -131,8 +135,12 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
+	// Accounts are the client accounts; none may remain once all have been withdrawn.
 	Accounts []Account
-	Limits   Limits
+	// Keyless is set if the deployment has no client accounts, so that requests need no
+	// key. It is false if there are accounts, and if all of them have been withdrawn.
+	Keyless bool
+	Limits  Limits
 
 	routesByHost   map[string][]*Route
 	servicesByName map[string]*Service
@@ -157,7 +165,9 @@
 	c.accountsByKey = make(map[string]string)
 	for _, a := range c.Accounts {
 		for _, key := range a.Keys {
-			c.accountsByKey[key] = a.Name
+			if _, taken := c.accountsByKey[key]; !taken && key != "" && a.Name != "" {
+				c.accountsByKey[key] = a.Name
+			}
 		}
 	}
 	return c
@@ -181,11 +191,12 @@
 
 // NeedsKey reports whether requests on a route must carry a key.
 func (c *Config) NeedsKey(r *Route) bool {
-	return len(c.Accounts) > 0 && !r.Public
+	return !c.Keyless && !r.Public
 }
 
 // AccountOf returns the name of the client account that has the given key, or false
-// if the key is unknown.
+// if the key is unknown. Of several accounts with one key it is the first. An empty key,
+// and one of an account without a name, is unknown.
 func (c *Config) AccountOf(key string) (string, bool) {
 	name, ok := c.accountsByKey[key]
 	return name, ok
