Front: look the key up again before a request runs

A request whose body came slowly ran although its key had been withdrawn meanwhile: the key was looked up once, when the head had arrived.

Change: authenticateAgain looks the key up in the newest configuration after the body has been read and before each try, as long as the request has not run. A request that has run goes on: it began while the key was valid.

Why it works: between the last look-up and the send are only the choice of the servers and, for a prompt that is split, its prefill.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -205,7 +205,7 @@
 		return peridotverdict.New(peridotverdict.UnknownRoute, peridotverdict.NotRun, "no route has this host and path", peridotverdict.Field("Host"))
 	}
 	x.logFields["route"] = x.route.Name
-	if err := x.authenticate(); err != nil {
+	if err := x.authenticate(x.config); err != nil {
 		return err
 	}
 	x.service = x.config.Service(x.route.PickService(rand.Float64()))
@@ -228,6 +228,9 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	if err := x.authenticateAgain(); err != nil {
+		return err
+	}
 	x.identify()
 	x.setLastEventID()
 	return nil
@@ -253,12 +256,12 @@
 }
 
 // authenticate sets the client account if the route requires a key. It returns an
-// error if the key is missing or unknown.
-func (x *exchange) authenticate() *peridotverdict.Error {
-	if !x.config.NeedsKey(x.route) {
+// error if the key is missing, or unknown to config.
+func (x *exchange) authenticate(config *peridotsite.Config) *peridotverdict.Error {
+	if !config.NeedsKey(x.route) {
 		return nil
 	}
-	account, ok := x.config.AccountOf(x.call.Key)
+	account, ok := config.AccountOf(x.call.Key)
 	if x.call.Key == "" || !ok {
 		return peridotverdict.New(peridotverdict.BadKey, peridotverdict.NotRun, "the key is unknown", peridotverdict.Field("Authorization"))
 	}
@@ -267,6 +270,17 @@
 	return nil
 }
 
+// authenticateAgain calls authenticate if there is a new configuration since the request
+// arrived and the request has not run. Reading the body, and tries that were refused, take
+// time in which the key may have been withdrawn.
+func (x *exchange) authenticateAgain() *peridotverdict.Error {
+	config := x.front.config.Load()
+	if x.runs > 0 || config == x.config {
+		return nil
+	}
+	return x.authenticate(config)
+}
+
 // readBody reads the whole body into memory, because a retry sends it again.
 func (x *exchange) readBody() *peridotverdict.Error {
 	limit := int64(defaultMaxBodyBytes)
--- a/peridotfront/serve.go
+++ b/peridotfront/serve.go
@@ -53,6 +53,10 @@
 // not tried again, it answers the caller and returns false.
 func (x *exchange) nextServers() (peridotplace.Choice, bool) {
 	for {
+		if err := x.authenticateAgain(); err != nil {
+			x.refuse(err)
+			return peridotplace.Choice{}, false
+		}
 		if err := x.checkQuarantine(); err != nil {
 			x.giveUp(err)
 			return peridotplace.Choice{}, false
