--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -88,8 +88,8 @@
 	lastEventID int64
 	// events is the number of events read from servers, of all runs.
 	events int
-	// unnumberedSent is set if the caller has an event without an ID behind that with the
-	// ID lastEventID. Another run would send it again.
+	// unnumberedSent is set if an event without an ID has been sent to the caller since that
+	// of lastEventID. Another run would send it again.
 	unnumberedSent bool
 	// software is the software version whose servers may generate the answer. It is
 	// valid only if softwareFixed is set.
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -347,8 +347,8 @@
 	return x.call.LastEventID
 }
 
-// setLastEventID sets the ID of the event behind which the stream begins. The IDs of a new
-// stream, and of one resumed behind an event whose ID is no number, begin with 1.
+// setLastEventID sets the ID of the event behind which the stream begins. It stays 0 for a
+// new stream, and for one resumed behind an event whose ID is no number.
 func (x *exchange) setLastEventID() {
 	if id, err := strconv.ParseInt(x.call.LastEventID, 10, 64); err == nil && id > 0 {
 		x.lastEventID = id
