--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -88,6 +88,8 @@
 	lastEventID int64
 	// events is the number of events read from servers, of all runs.
 	events int
+	// runEvents is the number of those of the current run.
+	runEvents int
 	// unnumberedSent is set if an event without an ID has been sent to the caller since that
 	// of lastEventID. Another run would send it again.
 	unnumberedSent bool
--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -193,10 +193,14 @@
 // accuse adds an accusation and reports whether that is new. The caller must hold q.mu.
 func (q *quarantine) accuse(now time.Time, a peridotquarantine.Accusation) bool {
 	before := q.table.IsQuarantined(now, a.Part, a.At)
+	fields := log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version, "begun": a.Begun}
 	if !q.table.Accuse(now, a) {
+		if q.table.IsSound(a.Part, a.At) {
+			q.front.metrics.Count(kindOf(a.Part) + "_accusations_ignored")
+			log.WithFields(fields).Debug(logPrefix + nameOf(a.Part) + " not accused: it is sound")
+		}
 		return false
 	}
-	fields := log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version, "begun": a.Begun}
 	if !before && q.table.IsQuarantined(now, a.Part, a.At) {
 		log.WithFields(fields).Warn(logPrefix + nameOf(a.Part) + " quarantined")
 	} else {
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -227,6 +227,7 @@
 func (s *stream) recordProgress() {
 	s.reportProgress()
 	s.exchange.events++
+	s.exchange.runEvents++
 	if s.hasEvents {
 		return
 	}
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -43,7 +43,7 @@
 // was sent.
 func (x *exchange) send(ctx context.Context, to peridotsite.Backend, requestHead RequestHead) (*peridotlink.Answer, AnswerHead, *peridotverdict.Error) {
 	f := x.front
-	x.headReceived = false
+	x.headReceived, x.runEvents = false, 0
 	if err := x.refuseQuarantined(to); err != nil {
 		return nil, AnswerHead{}, err
 	}
@@ -183,7 +183,7 @@
 	}
 	x.triedBackends = append(x.triedBackends, backend)
 	to, _ := x.front.backend(backend)
-	fields := log.Fields{"request": x.call.ID, "backend": backend, "software": to.SoftwareVersion, "last_event": x.lastEventID, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining(), "head": x.headReceived, "identity": x.identity}
+	fields := log.Fields{"request": x.call.ID, "backend": backend, "software": to.SoftwareVersion, "last_event": x.lastEventID, "code": string(err.Code), "verdict": err.Verdict.String(), "cause": err.Error(), "sends": x.tries, "left_ms": x.remaining(), "head": x.headReceived, "run_events": x.runEvents, "identity": x.identity}
 	if len(x.call.PromptParts) > 0 {
 		fields["parts"] = x.call.PromptParts
 	}
