Quarantine: only a whole answer, and only for earlier ends, shows that a part is sound

Cause: the first event of an answer recorded all parts of its prompt as sound, at all fronts and for as long as a front remembered them; a run that had sent an event was never suspected. An engine that flushes events before it ends, or that answered the part once, cleared the part. Change: each run that breaks off is suspected. A whole answer refutes the ends before it at its software version; five ends since the last answer quarantine a part that was answered before, as the parts that most prompts share run at every engine that ends. Messages carry the times; an older front's claims that a part is sound are ignored. Accusations of answered parts are held back for 500 ms, in which most are refuted, so that an end costs few messages and rows.

--- a/peridotentry/quarantine.go
+++ b/peridotentry/quarantine.go
@@ -43,7 +43,7 @@
 func (q *quarantine) recordAnswered(r peridotwire.Run) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.table.RecordBegun([]peridotquarantine.Part{r.Identity()}, r.Software())
+	q.table.RecordAnswered([]peridotquarantine.Part{r.Identity()}, r.Software(), time.Now())
 }
 
 // check returns an error if a request must not be sent to an agent. A request that always
--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -63,6 +63,8 @@
 	// PastSoftware contains the software versions that were the only ones of their services
 	// when the sender started.
 	PastSoftware []softwareAge `cbor:"21,keyasint,omitempty"`
+	// QuarantineDetails completes Quarantine; nil without one and from older program versions.
+	QuarantineDetails *quarantineDetails `cbor:"22,keyasint,omitempty"`
 	// HoldsDuties is set if the sender holds the lease of the duties.
 	HoldsDuties bool `cbor:"19,keyasint,omitempty"`
 }
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -218,8 +218,8 @@
 	}
 	f.mu.Unlock()
 	messages := []*message{first}
-	if r := f.quarantine.report(announce); r != nil {
-		messages = append(messages, &message{Quarantine: r})
+	if r, details := f.quarantine.report(announce); r != nil {
+		messages = append(messages, &message{Quarantine: r, QuarantineDetails: details})
 	}
 	if !announce {
 		return messages
@@ -403,7 +403,7 @@
 			p.front.origins.handleMessage(from, m)
 		}
 		if m.Quarantine != nil {
-			p.front.quarantine.handleReport(m.Quarantine)
+			p.front.quarantine.handleReport(m.Quarantine, m.QuarantineDetails)
 		}
 		p.handleMessage(m)
 	}
--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -28,6 +28,12 @@
 	// trialSlot is the time for which one front may send a request on trial. It exceeds the
 	// time in which the other fronts learn how the trial ended.
 	trialSlot = time.Second
+	// answeredSettleTime is how long accusations of a part that was answered before are kept
+	// from the other fronts and the table service. Most parts that ran at a server when it
+	// ended are answered again elsewhere within that time.
+	answeredSettleTime = 500 * time.Millisecond
+	// maxUnsettled limits the accusations that wait for that.
+	maxUnsettled = 4096
 	// trialRetryAfter is the Retry-After of a request that waits for the trial of another.
 	trialRetryAfter = 300 * time.Millisecond
 )
@@ -48,12 +54,20 @@
 	pending peridotquarantine.Pending
 	news    quarantineNews
 	rows    quarantineRows
+	// unsettled contains the accusations that wait for answeredSettleTime, oldest first.
+	unsettled []unsettledAccusation
 	// loaded is set once the stored accusations, or those of another front, are known.
 	loaded bool
 	// lastTrialSlot is the number of the trialSlot, since 1970, of this front's last trial.
 	lastTrialSlot int64
 }
 
+// unsettledAccusation is an accusation that other fronts get at a time of Front.now.
+type unsettledAccusation struct {
+	peridotquarantine.Accusation
+	settlesAt time.Duration
+}
+
 func newQuarantine(f *Front) *quarantine {
 	return &quarantine{front: f, probe: f.pool.Probe, changed: make(chan struct{}, 1), table: peridotquarantine.NewTable()}
 }
@@ -71,30 +85,40 @@
 	return q.loaded || q.front.now() > quarantineLoadTime
 }
 
-// recordBegun records that an answer has begun on the parts, or has come.
-func (q *quarantine) recordBegun(parts []peridotquarantine.Part, at peridotquarantine.Software) {
+// recordAnswered records that a whole answer on the parts has come.
+func (q *quarantine) recordAnswered(parts []peridotquarantine.Part, at peridotquarantine.Software) {
 	if len(parts) == 0 {
 		return
 	}
+	now := q.front.trueTime()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.refute(q.table.RecordBegun(parts, at))
+	q.refute(q.table.RecordAnswered(parts, at, now))
 }
 
-// refute announces that parts are sound after all, and deletes the rows of their refuted
+// refute announces that parts were answered since servers ended, and deletes the rows of their refuted
 // accusations. The caller must hold q.mu.
 func (q *quarantine) refute(refuted []peridotquarantine.Accusation) {
 	for _, a := range refuted {
 		q.rows.delete(a)
-		q.news.addSound(a.Part, a.At)
+		q.news.removeAccusation(a)
+		q.addAnswered(a.Part, a.At)
 		q.front.metrics.Count(kindOf(a.Part) + "_accusations_refuted")
-		log.WithFields(log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version}).Info(logPrefix + nameOf(a.Part) + " is sound")
+		log.WithFields(log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version}).Info(logPrefix + nameOf(a.Part) + " answered since the server ended")
 	}
 	if len(refuted) > 0 {
 		notify(q.changed)
 	}
 }
 
+// addAnswered tells the other fronts when a part was last answered, if that is known. The
+// caller must hold q.mu.
+func (q *quarantine) addAnswered(part peridotquarantine.Part, at peridotquarantine.Software) {
+	if answeredAt, ok := q.table.AnsweredAt(part, at); ok {
+		q.news.addAnswered(part, at, answeredAt)
+	}
+}
+
 // kindOf returns the prefix of the metrics of a part.
 func kindOf(part peridotquarantine.Part) string {
 	if part.IsRequest() {
@@ -114,6 +138,7 @@
 // recordBreak records that a server broke off a run, and begins to find out whether the
 // server has ended.
 func (q *quarantine) recordBreak(s peridotquarantine.Suspicion, address string) {
+	s.BrokeAt = q.front.trueTime()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.pending.Add(q.front.now(), s) {
@@ -169,12 +194,35 @@
 		q.front.metrics.Count("backend_ends")
 	}
 	for _, s := range suspicions {
-		for _, a := range s.Accusations(now) {
-			if q.accuse(now, a) {
-				q.store(a.Part)
-				q.news.addAccusation(a)
+		for _, a := range s.Accusations() {
+			if !q.accuse(now, a) {
+				continue
+			}
+			if _, ok := q.table.AnsweredAt(a.Part, a.At); ok && len(q.unsettled) < maxUnsettled {
+				q.unsettled = append(q.unsettled, unsettledAccusation{a, q.front.now() + answeredSettleTime})
+				continue
 			}
+			q.tell(a)
+		}
+	}
+}
+
+// tell passes an accusation on to the other fronts and the table service. The caller must
+// hold q.mu.
+func (q *quarantine) tell(a peridotquarantine.Accusation) {
+	q.store(a.Part)
+	q.news.addAccusation(a, len(q.table.Of(a.Part)) > 1)
+}
+
+// tellSettled passes the accusations on that no answer has refuted in time. The caller must
+// hold q.mu.
+func (q *quarantine) tellSettled() {
+	now := q.front.now()
+	for len(q.unsettled) > 0 && q.unsettled[0].settlesAt <= now {
+		if a := q.unsettled[0].Accusation; !q.table.IsRefuted(a) {
+			q.tell(a)
 		}
+		q.unsettled = q.unsettled[1:]
 	}
 }
 
@@ -195,9 +243,9 @@
 	before := q.table.IsQuarantined(now, a.Part, a.At)
 	fields := log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version, "begun": a.Begun}
 	if !q.table.Accuse(now, a) {
-		if q.table.IsSound(a.Part, a.At) {
+		if q.table.IsRefuted(a) {
 			q.front.metrics.Count(kindOf(a.Part) + "_accusations_ignored")
-			log.WithFields(fields).Debug(logPrefix + nameOf(a.Part) + " not accused: it is sound")
+			log.WithFields(fields).Debug(logPrefix + nameOf(a.Part) + " not accused: it was answered since")
 		}
 		return false
 	}
--- a/peridotfront/quarantine_test.go
+++ b/peridotfront/quarantine_test.go
@@ -59,7 +59,7 @@
 func TestEndsSeenByDifferentFronts(t *testing.T) {
 	c := newPlatform()
 	fronts, kill := startFronts(t, c, 4)
-	fronts[3].quarantine.recordBegun(partsOf("a"), testSoftware) // The others don't know.
+	fronts[3].quarantine.recordAnswered(partsOf("a"), testSoftware) // The others don't know.
 	for i, f := range fronts[:3] {
 		endServer(t, f, i, badParts)
 	}
@@ -113,7 +113,7 @@
 			next := newFront(t, c, "front-0")
 			run(t.Context(), t, next.quarantine.followRows)
 			peridotawait.Until(t, "refusal after the restart", func() bool { return judge(next, badParts) == peridotquarantine.Refused })
-			next.quarantine.recordBegun(partsOf("a"), testSoftware)
+			next.quarantine.recordAnswered(partsOf("a"), testSoftware)
 			peridotawait.Until(t, "rows of the sound part deleted", func() bool { return len(quarantineRowsOf(t, c)) == 3 })
 		})
 	}
@@ -205,7 +205,7 @@
 		f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: fmt.Sprint(server), At: at, Parts: parts, Begun: true}, closedAddress(t))
 	}
 	peridotawait.Until(t, "accusations", func() bool { return len(f.quarantine.all()) == 240 })
-	f.quarantine.recordBegun([]peridotquarantine.Part{1, 2, 3}, at)
+	f.quarantine.recordAnswered([]peridotquarantine.Part{1, 2, 3}, at)
 	seen := 0
 	for range 3 * 240 / maxNewsPerDatagram {
 		for _, m := range f.peers.messages(true) {
@@ -222,7 +222,7 @@
 	}
 	long := &quarantineReport{Accusations: []accusation{{Part: 9, Service: strings.Repeat("s", 300)}}}
 	before := len(f.quarantine.all())
-	f.quarantine.handleReport(long)
+	f.quarantine.handleReport(long, nil)
 	if got := len(f.quarantine.all()); got != before {
 		t.Errorf("got %d accusations after a report with a long name, want %d", got, before)
 	}
--- a/peridotfront/quarantinenews.go
+++ b/peridotfront/quarantinenews.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"peridotstack/peridotquarantine"
 )
@@ -29,13 +30,22 @@
 	UnixSeconds      int64
 }
 
-// soundPart says that an answer has begun on a part at a software version.
+// soundPart is what older program versions say of a part on which an answer has begun. It
+// is ignored, as an answer that begins doesn't show that the server survives it.
 type soundPart struct {
 	_                struct{} `cbor:",toarray"`
 	Part             uint64
 	Service, Version string
 }
 
+// answeredPart says when the last whole answer on a part came at a software version.
+type answeredPart struct {
+	_                struct{} `cbor:",toarray"`
+	Part             uint64
+	Service, Version string
+	UnixMillis       int64
+}
+
 // quarantineReport is the part of a datagram on the quarantine of prompts.
 type quarantineReport struct {
 	_           struct{} `cbor:",toarray"`
@@ -43,62 +53,83 @@
 	Sound       []soundPart
 }
 
-// isValid reports whether the report keeps the limits.
-func (r *quarantineReport) isValid() bool {
+// quarantineDetails is what older program versions don't know of a quarantineReport.
+type quarantineDetails struct {
+	// Millis contains the milliseconds within UnixSeconds of each accusation of the report.
+	Millis   []uint16       `cbor:"1,keyasint,omitempty"`
+	Answered []answeredPart `cbor:"2,keyasint,omitempty"`
+}
+
+// areValid reports whether a report and its details keep the limits.
+func areValid(r *quarantineReport, details *quarantineDetails) bool {
 	tooLong := func(service, version string) bool { return len(service)+len(version) > maxSoftwareBytes }
 	return !slices.ContainsFunc(r.Accusations, func(a accusation) bool { return tooLong(a.Service, a.Version) }) &&
-		!slices.ContainsFunc(r.Sound, func(s soundPart) bool { return tooLong(s.Service, s.Version) })
+		!slices.ContainsFunc(details.Answered, func(s answeredPart) bool { return tooLong(s.Service, s.Version) }) &&
+		(len(details.Millis) == 0 || len(details.Millis) == len(r.Accusations))
 }
 
 // quarantineNews contains what the other fronts have to be told soon. The zero value is
 // empty.
 type quarantineNews struct {
 	accusations []newAccusation
-	sound       []newSoundPart
+	answered    []newAnsweredPart
 }
 
 type newAccusation struct {
-	accusation
+	peridotquarantine.Accusation
 	roundsLeft int
 }
 
-type newSoundPart struct {
-	soundPart
+type newAnsweredPart struct {
+	answeredPart
 	roundsLeft int
 }
 
-func (n *quarantineNews) addAccusation(a peridotquarantine.Accusation) {
-	if len(n.accusations) < maxQueuedNews {
-		n.accusations = append(n.accusations, newAccusation{encodeAccusation(a), newsRounds})
+// addAccusation adds an accusation, before all others if it is urgent: each end accuses all
+// parts of all prompts that ran there, and a part under which another server has ended must
+// not wait for these.
+func (n *quarantineNews) addAccusation(a peridotquarantine.Accusation, isUrgent bool) {
+	news := newAccusation{a, newsRounds}
+	switch {
+	case isUrgent:
+		n.accusations = slices.Insert(n.accusations, 0, news)
+		n.accusations = n.accusations[:min(len(n.accusations), maxQueuedNews)]
+	case len(n.accusations) < maxQueuedNews:
+		n.accusations = append(n.accusations, news)
 	}
 }
 
-func (n *quarantineNews) addSound(part peridotquarantine.Part, at peridotquarantine.Software) {
-	s := soundPart{Part: uint64(part), Service: at.Service, Version: at.Version}
-	for i := range n.sound {
-		if n.sound[i].soundPart == s {
-			n.sound[i].roundsLeft = newsRounds
+// removeAccusation removes an accusation that was refuted.
+func (n *quarantineNews) removeAccusation(a peridotquarantine.Accusation) {
+	n.accusations = slices.DeleteFunc(n.accusations, func(news newAccusation) bool { return news.Part == a.Part && news.End == a.End })
+}
+
+func (n *quarantineNews) addAnswered(part peridotquarantine.Part, at peridotquarantine.Software, answeredAt time.Time) {
+	s := answeredPart{Part: uint64(part), Service: at.Service, Version: at.Version, UnixMillis: answeredAt.UnixMilli()}
+	for i := range n.answered {
+		if o := &n.answered[i]; o.Part == s.Part && o.Service == s.Service && o.Version == s.Version {
+			*o = newAnsweredPart{s, newsRounds}
 			return
 		}
 	}
-	if len(n.sound) < maxQueuedNews {
-		n.sound = append(n.sound, newSoundPart{s, newsRounds})
+	if len(n.answered) < maxQueuedNews {
+		n.answered = append(n.answered, newAnsweredPart{s, newsRounds})
 	}
 }
 
 // take returns the news of the next datagram.
-func (n *quarantineNews) take() (r quarantineReport) {
+func (n *quarantineNews) take() (accusations []peridotquarantine.Accusation, answered []answeredPart) {
 	for i := range min(maxNewsPerDatagram, len(n.accusations)) {
-		r.Accusations = append(r.Accusations, n.accusations[i].accusation)
+		accusations = append(accusations, n.accusations[i].Accusation)
 		n.accusations[i].roundsLeft--
 	}
-	for i := range min(maxNewsPerDatagram, len(n.sound)) {
-		r.Sound = append(r.Sound, n.sound[i].soundPart)
-		n.sound[i].roundsLeft--
+	for i := range min(maxNewsPerDatagram, len(n.answered)) {
+		answered = append(answered, n.answered[i].answeredPart)
+		n.answered[i].roundsLeft--
 	}
 	n.accusations = slices.DeleteFunc(n.accusations, func(a newAccusation) bool { return a.roundsLeft == 0 })
-	n.sound = slices.DeleteFunc(n.sound, func(s newSoundPart) bool { return s.roundsLeft == 0 })
-	return r
+	n.answered = slices.DeleteFunc(n.answered, func(s newAnsweredPart) bool { return s.roundsLeft == 0 })
+	return accusations, answered
 }
 
 func encodeAccusation(a peridotquarantine.Accusation) accusation {
@@ -111,42 +142,51 @@
 
 // report returns what the next round of datagrams tells of the quarantine, or nil. An
 // announcement repeats known accusations, for fronts that missed them.
-func (q *quarantine) report(announce bool) *quarantineReport {
+func (q *quarantine) report(announce bool) (*quarantineReport, *quarantineDetails) {
 	now := q.front.trueTime()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.news.take()
+	q.tellSettled()
+	accusations, answered := q.news.take()
 	if announce {
-		room := maxNewsPerDatagram - len(r.Accusations)
-		for _, a := range q.table.Announce(now, room) {
-			r.Accusations = append(r.Accusations, encodeAccusation(a))
-		}
+		accusations = append(accusations, q.table.Announce(now, maxNewsPerDatagram-len(accusations))...)
 	}
-	if len(r.Accusations)+len(r.Sound) == 0 {
-		return nil
+	if len(accusations)+len(answered) == 0 {
+		return nil, nil
 	}
-	return &r
+	r, details := &quarantineReport{}, &quarantineDetails{Answered: answered}
+	for _, a := range accusations {
+		r.Accusations = append(r.Accusations, encodeAccusation(a))
+		details.Millis = append(details.Millis, uint16(a.Millis))
+	}
+	return r, details
 }
 
-// handleReport applies the report of another front. It answers accusations of parts that
-// this front knows to be sound.
-func (q *quarantine) handleReport(r *quarantineReport) {
-	if !r.isValid() {
+// handleReport applies the report of another front; details is nil in those of older
+// program versions. It answers accusations with what this front knows of later answers.
+func (q *quarantine) handleReport(r *quarantineReport, details *quarantineDetails) {
+	if details == nil {
+		details = &quarantineDetails{}
+	}
+	if !areValid(r, details) {
 		q.front.metrics.Count("datagrams_unreadable")
 		return
 	}
 	now := q.front.trueTime()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, s := range r.Sound {
-		q.table.RecordBegun([]peridotquarantine.Part{peridotquarantine.Part(s.Part)}, peridotquarantine.Software{Service: s.Service, Version: s.Version})
+	for _, s := range details.Answered {
+		// A clock that is ahead must not refute ends to come.
+		answeredAt := time.UnixMilli(min(s.UnixMillis, now.UnixMilli()))
+		q.table.RecordAnswered([]peridotquarantine.Part{peridotquarantine.Part(s.Part)}, peridotquarantine.Software{Service: s.Service, Version: s.Version}, answeredAt)
 	}
-	for _, encoded := range r.Accusations {
+	for i, encoded := range r.Accusations {
 		a := encoded.decode()
-		if q.table.IsSound(a.Part, a.At) {
-			q.news.addSound(a.Part, a.At)
-			continue
+		if len(details.Millis) > 0 {
+			a.Millis = int64(min(details.Millis[i], 999))
+		}
+		if q.accuse(now, a) || q.table.IsRefuted(a) {
+			q.addAnswered(a.Part, a.At)
 		}
-		q.accuse(now, a)
 	}
 }
--- a/peridotfront/quarantinerows.go
+++ b/peridotfront/quarantinerows.go
@@ -22,6 +22,8 @@
 	// quarantineRetryInterval is the time between two checks whether the rows have to be
 	// read or written, also after a failure.
 	quarantineRetryInterval = 250 * time.Millisecond
+	// quarantineWriteDelay is the time from a change until it is written.
+	quarantineWriteDelay = 100 * time.Millisecond
 	// maxRowsPerCommit limits the rows in one transaction.
 	maxRowsPerCommit = 64
 )
@@ -29,24 +31,36 @@
 // quarantineRows contains the changes of rows that the table service lacks. The zero value
 // is empty.
 type quarantineRows struct {
-	puts    map[string]peridotquarantine.Accusation
+	puts    map[string]*quarantinePut
 	deletes map[string]bool
 }
 
+// quarantinePut is a row to be written. sent is set once a transaction may have written it.
+type quarantinePut struct {
+	peridotquarantine.Accusation
+	sent bool
+}
+
 func quarantineKey(a peridotquarantine.Accusation) string {
 	return fmt.Sprintf("%s%s/%016x", quarantinePrefix, a.Part, uint64(a.End))
 }
 
 func (r *quarantineRows) put(a peridotquarantine.Accusation) {
 	if r.puts == nil {
-		r.puts = make(map[string]peridotquarantine.Accusation)
+		r.puts = make(map[string]*quarantinePut)
 	}
-	r.puts[quarantineKey(a)] = a
+	r.puts[quarantineKey(a)] = &quarantinePut{Accusation: a}
 	delete(r.deletes, quarantineKey(a))
 }
 
+// delete deletes the row of an accusation, or drops it if no transaction has had it.
 func (r *quarantineRows) delete(a peridotquarantine.Accusation) {
-	r.deleteKey(quarantineKey(a))
+	key := quarantineKey(a)
+	if put := r.puts[key]; put != nil && !put.sent {
+		delete(r.puts, key)
+		return
+	}
+	r.deleteKey(key)
 }
 
 func (r *quarantineRows) deleteKey(key string) {
@@ -64,7 +78,8 @@
 		if len(t.Puts) == maxRowsPerCommit {
 			break
 		}
-		if data, err := json.Marshal(a); err == nil { // Marshaling an accusation can't fail.
+		if data, err := json.Marshal(a.Accusation); err == nil { // Marshaling an accusation can't fail.
+			a.sent = true
 			t.Puts = append(t.Puts, peridottable.Put{Key: key, Value: data})
 		}
 	}
@@ -104,6 +119,8 @@
 		}
 		select {
 		case <-q.changed:
+			// Most accusations are refuted within that time, and need no row.
+			peridotwait.Sleep(ctx, quarantineWriteDelay)
 		case <-time.After(quarantineRetryInterval):
 		case <-ctx.Done():
 		}
@@ -145,7 +162,7 @@
 	return true
 }
 
-// applyRow applies one row. A row is deleted if it has expired or its part is sound. The
+// applyRow applies one row. A row is deleted if it has expired or an answer refutes it. The
 // caller must hold q.mu.
 func (q *quarantine) applyRow(now time.Time, row peridottable.Row) {
 	var a peridotquarantine.Accusation
@@ -156,7 +173,7 @@
 	}
 	switch {
 	case q.rows.deletes[row.Key]:
-	case a.Expired(now) || q.table.IsSound(a.Part, a.At):
+	case a.Expired(now) || q.table.IsRefuted(a):
 		q.rows.deleteKey(row.Key)
 	default:
 		q.accuse(now, a)
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -187,9 +187,7 @@
 		if err != nil {
 			answer.Abandon()
 			failure := peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the stream broke off", peridotverdict.Cause(err))
-			if !s.hasEvents || !s.isGeneration() { // A plain server may end under any event.
-				x.recordBreak(ctx, to, failure, x.suspects)
-			}
+			x.recordBreak(ctx, to, failure, x.suspects)
 			return failure
 		}
 		s.watch.pause() // A caller that reads slowly is no silence of the server.
@@ -233,15 +231,6 @@
 	}
 	s.hasEvents = true
 	s.countRun()
-	if s.isGeneration() {
-		s.recordSound()
-	}
-}
-
-// recordSound records that the server did not end under the request.
-func (s *stream) recordSound() {
-	x := s.exchange
-	x.front.quarantine.recordBegun(x.suspects, peridotquarantine.Software{Service: x.service.Name, Version: s.software})
 }
 
 // countPlainRun counts a run at a plain server, which begins before its first event.
@@ -274,9 +263,7 @@
 // finish completes the answer.
 func (s *stream) finish(answer *peridotlink.Answer) *peridotverdict.Error {
 	x := s.exchange
-	if !s.isGeneration() {
-		s.recordSound()
-	}
+	x.front.quarantine.recordAnswered(x.suspects, peridotquarantine.Software{Service: x.service.Name, Version: s.software})
 	x.startAnswer(answer)
 	if err := x.write(s.held); err != nil {
 		return err
--- a/peridotfront/whole.go
+++ b/peridotfront/whole.go
@@ -119,7 +119,7 @@
 	}
 	whole := &bufferedAnswer{status: answer.StatusCode, body: body}
 	if x.service.Engine == nil || !whole.isFailure() { // An engine may fail before it has read the prompt.
-		f.quarantine.recordBegun(x.suspects, softwareOf(from))
+		f.quarantine.recordAnswered(x.suspects, softwareOf(from))
 	}
 	if !head.Sealed && answer.StatusCode < http.StatusMultipleChoices {
 		return nil, peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.MayHaveRun, "the answer bears no seal")
--- a/peridotquarantine/accusation.go
+++ b/peridotquarantine/accusation.go
@@ -25,7 +25,7 @@
 }
 
 // Accusation records that a backend server ended while it had to answer a request with the
-// given part, before that answer had an event or, at a server that isn't an engine, was whole.
+// given part, before that answer was whole.
 type Accusation struct {
 	Part Part
 	End  End
@@ -33,8 +33,15 @@
 	At Software
 	// Begun is set if the head of a prompt's answer had come: the engine had begun to write.
 	Begun bool
-	// UnixSeconds is when the server ended, in true time.
+	// UnixSeconds and Millis are when the server ended, in true time. Millis is below 1000
+	// and 0 in the rows and messages of older versions.
 	UnixSeconds int64
+	Millis      int64 `json:",omitempty"`
+}
+
+// Time returns when the server ended.
+func (a Accusation) Time() time.Time {
+	return time.Unix(a.UnixSeconds, a.Millis*int64(time.Millisecond))
 }
 
 // Expired reports whether the accusation doesn't count any more.
@@ -42,8 +49,8 @@
 	return now.Unix()-a.UnixSeconds >= int64(TTL.Seconds())
 }
 
-// Suspicion is a run that broke off before its first event or, at a server that isn't an
-// engine, before its end, for a reason that is not known yet.
+// Suspicion is a run that broke off before the end of its answer, for a reason that is not
+// known yet.
 type Suspicion struct {
 	// ID and Born identify the incarnation of the backend server.
 	ID   string
@@ -53,6 +60,8 @@
 	Parts []Part
 	// Begun is set if the head of a prompt's answer had come.
 	Begun bool
+	// BrokeAt is when the run broke off, in true time.
+	BrokeAt time.Time
 }
 
 // End returns the end of the server of the suspicion.
@@ -60,11 +69,11 @@
 	return EndOf(s.ID, s.Born)
 }
 
-// Accusations returns the accusations that follow if the server ended at now.
-func (s Suspicion) Accusations(now time.Time) []Accusation {
+// Accusations returns the accusations that follow if the server has ended.
+func (s Suspicion) Accusations() []Accusation {
 	list := make([]Accusation, 0, len(s.Parts))
 	for _, part := range s.Parts {
-		list = append(list, Accusation{Part: part, End: s.End(), At: s.At, Begun: s.Begun, UnixSeconds: now.Unix()})
+		list = append(list, Accusation{Part: part, End: s.End(), At: s.At, Begun: s.Begun, UnixSeconds: s.BrokeAt.Unix(), Millis: int64(s.BrokeAt.Nanosecond()) / int64(time.Millisecond)})
 	}
 	return list
 }
--- a/peridotquarantine/table.go
+++ b/peridotquarantine/table.go
@@ -16,6 +16,10 @@
 	// minRequestEnds is that number for a whole request, begun or not: other requests
 	// don't have it in common by chance.
 	minRequestEnds = 3
+	// minEndsAfterAnswer is the number of servers that must have ended, since the last whole
+	// answer on a part at their software version, for the part to be quarantined there. A
+	// part that many prompts share runs at most servers that end, for whatever reason.
+	minEndsAfterAnswer = 5
 	// minStoredRequestEnds is the number of ends from which on accusations of a whole
 	// request must last. Each end accuses all requests that ran at the server.
 	minStoredRequestEnds = 2
@@ -27,11 +31,11 @@
 	maxEndsPerPart = 8
 	// maxAccusedParts limits the parts that are accused.
 	maxAccusedParts = 4096
-	// maxSoundParts limits the pairs of part and software that are known to be sound. One
-	// takes about 150 bytes.
-	maxSoundParts = 1 << 15
-	// maxSoundRequests limits the pairs of whole request and software in the same way.
-	maxSoundRequests = 1 << 13
+	// maxAnsweredParts limits the pairs of part and software with a known answer. One takes
+	// about 170 bytes.
+	maxAnsweredParts = 1 << 15
+	// maxAnsweredRequests limits the pairs of whole request and software in the same way.
+	maxAnsweredRequests = 1 << 13
 	// maxBegunEnds limits the ends of which a begun run is remembered.
 	maxBegunEnds = 4096
 )
@@ -43,15 +47,16 @@
 	// begunEnds contains the ends that a begun run has seen: runs beside it that had not
 	// begun say little.
 	begunEnds *simplelru.LRU[End, struct{}]
-	// sound contains parts of prompts, and soundRequests whole requests, which are so
-	// many that parts would not be remembered beside them.
-	sound, soundRequests *simplelru.LRU[soundPart, struct{}]
+	// answered contains when the last whole answer came on parts of prompts, in true time,
+	// and answeredRequests the same of whole requests, which are so many that parts would
+	// not be remembered beside them.
+	answered, answeredRequests *simplelru.LRU[partAt, time.Time]
 	// announced is the part up to which Announce has returned the accusations.
 	announced Part
 }
 
-// soundPart is a part on which an answer has begun at a software version.
-type soundPart struct {
+// partAt is a part at a software version.
+type partAt struct {
 	part Part
 	at   Software
 }
@@ -60,15 +65,14 @@
 func NewTable() *Table {
 	t := &Table{accused: make(map[Part][]Accusation)}
 	t.begunEnds, _ = simplelru.NewLRU[End, struct{}](maxBegunEnds, nil) // Fails only without a size.
-	t.sound, _ = simplelru.NewLRU[soundPart, struct{}](maxSoundParts, nil)
-	t.soundRequests, _ = simplelru.NewLRU[soundPart, struct{}](maxSoundRequests, nil)
+	t.answered, _ = simplelru.NewLRU[partAt, time.Time](maxAnsweredParts, nil)
+	t.answeredRequests, _ = simplelru.NewLRU[partAt, time.Time](maxAnsweredRequests, nil)
 	return t
 }
 
-// Accuse adds an accusation. It reports whether that is new. A part that is sound at the
-// software of the accusation isn't accused.
+// Accuse adds an accusation, unless an answer refutes it. It reports whether that is new.
 func (t *Table) Accuse(now time.Time, a Accusation) bool {
-	if a.Expired(now) || t.IsSound(a.Part, a.At) {
+	if a.Expired(now) || t.IsRefuted(a) {
 		return false
 	}
 	if a.Begun {
@@ -128,22 +132,24 @@
 	return a.Begun || !t.begunEnds.Contains(a.End)
 }
 
-// RecordBegun records that an answer has begun on the parts at a software version. It
-// returns the accusations that this refutes.
-func (t *Table) RecordBegun(parts []Part, at Software) (refuted []Accusation) {
+// RecordAnswered records that a whole answer on the parts came at a time, from a server of
+// a software version. It returns the accusations that this refutes.
+func (t *Table) RecordAnswered(parts []Part, at Software, answeredAt time.Time) (refuted []Accusation) {
 	for _, part := range parts {
-		t.soundOf(part).Add(soundPart{part, at}, struct{}{})
+		if last, ok := t.AnsweredAt(part, at); ok && last.After(answeredAt) {
+			continue
+		}
+		t.answeredOf(part).Add(partAt{part, at}, answeredAt)
 		list := t.accused[part]
 		if len(list) == 0 {
 			continue
 		}
-		isRefuted := func(a Accusation) bool { return a.At == at }
 		for _, a := range list {
-			if isRefuted(a) {
+			if t.IsRefuted(a) {
 				refuted = append(refuted, a)
 			}
 		}
-		if list = slices.DeleteFunc(list, isRefuted); len(list) > 0 {
+		if list = slices.DeleteFunc(list, t.IsRefuted); len(list) > 0 {
 			t.accused[part] = list
 		} else {
 			delete(t.accused, part)
@@ -157,18 +163,25 @@
 	return len(t.accused[part]) > 0
 }
 
-// IsSound reports whether an answer is known to have begun on a part at a software
-// version.
-func (t *Table) IsSound(part Part, at Software) bool {
-	return t.soundOf(part).Contains(soundPart{part, at})
+// AnsweredAt returns when the last whole answer on a part came from a server of a software
+// version. It returns false if none is known.
+func (t *Table) AnsweredAt(part Part, at Software) (time.Time, bool) {
+	return t.answeredOf(part).Peek(partAt{part, at})
 }
 
-// soundOf returns the sound parts of the same kind.
-func (t *Table) soundOf(part Part) *simplelru.LRU[soundPart, struct{}] {
+// IsRefuted reports whether a whole answer on the part is known that is not older than the
+// end.
+func (t *Table) IsRefuted(a Accusation) bool {
+	answeredAt, ok := t.AnsweredAt(a.Part, a.At)
+	return ok && !a.Time().After(answeredAt)
+}
+
+// answeredOf returns the answers on parts of the same kind.
+func (t *Table) answeredOf(part Part) *simplelru.LRU[partAt, time.Time] {
 	if part.IsRequest() {
-		return t.soundRequests
+		return t.answeredRequests
 	}
-	return t.sound
+	return t.answered
 }
 
 // MustLast reports whether the accusations of a part must outlive all instances.
@@ -207,7 +220,7 @@
 		if !t.IsQuarantined(now, part, at) {
 			continue
 		}
-		if !t.hasRival(now, part, parts) {
+		if !t.hasRival(t.countedEnds(now, part, at), part, parts) {
 			return Refused, part
 		}
 		judgment, reason = OnTrial, part
@@ -215,25 +228,30 @@
 	return judgment, reason
 }
 
-// IsQuarantined reports whether enough servers have ended under a part, and no answer is
-// known to have begun on it at a software version. The ends at all other versions add up.
+// IsQuarantined reports whether enough servers have ended under a part to keep it from
+// servers of a software version. Without a known answer at that version the ends at all
+// versions add up; with one, only those at that version since then count.
 func (t *Table) IsQuarantined(now time.Time, part Part, at Software) bool {
-	ends := t.countedEnds(now, part)
+	ends := t.countedEnds(now, part, at)
+	if _, ok := t.AnsweredAt(part, at); ok {
+		return len(ends) >= minEndsAfterAnswer
+	}
 	begun := 0
 	for _, a := range ends {
 		if a.Begun {
 			begun++
 		}
 	}
-	isEnough := begun >= minBegunEnds || len(ends) >= minEnds || part.IsRequest() && len(ends) >= minRequestEnds
-	return isEnough && !t.IsSound(part, at)
+	return begun >= minBegunEnds || len(ends) >= minEnds || part.IsRequest() && len(ends) >= minRequestEnds
 }
 
-// countedEnds returns the accusations of a part that count, one for each end.
-func (t *Table) countedEnds(now time.Time, part Part) []Accusation {
+// countedEnds returns the accusations of a part that count for servers of a software
+// version, one for each end.
+func (t *Table) countedEnds(now time.Time, part Part, at Software) []Accusation {
+	_, isAnswered := t.AnsweredAt(part, at)
 	var list []Accusation
 	for _, a := range t.accused[part] {
-		if !a.Expired(now) && t.counts(a) {
+		if !a.Expired(now) && t.counts(a) && (a.At == at || !isAnswered) {
 			list = append(list, a)
 		}
 	}
@@ -242,8 +260,7 @@
 
 // hasRival reports whether there is another part, not among those of the request, that
 // every server had to answer which ended under the given part. Either may be the cause.
-func (t *Table) hasRival(now time.Time, part Part, request []Part) bool {
-	ends := t.countedEnds(now, part)
+func (t *Table) hasRival(ends []Accusation, part Part, request []Part) bool {
 	for rival, list := range t.accused {
 		if rival == part || len(list) < len(ends) || slices.Contains(request, rival) {
 			continue
--- a/peridotquarantine/table_test.go
+++ b/peridotquarantine/table_test.go
@@ -41,11 +41,11 @@
 	for _, r := range runs {
 		now := start.Add(r.after)
 		if r.answered {
-			t.RecordBegun(partsOf(r.parts), r.at)
+			t.RecordAnswered(partsOf(r.parts), r.at, now)
 			continue
 		}
-		s := Suspicion{ID: fmt.Sprint("server-", r.server), Born: 1, At: r.at, Parts: partsOf(r.parts), Begun: r.begun}
-		for _, a := range s.Accusations(now) {
+		s := Suspicion{ID: fmt.Sprint("server-", r.server), Born: 1, At: r.at, Parts: partsOf(r.parts), Begun: r.begun, BrokeAt: now}
+		for _, a := range s.Accusations() {
 			t.Accuse(now, a)
 		}
 	}
@@ -54,6 +54,10 @@
 func TestJudge(t *testing.T) {
 	ended := func(server int, parts string) run { return run{server: server, parts: parts, at: v1, begun: true} }
 	unseen := func(server int, parts string) run { return run{server: server, parts: parts, at: v1} }
+	later := func(server int, parts string) run {
+		return run{server: server, parts: parts, at: v1, begun: true, after: time.Second}
+	}
+	atV2 := func(server int) run { return run{server: server, parts: "x", at: v2, begun: true, after: time.Second} }
 	answered := func(parts string) run { return run{parts: parts, at: v1, answered: true} }
 	sameParts := []run{ended(1, "ax"), ended(2, "ax"), ended(3, "ax")}
 	tests := []struct {
@@ -83,6 +87,17 @@
 		}, prompt: "b", at: v1},
 		{name: "sound before", runs: append([]run{answered("a")}, sameParts...), prompt: "a", at: v1},
 		{name: "sound afterwards", runs: append(sameParts[:3:3], answered("a")), prompt: "a", at: v1},
+		{name: "five ends since the last answer", runs: []run{answered("x"), later(1, "x"), later(2, "x"), later(3, "x"), later(4, "x"), later(5, "x")}, prompt: "x", at: v1, after: time.Second, want: Refused},
+		{name: "four ends since the last answer", runs: []run{answered("x"), later(1, "x"), later(2, "x"), later(3, "x"), later(4, "x")}, prompt: "x", at: v1, after: time.Second},
+		{name: "answered between the ends", runs: []run{
+			ended(1, "a"), ended(2, "a"), ended(3, "a"), answered("a"), later(4, "a"), later(5, "a"), later(6, "a"),
+		}, prompt: "a", at: v1, after: time.Second},
+		{name: "shared by the prompts that end servers and by others", runs: []run{
+			answered("a"), later(1, "ax"), later(2, "ax"), later(3, "ax"), later(4, "ax"), later(5, "ax"),
+		}, prompt: "ab", at: v1, after: time.Second, want: OnTrial},
+		{name: "answered at this version, ends at another", runs: []run{
+			answered("x"), atV2(1), atV2(2), atV2(3), atV2(4), atV2(5),
+		}, prompt: "x", at: v1, after: time.Second},
 		{name: "the other part is sound", runs: append(sameParts[:3:3], answered("a")), prompt: "bx", at: v1, want: Refused},
 		{name: "always together", runs: sameParts, prompt: "ax", at: v1, want: Refused},
 		{name: "one of two that were always together", runs: sameParts, prompt: "ab", at: v1, want: OnTrial},
@@ -137,8 +152,8 @@
 	for n := range 2 * maxEndsPerPart {
 		table.Accuse(start, Accusation{Part: PartOf("x"), End: EndOf("s", int64(n)), At: v1, Begun: true, UnixSeconds: start.Unix()})
 	}
-	for n := range 2 * maxSoundParts {
-		table.RecordBegun([]Part{Part(1<<40 + n)}, v1)
+	for n := range 2 * maxAnsweredParts {
+		table.RecordAnswered([]Part{Part(1<<40 + n)}, v1, start)
 	}
 	requests, prompts := table.Counts(start)
 	if accused := requests.Accused + prompts.Accused; accused > maxAccusedParts || requests.Quarantined+prompts.Quarantined != 1 {
@@ -147,11 +162,11 @@
 	if got := len(table.accused[PartOf("x")]); got > maxEndsPerPart {
 		t.Errorf("got %d accusations of one part, want %d at most", got, maxEndsPerPart)
 	}
-	if got := table.sound.Len(); got > maxSoundParts {
-		t.Errorf("got %d sound parts, want %d at most", got, maxSoundParts)
+	if got := table.answered.Len(); got > maxAnsweredParts {
+		t.Errorf("got %d answered parts, want %d at most", got, maxAnsweredParts)
 	}
-	if got := table.soundRequests.Len(); got > maxSoundRequests {
-		t.Errorf("got %d sound requests, want %d at most", got, maxSoundRequests)
+	if got := table.answeredRequests.Len(); got > maxAnsweredRequests {
+		t.Errorf("got %d answered requests, want %d at most", got, maxAnsweredRequests)
 	}
 }
 
