Quarantine: a server whose successor listens at its address has ended

Cause: the second probe, 100 ms after a run broke off, found the successor listening and dropped the suspicions, so that the end never counted. Change: the suspicions are kept; the registration of another incarnation at the address confirms them. Since streams with events are suspected now, a server that leaves, or left without saying so, is none: the registration is looked up when the run breaks off.

--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -34,6 +34,10 @@
 	answeredSettleTime = 500 * time.Millisecond
 	// maxUnsettled limits the accusations that wait for that.
 	maxUnsettled = 4096
+	// crashRemovalTime is how long after the removal of its registration a run at a server
+	// may break off for the server to count as crashed. One that leaves without saying so
+	// serves on for longer.
+	crashRemovalTime = time.Second
 	// trialRetryAfter is the Retry-After of a request that waits for the trial of another.
 	trialRetryAfter = 300 * time.Millisecond
 )
@@ -137,22 +141,22 @@
 
 // recordBreak records that a server broke off a run, and begins to find out whether the
 // server has ended.
-func (q *quarantine) recordBreak(s peridotquarantine.Suspicion, address string) {
+func (q *quarantine) recordBreak(s peridotquarantine.Suspicion) {
 	s.BrokeAt = q.front.trueTime()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.pending.Add(q.front.now(), s) {
-		go q.investigate(s, address)
+		go q.investigate(s)
 	}
 }
 
 // investigate probes a server that broke off a run. If nothing answers there, the next
 // lists of registrations decide.
-func (q *quarantine) investigate(s peridotquarantine.Suspicion, address string) {
+func (q *quarantine) investigate(s peridotquarantine.Suspicion) {
 	line := log.WithFields(log.Fields{"backend": s.ID, "born": s.Born, "software": s.At.Version})
 	for probe := range 2 {
 		peridotwait.Sleep(context.Background(), time.Duration(probe)*secondProbeDelay)
-		switch q.probe(context.Background(), address) {
+		switch q.probe(context.Background(), s.Address) {
 		case peridotlink.NotListening:
 			line.Warn(logPrefix + "backend server ended under a request")
 			q.confirm(s.End())
@@ -162,28 +166,38 @@
 			return
 		}
 	}
-	line.Info(logPrefix + "backend server still listens after it broke off a run")
+	line.Info(logPrefix + "a process still listens at the address of a backend server that broke off a run")
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.pending.Take(s.End())
+	q.pending.SetListening(s.End())
 }
 
-// recordBackends confirms the suspicions of servers that are not registered any more.
+// recordBackends confirms the suspicions of servers that are not registered any more, or
+// whose address a later incarnation has.
 func (q *quarantine) recordBackends(byID map[string]peridotsite.Backend) {
 	q.mu.Lock()
 	q.pending.Expire(q.front.now())
-	var ended []peridotquarantine.End
-	for _, s := range q.pending.Servers() {
-		if b, ok := byID[s.ID]; !ok || b.Born != s.Born {
-			ended = append(ended, s.End())
-		}
-	}
+	ended := q.pending.Ended(func(s peridotquarantine.Suspicion) peridotquarantine.Registration {
+		return registrationOf(byID, s)
+	})
 	q.mu.Unlock()
 	for _, end := range ended {
 		q.confirm(end)
 	}
 }
 
+// registrationOf returns the registration of the incarnation of a suspicion.
+func registrationOf(byID map[string]peridotsite.Backend, s peridotquarantine.Suspicion) (r peridotquarantine.Registration) {
+	b, ok := byID[s.ID]
+	r.Registered = ok && b.Born == s.Born
+	r.Leaving = r.Registered && b.Leaving
+	r.Replaced = ok && !r.Registered
+	for _, other := range byID {
+		r.Replaced = r.Replaced || other.ID != s.ID && other.Address == s.Address
+	}
+	return r
+}
+
 // confirm turns the suspicions of a server that has ended into accusations.
 func (q *quarantine) confirm(end peridotquarantine.End) {
 	now := q.front.trueTime()
@@ -344,12 +358,24 @@
 // the server, and neither does the end of one that leaves.
 func (x *exchange) recordBreak(ctx context.Context, at peridotsite.Backend, err *peridotverdict.Error, parts []peridotquarantine.Part) {
 	isBreak := err.Code == peridotverdict.PeerLost || err.Code == peridotverdict.ShortAnswer
-	if !isBreak || ctx.Err() != nil || at.Leaving {
+	if !isBreak || ctx.Err() != nil || x.front.isLeaving(at) {
 		return
 	}
 	// Answers of other servers come whole: a head says nothing about the runs beside it.
 	begun := x.headReceived && x.service.Engine != nil
-	x.front.quarantine.recordBreak(peridotquarantine.Suspicion{ID: at.ID, Born: at.Born, At: softwareOf(at), Parts: parts, Begun: begun}, at.Address)
+	x.front.quarantine.recordBreak(peridotquarantine.Suspicion{ID: at.ID, Born: at.Born, Address: at.Address, At: softwareOf(at), Parts: parts, Begun: begun})
+}
+
+// isLeaving reports whether an incarnation that was chosen for a run leaves by now, or has
+// left without saying so: the registration of one that crashes stays for some heartbeats.
+func (f *Front) isLeaving(chosen peridotsite.Backend) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b, ok := f.backends.byID[chosen.ID]; ok {
+		return b.Leaving && b.Born == chosen.Born
+	}
+	r, ok := f.backends.removed[chosen.ID]
+	return chosen.Leaving || ok && r.born == chosen.Born && (r.wasLeaving || f.now()-r.at > crashRemovalTime)
 }
 
 // recordPrefillBreak records that an engine broke off a prefill. An engine that writes on
--- a/peridotfront/quarantine_test.go
+++ b/peridotfront/quarantine_test.go
@@ -45,7 +45,7 @@
 // prompt and is gone.
 func endServer(t *testing.T, f *Front, server int, parts []peridotquarantine.Part) {
 	t.Helper()
-	f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: fmt.Sprint("server-", server), Born: 1, At: testSoftware, Parts: parts, Begun: true}, closedAddress(t))
+	f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: fmt.Sprint("server-", server), Born: 1, At: testSoftware, Parts: parts, Begun: true, Address: closedAddress(t)})
 }
 
 // judge returns what becomes of a prompt at a front.
@@ -138,6 +138,7 @@
 	}
 	t.Cleanup(func() { listener.Close() })
 	const unreachable = "unreachable"
+	listening := listener.Addr().String()
 	config := (&peridotsite.Config{Version: 1, Services: []peridotsite.Service{{Name: "llm"}}}).BuildIndex()
 	registered := func(born int64) []peridotsite.Backend {
 		return []peridotsite.Backend{{ID: "s", Born: born, Service: "llm", SoftwareVersion: "v1"}}
@@ -149,7 +150,10 @@
 		next []peridotsite.Backend
 		want bool
 	}{
-		{name: "still listening", address: listener.Addr().String(), next: nil},
+		{name: "still listening", address: listening, next: nil},
+		{name: "still listening, left", address: listening, next: []peridotsite.Backend{{ID: "s", Born: 1, Service: "llm", SoftwareVersion: "v1", Leaving: true}}},
+		{name: "still listening, another server at the address", address: listening, next: append(registered(1), peridotsite.Backend{ID: "n", Address: listening, Service: "llm"}), want: true},
+		{name: "still listening, started again", address: listening, next: registered(2), want: true},
 		{name: "unreachable, still registered", address: unreachable, next: registered(1)},
 		{name: "unreachable, no longer registered", address: unreachable, next: nil, want: true},
 		{name: "unreachable, started again", address: unreachable, next: registered(2), want: true},
@@ -162,7 +166,7 @@
 			}
 			f.SetConfig(config)
 			f.SetBackends(registered(1))
-			f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: "s", Born: 1, At: testSoftware, Parts: badParts, Begun: true}, test.address)
+			f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: "s", Born: 1, At: testSoftware, Parts: badParts, Begun: true, Address: test.address})
 			time.Sleep(3 * secondProbeDelay) // Both probes have ended.
 			f.SetBackends(test.next)
 			if got := len(f.quarantine.all()) > 0; got != test.want {
@@ -202,7 +206,7 @@
 		for i := range 60 {
 			parts = append(parts, peridotquarantine.Part(i))
 		}
-		f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: fmt.Sprint(server), At: at, Parts: parts, Begun: true}, closedAddress(t))
+		f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: fmt.Sprint(server), At: at, Parts: parts, Begun: true, Address: closedAddress(t)})
 	}
 	peridotawait.Until(t, "accusations", func() bool { return len(f.quarantine.all()) == 240 })
 	f.quarantine.recordAnswered([]peridotquarantine.Part{1, 2, 3}, at)
--- a/peridotquarantine/accusation.go
+++ b/peridotquarantine/accusation.go
@@ -55,7 +55,9 @@
 	// ID and Born identify the incarnation of the backend server.
 	ID   string
 	Born int64
-	At   Software
+	// Address is that of the server.
+	Address string
+	At      Software
 	// Parts are the whole request and the parts of its prompt.
 	Parts []Part
 	// Begun is set if the head of a prompt's answer had come.
--- a/peridotquarantine/table_test.go
+++ b/peridotquarantine/table_test.go
@@ -205,22 +205,62 @@
 	if got := len(p.Take(s.End())); got != 2 {
 		t.Errorf("got %d suspicions of the server, want 2", got)
 	}
-	if got := len(p.Servers()); got != 1 {
+	if got := len(p.ends); got != 1 {
 		t.Errorf("got %d servers left, want 1", got)
 	}
 	p.Expire(time.Second + pendingTTL)
-	if got := len(p.Servers()); got != 0 {
+	if got := len(p.ends); got != 0 {
 		t.Errorf("got %d servers after the time, want 0", got)
 	}
 	for n := range 2 * maxPendingEnds {
 		other.Born = int64(n)
 		p.Add(0, other)
 	}
-	if got := len(p.Servers()); got != maxPendingEnds {
+	if got := len(p.ends); got != maxPendingEnds {
 		t.Errorf("got %d servers, want %d", got, maxPendingEnds)
 	}
 }
 
+// TestEnded guards against servers that leave and are taken for crashed, and against crashed
+// ones that are missed because their successor listens at the same address.
+func TestEnded(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		listens bool
+		now     Registration
+		want    bool
+	}{
+		{name: "registered", now: Registration{Registered: true}},
+		{name: "registration gone", want: true},
+		{name: "leaves", now: Registration{Registered: true, Leaving: true}},
+		{name: "replaced", now: Registration{Registered: true, Replaced: true}, want: true},
+		{name: "listens, registered", listens: true, now: Registration{Registered: true}},
+		{name: "listens, registration gone", listens: true},
+		{name: "listens, replaced", listens: true, now: Registration{Replaced: true}, want: true},
+		{name: "listens, leaves and is replaced", listens: true, now: Registration{Registered: true, Leaving: true, Replaced: true}},
+	} {
+		s := Suspicion{ID: "s", Born: 1, At: v1, Parts: partsOf("x")}
+		var p Pending
+		p.Add(0, s)
+		if test.listens {
+			p.SetListening(s.End())
+		}
+		if got := len(p.Ended(func(Suspicion) Registration { return test.now })) > 0; got != test.want {
+			t.Errorf("%s: got ended %v, want %v", test.name, got, test.want)
+		}
+	}
+	var p Pending
+	s := Suspicion{ID: "s", Born: 1, At: v1, Parts: partsOf("x")}
+	p.Add(0, s)
+	p.SetListening(s.End())
+	if !p.Add(2*maxBreakSpread, s) {
+		t.Error("got no new investigation after a break at a server that listened, want one")
+	}
+	if got := len(p.Take(s.End())); got != 1 {
+		t.Errorf("got %d suspicions, want that of the last break only", got)
+	}
+}
+
 // TestLoneRequestsAreForgotten guards against accusations of all requests that ever ran at
 // a server when it ended, which are announced and kept for a day.
 func TestLoneRequestsAreForgotten(t *testing.T) {
