--- a/peridotsite/config.go
+++ b/peridotsite/config.go
@@ -96,6 +96,49 @@
 	MaxConns int
 	// Engine describes the model engines. It is nil for a plain service.
 	Engine *Engine
+	// Scarce is set if a request that is placed badly can't be placed again in time, so
+	// that placement must be exact. Config.BuildIndex sets it.
+	Scarce bool
+}
+
+const (
+	// maxScarceSlots is the number of slots of an engine up to which engines are scarce,
+	// and minTokensPerSlot the size of the KV cache for each slot from which on they aren't.
+	maxScarceSlots   = 8
+	minTokensPerSlot = 7000
+	// maxScarceObjectives is the number of objectives in a timeout up to which plain
+	// servers are scarce.
+	maxScarceObjectives = 5
+)
+
+// isScarce reports whether the engines have few slots or little memory for each slot.
+func (e *Engine) isScarce() bool {
+	return e.Slots > 0 && (e.Slots <= maxScarceSlots || e.CacheTokens > 0 && e.CacheTokens/e.Slots < minTokensPerSlot)
+}
+
+// isTight reports whether requests on the route have little time beyond their objective.
+func (r *Route) isTight() bool {
+	return r.Objective > 0 && r.Timeout > 0 && r.Timeout <= maxScarceObjectives*r.Objective
+}
+
+// updateScarce sets Service.Scarce. Plain servers are scarce if most routes to them are
+// tight.
+func (c *Config) updateScarce() {
+	routes, tight := make(map[string]int), make(map[string]int)
+	for i := range c.Routes {
+		for _, target := range c.Routes[i].Targets {
+			routes[target.Service]++
+			if c.Routes[i].isTight() {
+				tight[target.Service]++
+			}
+		}
+	}
+	for i := range c.Services {
+		s := &c.Services[i]
+		if s.Scarce = 2*tight[s.Name] > routes[s.Name]; s.Engine != nil {
+			s.Scarce = s.Engine.isScarce()
+		}
+	}
 }
 
 // Engine describes the model engines of a service.
@@ -162,6 +205,7 @@
 	for i := range c.Services {
 		c.servicesByName[c.Services[i].Name] = &c.Services[i]
 	}
+	c.updateScarce()
 	c.accountsByKey = make(map[string]string)
 	for _, a := range c.Accounts {
 		for _, key := range a.Keys {
