Quarantine: ends behind events are weaker evidence than ends behind a head

Cause: an engine that ends accuses all streams in progress there alike; parts of three sessions that ran at three ends were quarantined, and their streams' resumptions were refused. Change: accusations of runs that had sent events count toward five ends, the users' bound, not toward three; they don't hide runs that had not begun.

--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -255,7 +255,7 @@
 // accuse adds an accusation and reports whether that is new. The caller must hold q.mu.
 func (q *quarantine) accuse(now time.Time, a peridotquarantine.Accusation) bool {
 	before := q.table.IsQuarantined(now, a.Part, a.At)
-	fields := log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version, "begun": a.Begun}
+	fields := log.Fields{"part": a.Part, "service": a.At.Service, "software": a.At.Version, "begun": a.Begun, "had_events": a.HadEvents}
 	if !q.table.Accuse(now, a) {
 		if q.table.IsRefuted(a) {
 			q.front.metrics.Count(kindOf(a.Part) + "_accusations_ignored")
@@ -363,7 +363,7 @@
 	}
 	// Answers of other servers come whole: a head says nothing about the runs beside it.
 	begun := x.headReceived && x.service.Engine != nil
-	x.front.quarantine.recordBreak(peridotquarantine.Suspicion{ID: at.ID, Born: at.Born, Address: at.Address, At: softwareOf(at), Parts: parts, Begun: begun})
+	x.front.quarantine.recordBreak(peridotquarantine.Suspicion{ID: at.ID, Born: at.Born, Address: at.Address, At: softwareOf(at), Parts: parts, Begun: begun, HadEvents: begun && x.runEvents > 0})
 }
 
 // isLeaving reports whether an incarnation that was chosen for a run leaves by now, or has
--- a/peridotfront/quarantinenews.go
+++ b/peridotfront/quarantinenews.go
@@ -56,8 +56,10 @@
 // quarantineDetails is what older program versions don't know of a quarantineReport.
 type quarantineDetails struct {
 	// Millis contains the milliseconds within UnixSeconds of each accusation of the report.
-	Millis   []uint16       `cbor:"1,keyasint,omitempty"`
-	Answered []answeredPart `cbor:"2,keyasint,omitempty"`
+	Millis []uint16 `cbor:"1,keyasint,omitempty"`
+	// HadEvents is Accusation.HadEvents of each accusation of the report.
+	HadEvents []bool         `cbor:"3,keyasint,omitempty"`
+	Answered  []answeredPart `cbor:"2,keyasint,omitempty"`
 }
 
 // areValid reports whether a report and its details keep the limits.
@@ -65,7 +67,7 @@
 	tooLong := func(service, version string) bool { return len(service)+len(version) > maxSoftwareBytes }
 	return !slices.ContainsFunc(r.Accusations, func(a accusation) bool { return tooLong(a.Service, a.Version) }) &&
 		!slices.ContainsFunc(details.Answered, func(s answeredPart) bool { return tooLong(s.Service, s.Version) }) &&
-		(len(details.Millis) == 0 || len(details.Millis) == len(r.Accusations))
+		len(details.Millis) == len(details.HadEvents) && (len(details.Millis) == 0 || len(details.Millis) == len(r.Accusations))
 }
 
 // quarantineNews contains what the other fronts have to be told soon. The zero value is
@@ -158,6 +160,7 @@
 	for _, a := range accusations {
 		r.Accusations = append(r.Accusations, encodeAccusation(a))
 		details.Millis = append(details.Millis, uint16(a.Millis))
+		details.HadEvents = append(details.HadEvents, a.HadEvents)
 	}
 	return r, details
 }
@@ -183,7 +186,7 @@
 	for i, encoded := range r.Accusations {
 		a := encoded.decode()
 		if len(details.Millis) > 0 {
-			a.Millis = int64(min(details.Millis[i], 999))
+			a.Millis, a.HadEvents = int64(min(details.Millis[i], 999)), details.HadEvents[i]
 		}
 		if q.accuse(now, a) || q.table.IsRefuted(a) {
 			q.addAnswered(a.Part, a.At)
--- a/peridotquarantine/accusation.go
+++ b/peridotquarantine/accusation.go
@@ -33,6 +33,9 @@
 	At Software
 	// Begun is set if the head of a prompt's answer had come: the engine had begun to write.
 	Begun bool
+	// HadEvents is set if events of that answer had come, too. All streams that run at a
+	// server when it ends have it, so that it is weaker evidence than a head alone.
+	HadEvents bool `json:",omitempty"`
 	// UnixSeconds and Millis are when the server ended, in true time. Millis is below 1000
 	// and 0 in the rows and messages of older versions.
 	UnixSeconds int64
@@ -44,6 +47,17 @@
 	return time.Unix(a.UnixSeconds, a.Millis*int64(time.Millisecond))
 }
 
+// strength orders the accusations of one end: the strongest that any run gives counts.
+func (a Accusation) strength() int {
+	switch {
+	case a.Begun && !a.HadEvents:
+		return 2
+	case a.HadEvents:
+		return 1
+	}
+	return 0
+}
+
 // Expired reports whether the accusation doesn't count any more.
 func (a Accusation) Expired(now time.Time) bool {
 	return now.Unix()-a.UnixSeconds >= int64(TTL.Seconds())
@@ -62,6 +76,8 @@
 	Parts []Part
 	// Begun is set if the head of a prompt's answer had come.
 	Begun bool
+	// HadEvents is set if events of that answer had come.
+	HadEvents bool
 	// BrokeAt is when the run broke off, in true time.
 	BrokeAt time.Time
 }
@@ -75,7 +91,7 @@
 func (s Suspicion) Accusations() []Accusation {
 	list := make([]Accusation, 0, len(s.Parts))
 	for _, part := range s.Parts {
-		list = append(list, Accusation{Part: part, End: s.End(), At: s.At, Begun: s.Begun, UnixSeconds: s.BrokeAt.Unix(), Millis: int64(s.BrokeAt.Nanosecond()) / int64(time.Millisecond)})
+		list = append(list, Accusation{Part: part, End: s.End(), At: s.At, Begun: s.Begun, HadEvents: s.HadEvents, UnixSeconds: s.BrokeAt.Unix(), Millis: int64(s.BrokeAt.Nanosecond()) / int64(time.Millisecond)})
 	}
 	return list
 }
--- a/peridotquarantine/table.go
+++ b/peridotquarantine/table.go
@@ -16,10 +16,10 @@
 	// minRequestEnds is that number for a whole request, begun or not: other requests
 	// don't have it in common by chance.
 	minRequestEnds = 3
-	// minEndsAfterAnswer is the number of servers that must have ended, since the last whole
-	// answer on a part at their software version, for the part to be quarantined there. A
-	// part that many prompts share runs at most servers that end, for whatever reason.
-	minEndsAfterAnswer = 5
+	// minAnyEnds is that number for a part whose runs had sent events, and for one that was
+	// answered at the software version before: ends since the last whole answer. Parts that
+	// many prompts share run at most servers that end, for whatever reason.
+	minAnyEnds = 5
 	// minStoredRequestEnds is the number of ends from which on accusations of a whole
 	// request must last. Each end accuses all requests that ran at the server.
 	minStoredRequestEnds = 2
@@ -44,7 +44,7 @@
 type Table struct {
 	// accused contains the accusations of each part, at most one for each end.
 	accused map[Part][]Accusation
-	// begunEnds contains the ends that a begun run has seen: runs beside it that had not
+	// begunEnds contains the ends that a begun run without events has seen: runs beside it that had not
 	// begun say little.
 	begunEnds *simplelru.LRU[End, struct{}]
 	// answered contains when the last whole answer came on parts of prompts, in true time,
@@ -75,13 +75,13 @@
 	if a.Expired(now) || t.IsRefuted(a) {
 		return false
 	}
-	if a.Begun {
+	if a.Begun && !a.HadEvents {
 		t.begunEnds.Add(a.End, struct{}{})
 	}
 	list := t.accused[a.Part]
 	i := slices.IndexFunc(list, func(other Accusation) bool { return other.End == a.End })
 	switch {
-	case i >= 0 && (list[i].Begun || !a.Begun):
+	case i >= 0 && list[i].strength() >= a.strength():
 		return false
 	case i >= 0:
 		list[i] = a
@@ -234,15 +234,19 @@
 func (t *Table) IsQuarantined(now time.Time, part Part, at Software) bool {
 	ends := t.countedEnds(now, part, at)
 	if _, ok := t.AnsweredAt(part, at); ok {
-		return len(ends) >= minEndsAfterAnswer
+		return len(ends) >= minAnyEnds
 	}
-	begun := 0
+	begun, strong := 0, 0
 	for _, a := range ends {
+		if a.HadEvents {
+			continue
+		}
+		strong++
 		if a.Begun {
 			begun++
 		}
 	}
-	return begun >= minBegunEnds || len(ends) >= minEnds || part.IsRequest() && len(ends) >= minRequestEnds
+	return begun >= minBegunEnds || strong >= minEnds || len(ends) >= minAnyEnds || part.IsRequest() && len(ends) >= minRequestEnds
 }
 
 // countedEnds returns the accusations of a part that count for servers of a software
--- a/peridotquarantine/table_test.go
+++ b/peridotquarantine/table_test.go
@@ -20,7 +20,9 @@
 	at       Software
 	begun    bool
 	answered bool
-	after    time.Duration
+	// hadEvents is set if the answer had events.
+	hadEvents bool
+	after     time.Duration
 }
 
 // partsOf returns the parts named by the letters: a whole request by a capital one.
@@ -44,7 +46,7 @@
 			t.RecordAnswered(partsOf(r.parts), r.at, now)
 			continue
 		}
-		s := Suspicion{ID: fmt.Sprint("server-", r.server), Born: 1, At: r.at, Parts: partsOf(r.parts), Begun: r.begun, BrokeAt: now}
+		s := Suspicion{ID: fmt.Sprint("server-", r.server), Born: 1, At: r.at, Parts: partsOf(r.parts), Begun: r.begun, HadEvents: r.hadEvents, BrokeAt: now}
 		for _, a := range s.Accusations() {
 			t.Accuse(now, a)
 		}
@@ -54,6 +56,7 @@
 func TestJudge(t *testing.T) {
 	ended := func(server int, parts string) run { return run{server: server, parts: parts, at: v1, begun: true} }
 	unseen := func(server int, parts string) run { return run{server: server, parts: parts, at: v1} }
+	midStream := func(server int) run { return run{server: server, parts: "x", at: v1, begun: true, hadEvents: true} }
 	later := func(server int, parts string) run {
 		return run{server: server, parts: parts, at: v1, begun: true, after: time.Second}
 	}
@@ -87,6 +90,12 @@
 		}, prompt: "b", at: v1},
 		{name: "sound before", runs: append([]run{answered("a")}, sameParts...), prompt: "a", at: v1},
 		{name: "sound afterwards", runs: append(sameParts[:3:3], answered("a")), prompt: "a", at: v1},
+		{name: "four ends behind events", runs: []run{midStream(1), midStream(2), midStream(3), midStream(4)}, prompt: "x", at: v1},
+		{name: "five ends behind events", runs: []run{midStream(1), midStream(2), midStream(3), midStream(4), midStream(5)}, prompt: "x", at: v1, want: Refused},
+		{name: "some ends behind events", runs: []run{midStream(1), ended(1, "x"), midStream(2), ended(2, "x"), ended(3, "x"), midStream(3)}, prompt: "x", at: v1, want: Refused},
+		{name: "not begun, beside streams with events", runs: []run{
+			midStream(1), midStream(2), midStream(3), midStream(4), unseen(1, "b"), unseen(2, "b"), unseen(3, "b"), unseen(4, "b"),
+		}, prompt: "b", at: v1, want: OnTrial},
 		{name: "five ends since the last answer", runs: []run{answered("x"), later(1, "x"), later(2, "x"), later(3, "x"), later(4, "x"), later(5, "x")}, prompt: "x", at: v1, after: time.Second, want: Refused},
 		{name: "four ends since the last answer", runs: []run{answered("x"), later(1, "x"), later(2, "x"), later(3, "x"), later(4, "x")}, prompt: "x", at: v1, after: time.Second},
 		{name: "answered between the ends", runs: []run{
