Quota: the reserve follows what the others may have admitted unseen

Change: the reserve is the demand of the others in the time between their reports, less 0.8 of the tolerated excess, between 0.05 and 0.5 of the burst.

--- a/peridotquota/report.go
+++ b/peridotquota/report.go
@@ -13,6 +13,8 @@
 	minNews = 0.005
 	// smoothing is the weight of a new observation of another instance's rate.
 	smoothing = 0.5
+	// intervalSmoothing is that of a new observation of the time between two reports.
+	intervalSmoothing = 0.02
 	// maxUsage limits what is believed of another instance's total and demand.
 	maxUsage = 1e15
 )
@@ -49,6 +51,9 @@
 		t.peers[instance] = p
 	}
 	hasRestarted := p.start != r.Start
+	if !isNew && !hasRestarted {
+		t.interval += time.Duration(intervalSmoothing * float64(min(now-p.heardAt, silenceTime)-t.interval))
+	}
 	p.heardAt, p.start = now, r.Start
 	for _, u := range r.Usages {
 		if a := t.accounts[u.Account]; a != nil && isPlausible(u) {
--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -9,10 +9,16 @@
 	// startLevel is the filling of a bucket when an instance starts, as a share of the
 	// burst: what the account used before the start is not known.
 	startLevel = 0.5
-	// minReserve is the least reserve as a share of the burst, and toleranceShare the share
-	// of the tolerated excess on which the reserve may count.
-	minReserve     = 0.3
-	toleranceShare = 0.75
+	// minReserve and maxReserve bound the reserve as a share of the burst, and
+	// toleranceShare is the share of the tolerated excess on which the reserve may count.
+	minReserve     = 0.05
+	maxReserve     = 0.5
+	toleranceShare = 0.8
+	// unseenFactor is the ratio of the use that the reserve allows for to the demand of the
+	// other instances in the time between two of their reports.
+	unseenFactor = 1.0
+	// defaultInterval is the time between two reports before any has been observed.
+	defaultInterval = 300 * time.Millisecond
 	// levelTime is the time in which the instances use up what is left in the bucket, or
 	// make up for what is overdrawn, beside the rate.
 	levelTime = time.Second
@@ -75,6 +81,8 @@
 	accounts  map[string]*account
 	// peers contains, by instance, when its last report came and its Report.Start.
 	peers map[string]*peer
+	// interval is the moving average of the time between two reports of an instance.
+	interval time.Duration
 	// start is the time of the first call.
 	start    time.Duration
 	hasStart bool
@@ -112,7 +120,7 @@
 
 // NewTable returns a table without limits.
 func NewTable(tolerance Tolerance) *Table {
-	return &Table{tolerance: tolerance, accounts: make(map[string]*account), peers: make(map[string]*peer)}
+	return &Table{tolerance: tolerance, accounts: make(map[string]*account), peers: make(map[string]*peer), interval: defaultInterval}
 }
 
 // SetLimits replaces the limits. An account whose limit changes keeps the filling of its
@@ -181,10 +189,15 @@
 }
 
 // reserve returns the filling of the bucket below which this instance admits only its own
-// part.
+// part: what the others may have admitted since their last reports, beyond what is tolerated.
 func (t *Table) reserve(a *account) float64 {
 	tolerated := t.tolerance.Excess*(a.limit.Rate*t.tolerance.Window.Seconds()+a.limit.Burst) + t.tolerance.Slack
-	return max(minReserve*a.limit.Burst, a.limit.Burst-toleranceShare*tolerated)
+	demand := 0.0
+	for _, u := range a.others {
+		demand += u.demand
+	}
+	reserve := unseenFactor*demand*t.interval.Seconds() - toleranceShare*tolerated
+	return min(max(reserve, minReserve*a.limit.Burst), maxReserve*a.limit.Burst)
 }
 
 // advance brings the bucket up to date: it fills with the rate, less what the other
