Place: serve interactive prompts ahead of long ones, at each server's present speed

Cause: at engines of 8 slots, chunks of long prompts and preemptions pause interactive answers, and a moving average of weight 0.1 over one front's prefills misses changes of 600 ms. Change: for scarce services only, interactive prompts go where little prefill work, few requests and a free slot are, long prompts pay at most their own prefill time for answers they pause, and a server's slowness is its pace, also from the observations of other instances.

--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -32,6 +32,11 @@
 	lowUrgency bool
 	demoted    bool
 	ended      bool
+	// interactive is set by SetInteractive.
+	interactive bool
+	// requestsAtStart is the number of requests at a plain server of a scarce service when
+	// the flight started, with itself; 0 for other servers.
+	requestsAtStart int
 }
 
 // transferDelay is the time after which an engine is assumed to have the KV cache that
@@ -50,7 +55,7 @@
 		return nil
 	}
 	s.addRequest(now)
-	return &Flight{server: s, startedAt: now}
+	return &Flight{server: s, startedAt: now, requestsAtStart: p.countRequests(now, s)}
 }
 
 // BeginPrefill records that a prompt is sent to a server, which must read
@@ -174,7 +179,7 @@
 	s := f.server
 	s.recordAnswer(now)
 	f.recordFirstToken(now)
-	if !f.lowUrgency && f.uncachedTokens > 0 {
+	if !f.lowUrgency && !f.interactive && f.uncachedTokens > 0 {
 		p.calibration(s).observe(f.estimatedWaitMillis, toMillis(now-f.startedAt)-p.estimatePrefillMillis(s, f.uncachedTokens))
 	}
 	if f.prefillMillis == 0 {
@@ -184,20 +189,24 @@
 		s.cache.add(f.parts, now)
 	}
 	if f.startedIdle && !f.lowUrgency && !f.fetches && f.uncachedTokens >= minSampleTokens {
-		p.updateSpeed(f, toMillis(now-f.startedAt))
+		p.updateSpeed(now, f, toMillis(now-f.startedAt))
 	}
 	p.confirmPrefill(now, f)
 }
 
 // updateSpeed updates the speed of the engines of a kind, and the slowness of the one of a
 // flight relative to the others, with the observed prefill time in ms of the flight.
-func (p *Placer) updateSpeed(f *Flight, observedMillis float64) {
+func (p *Placer) updateSpeed(now time.Duration, f *Flight, observedMillis float64) {
 	s := f.server
 	tokensPerMilli := float64(f.uncachedTokens) / max(observedMillis, minObservedMillis)
 	v := p.speedOf(speedKeyOf(s.Backend))
 	if v.isReliable() {
 		ratio := min(max(v.median/tokensPerMilli, minSlowness), maxSlowness)
 		s.slowness += (ratio - s.slowness) * smoothingFactor
+		if s.scarce {
+			s.observePace(now, ratio)
+			s.updatePace(now)
+		}
 	}
 	v.observe(tokensPerMilli)
 }
@@ -279,6 +288,7 @@
 	f.ended = true
 	s := f.server
 	s.running--
+	p.endTurn(now, f, outcome)
 	if f.firstTokenAt > 0 && outcome == Answered {
 		p.updateSlotTime(s, toMillis(now-f.firstTokenAt)+p.estimatePrefillMillis(s, f.uncachedTokens))
 	}
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -47,6 +47,9 @@
 	speeds map[speedKey]*speed
 	// meanSlotMillis is the mean time in ms that a request holds a slot, by service.
 	meanSlotMillis map[string]float64
+	// meanPlainMillis is the mean time in ms that a server of a scarce plain service takes
+	// for a request, by service.
+	meanPlainMillis map[string]float64
 	// peerSum is the sum of the peers' loads at peerSumAt, by backend server; nil
 	// after a new report.
 	peerSum   map[string]Load
@@ -81,6 +84,11 @@
 	// Running is the number of requests that have not ended, without demoted ones
 	// that have not got their first token.
 	Running int
+	// Interactive is the number of interactive ones among them.
+	Interactive int
+	// Pace is the ratio of the time of the last request that the instance has observed there
+	// since its last report to the expected time; 0 if there is none.
+	Pace float64
 }
 
 // Placement records that the parts of a prompt were sent to an engine.
@@ -99,15 +107,16 @@
 // are determined by seed.
 func New(seed uint64, domain string) *Placer {
 	return &Placer{
-		random:         rand.New(rand.NewPCG(seed, seed)),
-		domain:         domain,
-		servers:        make(map[string]*server),
-		holds:          make(map[incarnation]time.Duration),
-		limits:         peridotlimit.NewTable(),
-		groups:         make(map[groupKey][]*server),
-		peers:          make(map[string]*peer),
-		speeds:         make(map[speedKey]*speed),
-		meanSlotMillis: make(map[string]float64),
+		random:          rand.New(rand.NewPCG(seed, seed)),
+		domain:          domain,
+		servers:         make(map[string]*server),
+		holds:           make(map[incarnation]time.Duration),
+		limits:          peridotlimit.NewTable(),
+		groups:          make(map[groupKey][]*server),
+		peers:           make(map[string]*peer),
+		speeds:          make(map[speedKey]*speed),
+		meanSlotMillis:  make(map[string]float64),
+		meanPlainMillis: make(map[string]float64),
 	}
 }
 
@@ -165,8 +174,8 @@
 	for _, s := range p.servers {
 		p.beginDemoted(now, s)
 		backlogMillis := s.backlogMillis(now)
-		if s.running > 0 || backlogMillis > 0 {
-			r.Loads = append(r.Loads, Load{Backend: s.ID, PrefillTime: fromMillis(backlogMillis), LatePrefillTime: fromMillis(s.demotedMillis), Running: s.activeRequests()})
+		if s.running > 0 || backlogMillis > 0 || s.unreportedPace > 0 {
+			r.Loads = append(r.Loads, Load{Backend: s.ID, PrefillTime: fromMillis(backlogMillis), LatePrefillTime: fromMillis(s.demotedMillis), Running: s.activeRequests(), Interactive: s.interactive, Pace: s.takePace()})
 		}
 	}
 	n := min(limit, len(p.pendingPlacements))
@@ -181,6 +190,7 @@
 	loads := make(map[string]Load, len(r.Loads))
 	for _, l := range r.Loads {
 		loads[l.Backend] = l
+		p.observePeerTurn(now, l)
 	}
 	p.peers[instance] = &peer{receivedAt: now, loads: loads}
 	p.peerSum = nil
@@ -227,6 +237,7 @@
 			total.PrefillTime += max(0, l.PrefillTime-age)
 			total.LatePrefillTime += l.LatePrefillTime
 			total.Running += l.Running
+			total.Interactive += l.Interactive
 			p.peerSum[id] = total
 		}
 	}
--- a/peridotplace/plain.go
+++ b/peridotplace/plain.go
@@ -51,6 +51,7 @@
 // relative to its size, with penalties for failures and for another failure domain.
 func (p *Placer) plainCost(now time.Duration, s *server) float64 {
 	_, _, peerRunning := p.peerLoad(now, s.ID)
+	s.updatePace(now)
 	cost := float64(s.running+peerRunning+1) * referenceSlots / float64(max(1, s.Slots)) * s.slowness
 	cost += failureCost * s.failureRate
 	if s.Domain != p.domain {
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -48,6 +48,11 @@
 	Single bool
 	// Late is set for a prompt that cannot be on time; it is served after all others.
 	Late bool
+	// Interactive is set for a prompt that the engine is to serve before others: see
+	// Placer.IsInteractive. Gap is the maximum time between two events of its answer.
+	// Services that are not scarce ignore both.
+	Interactive bool
+	Gap         time.Duration
 	// SendTime is the time that this instance's link takes to send the request once.
 	// It is sent twice if prefill and decode are on different engines.
 	SendTime time.Duration
@@ -121,6 +126,9 @@
 	slotWaitMillis float64
 	// requests is the number of active requests of all instances at the engine.
 	requests int
+	// interactive is the number of interactive ones among them; 0 for engines that are not
+	// scarce.
+	interactive int
 	// decodeCost is the cost in ms of generating the answer there, and domainCost
 	// that of sending the request to another failure domain.
 	decodeCost float64
@@ -157,7 +165,7 @@
 	sendCost := toMillis(prompt.SendTime) * (1 + linkWeight)
 	for i := range decodeEngines {
 		d := &decodeEngines[i]
-		cost := max(d.waitMillis, d.slotWaitMillis) + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost
+		cost := max(d.waitMillis, d.slotWaitMillis) + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost + d.pauseCost()
 		if cost < leastCost {
 			best, leastCost, found = p.singleChoice(d), cost, true
 		}
@@ -202,6 +210,7 @@
 // estimate returns s as a candidate, with the estimates for a prompt.
 func (p *Placer) estimate(now time.Duration, s *server, prompt Prompt) candidate {
 	peerPrefillMillis, peerLateMillis, running := p.peerLoad(now, s.ID)
+	s.updatePace(now)
 	uncachedTokens := max(0, prompt.Tokens-s.cache.cachedTokens(prompt.Parts))
 	urgentMillis := s.backlogMillis(now) + peerPrefillMillis
 	c := candidate{server: s, urgentMillis: urgentMillis, waitMillis: urgentMillis, prefillMillis: p.estimatePrefillMillis(s, uncachedTokens), uncachedTokens: uncachedTokens}
@@ -215,6 +224,9 @@
 	if s.Domain != p.domain {
 		c.domainCost = crossDomainCostMillis
 	}
+	if s.scarce {
+		p.applyTurn(now, &c, prompt)
+	}
 	return c
 }
 
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -79,6 +79,8 @@
 	// firstTokenDue is when the first token is expected of a prompt that the engine got
 	// while it had no active requests; zero once the engine has answered since.
 	firstTokenDue time.Duration
+
+	turnState
 }
 
 // newServer returns a server that is idle and has the expected speed.
@@ -90,7 +92,7 @@
 // and keeps the rest of its state.
 func (s *server) update(now time.Duration, b peridotsite.Backend, service *peridotsite.Service) {
 	s.Backend = b
-	s.engine = nil
+	s.engine, s.scarce = nil, service != nil && service.Scarce
 	if service == nil || service.Engine == nil {
 		return
 	}
--- /dev/null
+++ b/peridotplace/turn.go
@@ -0,0 +1,126 @@
+package peridotplace
+
+import (
+	"time"
+
+	"peridotstack/peridotsite"
+	"peridotstack/peridotturn"
+)
+
+// turnState is the state of a server of a scarce service that decides which requests get
+// their turn there. Servers of other services leave it as it is.
+type turnState struct {
+	// scarce is peridotsite.Service.Scarce.
+	scarce bool
+	// interactive is the number of this instance's interactive requests at the server.
+	interactive int
+	// pace is how long the server takes relative to most servers of its kind.
+	pace peridotturn.Pace
+	// unreportedPace is the last observation that no Report has told; 0 if there is none.
+	unreportedPace float64
+}
+
+// IsInteractive reports whether a request for a service is interactive at the measured
+// speed of the service's engines. Requests for services that are not scarce are not.
+func (p *Placer) IsInteractive(service *peridotsite.Service, r peridotturn.Request) bool {
+	return service.Scarce && service.Engine != nil && r.IsInteractive(p.tokensPerMilli(speedKey{service: service.Name}))
+}
+
+// SetInteractive records that a flight is interactive. A nil, ended or interactive flight,
+// and one to a server that is not scarce, is left as it is.
+func (f *Flight) SetInteractive() {
+	if f != nil && f.server.scarce && !f.ended && !f.interactive {
+		f.interactive = true
+		f.server.interactive++
+	}
+}
+
+// endTurn records the end of a flight.
+func (p *Placer) endTurn(now time.Duration, f *Flight, outcome Outcome) {
+	if f.interactive {
+		f.server.interactive--
+	}
+	if outcome == Answered && f.requestsAtStart > 0 {
+		p.observePlain(now, f)
+	}
+}
+
+// observePace records the time of a request relative to the expected one.
+func (s *server) observePace(now time.Duration, ratio float64) {
+	s.pace.Observe(now, ratio)
+	s.unreportedPace = ratio
+}
+
+// updatePace sets the slowness of a server of a scarce service to its present pace.
+func (s *server) updatePace(now time.Duration) {
+	if s.scarce {
+		s.slowness = s.pace.At(now)
+	}
+}
+
+// takePace returns the last observation and forgets that it has not been reported.
+func (s *server) takePace() float64 {
+	pace := s.unreportedPace
+	s.unreportedPace = 0
+	return pace
+}
+
+// observePeerTurn records what another instance has observed at a server.
+func (p *Placer) observePeerTurn(now time.Duration, l Load) {
+	if s := p.servers[l.Backend]; s != nil && s.scarce && l.Pace > 0 {
+		s.pace.Observe(now, l.Pace)
+	}
+}
+
+// meanPlainSmoothing is the weight of an observation in the mean time of the requests of a
+// plain service. It is small, since a change at one server must not change the mean.
+const meanPlainSmoothing = 0.02
+
+// observePlain updates the pace of a plain server with a request that ended. Of a request
+// that found all slots taken, only the share of its time that it was served counts.
+func (p *Placer) observePlain(now time.Duration, f *Flight) {
+	s := f.server
+	served := toMillis(now-f.startedAt) * min(1, float64(max(1, s.Slots))/float64(f.requestsAtStart))
+	mean, ok := p.meanPlainMillis[s.Service]
+	if !ok {
+		mean = served
+	}
+	p.meanPlainMillis[s.Service] = mean + (served-mean)*meanPlainSmoothing
+	if mean > 0 {
+		s.observePace(now, served/mean)
+	}
+}
+
+// countRequests returns the number of requests at a plain server of a scarce service, or 0
+// for other servers.
+func (p *Placer) countRequests(now time.Duration, s *server) int {
+	if !s.scarce || s.engine != nil {
+		return 0
+	}
+	_, _, running := p.peerLoad(now, s.ID)
+	return s.running + running
+}
+
+// applyTurn changes the estimates of a candidate of a scarce service by the rules for
+// interactive requests. An engine admits these before others.
+func (p *Placer) applyTurn(now time.Duration, c *candidate, prompt Prompt) {
+	_, peerLateMillis, _ := p.peerLoad(now, c.ID)
+	c.interactive = c.server.interactive + p.peerSum[c.ID].Interactive
+	if !prompt.Interactive {
+		return
+	}
+	e := peridotturn.Engine{
+		PrefillMillis: c.urgentMillis, LateMillis: c.demotedMillis + peerLateMillis,
+		ChunkMillis: p.estimatePrefillMillis(c.server, peridotturn.ChunkTokens), SlotMillis: p.meanSlotMillis[c.Service],
+		Running: c.requests, Interactive: c.interactive, Slots: c.engine.Slots,
+	}
+	wait := e.WaitMillis()
+	c.urgentMillis, c.waitMillis, c.slotWaitMillis = wait, wait, wait
+	c.decodeCost += e.InteractiveCost(prompt.Gap)
+}
+
+// pauseCost returns the cost in ms of the pauses that the prefill makes in the interactive
+// answers of the engine.
+func (c *candidate) pauseCost() float64 {
+	return peridotturn.Engine{Interactive: c.interactive}.PauseCost(c.prefillMillis)
+}
