Front: send interactive requests with the most urgent value; log pauses

Cause: a question whose first event is expected late was sent with the low urgency and then preempted and paused by long prompts. Change: for scarce services, interactive requests have urgency 2 for the whole response and are never demoted; they are still refused if they can't be served. The log has urgency and longest_gap_ms; datagrams have an optional field with interactive requests and observed paces.

--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -67,6 +67,9 @@
 	QuarantineDetails *quarantineDetails `cbor:"22,keyasint,omitempty"`
 	// HoldsDuties is set if the sender holds the lease of the duties.
 	HoldsDuties bool `cbor:"19,keyasint,omitempty"`
+	// Turns completes Loads for servers of scarce services; instances that don't know it
+	// ignore it.
+	Turns []turn `cbor:"23,keyasint,omitempty"`
 }
 
 // load is the encoded form of a peridotplace.Load.
@@ -78,6 +81,15 @@
 	Running       uint32
 }
 
+// turn is the encoded form of the rest of a peridotplace.Load. PacePercent is 0 if nothing
+// has been observed.
+type turn struct {
+	_           struct{} `cbor:",toarray"`
+	Server      uint32
+	Interactive uint32
+	PacePercent uint32
+}
+
 // placement is the encoded form of a peridotplace.Placement. Parts alternates
 // between the hash and the token count of each part.
 type placement struct {
@@ -113,6 +125,9 @@
 func (m *message) addReport(r peridotplace.Report) {
 	for _, l := range r.Loads {
 		m.Loads = append(m.Loads, load{Server: serverHash(l.Backend), ReadingMillis: uint32(l.PrefillTime.Milliseconds()), LateMillis: uint32(l.LatePrefillTime.Milliseconds()), Running: uint32(l.Running)})
+		if (l.Interactive > 0 || l.Pace > 0) && len(m.Turns) < maxTurnsPerDatagram {
+			m.Turns = append(m.Turns, turn{Server: serverHash(l.Backend), Interactive: uint32(l.Interactive), PacePercent: uint32(100 * min(l.Pace, maxReportedPace))})
+		}
 	}
 	for _, placed := range r.Placements {
 		entry := placement{Server: serverHash(placed.Backend)}
@@ -127,9 +142,13 @@
 // hash is not in ids.
 func (m *message) report(ids map[uint32]string) peridotplace.Report {
 	var r peridotplace.Report
+	turns := make(map[uint32]turn, len(m.Turns))
+	for _, t := range m.Turns {
+		turns[t.Server] = t
+	}
 	for _, l := range m.Loads {
 		if id, ok := ids[l.Server]; ok {
-			r.Loads = append(r.Loads, peridotplace.Load{Backend: id, PrefillTime: time.Duration(l.ReadingMillis) * time.Millisecond, LatePrefillTime: time.Duration(l.LateMillis) * time.Millisecond, Running: int(l.Running)})
+			r.Loads = append(r.Loads, peridotplace.Load{Backend: id, PrefillTime: time.Duration(l.ReadingMillis) * time.Millisecond, LatePrefillTime: time.Duration(l.LateMillis) * time.Millisecond, Running: int(l.Running), Interactive: int(min(turns[l.Server].Interactive, l.Running)), Pace: float64(turns[l.Server].PacePercent) / 100})
 		}
 	}
 	for _, entry := range m.Placements {
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -104,6 +104,10 @@
 	// late is set while the request is expected to miss its objective and is queued
 	// with low urgency.
 	late bool
+	// interactive is set if the engine is to serve the request before others. It is decided
+	// once, so that a request keeps its urgency for the whole response.
+	interactive bool
+	eventGaps
 	// budgetSpent is set once a retry was not allowed for want of budget.
 	budgetSpent bool
 	// lastErr is the error of the last failed try; nil if none has failed.
--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -85,12 +85,23 @@
 
 // urgency returns the urgency of a request whose prefill has not run yet.
 func (x *exchange) urgency() Urgency {
-	if x.late {
+	switch {
+	case x.interactive:
+		return UrgencyInteractive
+	case x.late:
 		return UrgencyLow
 	}
 	return UrgencyNormal
 }
 
+// decodeUrgency returns the urgency of a request whose prefill has run on another engine.
+func (x *exchange) decodeUrgency() Urgency {
+	if x.interactive {
+		return UrgencyInteractive
+	}
+	return UrgencyHigh
+}
+
 // kvSource identifies a KV cache that a prefill engine keeps until the cache is
 // fetched or freed.
 type kvSource struct {
@@ -208,11 +219,12 @@
 	} else {
 		flight = x.beginDecode(c.Backend)
 		requestHead.KVSource = f.protocol.KVSource(source.backend.Address, source.handle)
-		requestHead.Urgency = UrgencyHigh
+		requestHead.Urgency = x.decodeUrgency()
 	}
 	x.logFields["backend"] = c.Backend
 	x.logFields["software"] = to.SoftwareVersion
 	x.logFields["late"] = x.late
+	x.logFields["urgency"] = requestHead.Urgency.String()
 	s := &stream{exchange: x, flight: flight, expectedWait: c.Wait, tolerance: c.SlowestPrefillTime - c.PrefillTime, software: to.SoftwareVersion}
 	err := s.run(to, requestHead)
 	if err == nil {
--- a/peridotfront/protocol.go
+++ b/peridotfront/protocol.go
@@ -97,8 +97,24 @@
 	UrgencyHigh
 	// UrgencyLow is for requests that will miss their objective anyway.
 	UrgencyLow
+	// UrgencyInteractive is for interactive requests, whose answers must not pause. It is
+	// the most urgent.
+	UrgencyInteractive
 )
 
+// String returns the name of an urgency in logs.
+func (u Urgency) String() string {
+	switch u {
+	case UrgencyHigh:
+		return "high"
+	case UrgencyLow:
+		return "low"
+	case UrgencyInteractive:
+		return "interactive"
+	}
+	return "normal"
+}
+
 // AnswerHead is the decoded head of a backend server's answer.
 type AnswerHead struct {
 	// ID is the ID of the answered request, or empty.
--- a/peridotfront/refuse.go
+++ b/peridotfront/refuse.go
@@ -128,6 +128,7 @@
 	}
 	if x.route != nil && x.route.Kind == peridotsite.Stream {
 		x.logFields["events"] = x.events
+		x.logEventGaps()
 	}
 	if x.call.LastEventID != "" {
 		x.logFields["resumes"] = x.call.Resumes
--- a/peridotfront/serve.go
+++ b/peridotfront/serve.go
@@ -29,6 +29,7 @@
 		x.giveUp(err)
 		return
 	}
+	x.classify()
 	try := x.tryWhole
 	if x.route.Kind == peridotsite.Stream {
 		try = x.tryStream
@@ -140,7 +141,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	isWhole := x.route.Kind != peridotsite.Stream
-	prompt := peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Single: x.singleEngine || isWhole, Late: x.late, SendTime: x.sendTime()}
+	prompt := peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Single: x.singleEngine || isWhole, Late: x.late, SendTime: x.sendTime(), Interactive: x.interactive, Gap: x.route.Gap}
 	x.withServers(func(exclude []string) bool {
 		prompt.Exclude = exclude
 		choice, ok = f.placer.Place(f.now(), prompt)
@@ -171,7 +172,8 @@
 // admit decides the urgency of a request for engines and returns the choice to use for it.
 // A request is late if the requests queued before it keep its first token from arriving
 // within the objective. Late requests are queued behind all others, so that the
-// others still meet their objective under overload. If the caller of a late request that
+// others still meet their objective under overload. Interactive requests are never late:
+// engines serve them before all others. If the caller of a late request that
 // has not run is expected to leave before the first event, admit refuses it immediately.
 // The Retry-After of the refusal is the time by which the request would miss the
 // objective. A resumed stream has fewer engines to choose from and is refused only if
@@ -182,7 +184,11 @@
 	}
 	x.logFields["uncached"] = c.UncachedTokens
 	lateBy := peridotclock.BootTime().Sub(x.arrivedAt) + c.Wait + onTimeMargin - x.route.Objective
-	x.late = x.route.Objective > 0 && lateBy > 0 && !x.answerStarted
+	isLate := x.route.Objective > 0 && lateBy > 0 && !x.answerStarted
+	x.late = isLate && !x.interactive
+	if isLate && x.interactive {
+		x.front.metrics.Count("interactive_expected_late")
+	}
 	if x.late {
 		if lateChoice, ok := x.place(x.software); ok {
 			c = lateChoice
@@ -193,7 +199,7 @@
 	if x.resumesStream() {
 		maxQueueing = x.remainingWait() - c.PrefillTime
 	}
-	if x.late && x.runs == 0 && c.Wait-c.PrefillTime > maxQueueing {
+	if isLate && x.runs == 0 && c.Wait-c.PrefillTime > maxQueueing {
 		return c, peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "the answer would come after the deadline", peridotverdict.RetryAfter(lateBy))
 	}
 	return c, nil
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -224,6 +224,7 @@
 // event.
 func (s *stream) recordProgress() {
 	s.reportProgress()
+	s.exchange.recordEvent(peridotclock.BootTime(), s.exchange.arrivedAt)
 	s.exchange.events++
 	s.exchange.runEvents++
 	if s.hasEvents {
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -267,6 +267,9 @@
 	if x.late {
 		f.placer.Demote(flight)
 	}
+	if x.interactive {
+		flight.SetInteractive()
+	}
 	return flight
 }
 
@@ -276,7 +279,11 @@
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.placer.BeginDecode(f.now(), backend, x.call.Parts)
+	flight := f.placer.BeginDecode(f.now(), backend, x.call.Parts)
+	if x.interactive {
+		flight.SetInteractive()
+	}
+	return flight
 }
 
 // endPrefill reports to the placer that an engine has run a prefill.
