Place: paces stay with the front that measured them; stepped load of questions and prompts

Change: load reports tell interactive requests only; with other fronts around, a long prompt at a scarce engine costs a random part of up to half its prefill.

--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -81,13 +81,11 @@
 	Running       uint32
 }
 
-// turn is the encoded form of the rest of a peridotplace.Load. PacePercent is 0 if nothing
-// has been observed.
+// turn is the encoded form of the rest of a peridotplace.Load.
 type turn struct {
 	_           struct{} `cbor:",toarray"`
 	Server      uint32
 	Interactive uint32
-	PacePercent uint32
 }
 
 // placement is the encoded form of a peridotplace.Placement. Parts alternates
@@ -125,8 +123,8 @@
 func (m *message) addReport(r peridotplace.Report) {
 	for _, l := range r.Loads {
 		m.Loads = append(m.Loads, load{Server: serverHash(l.Backend), ReadingMillis: uint32(l.PrefillTime.Milliseconds()), LateMillis: uint32(l.LatePrefillTime.Milliseconds()), Running: uint32(l.Running)})
-		if (l.Interactive > 0 || l.Pace > 0) && len(m.Turns) < maxTurnsPerDatagram {
-			m.Turns = append(m.Turns, turn{Server: serverHash(l.Backend), Interactive: uint32(l.Interactive), PacePercent: uint32(100 * min(l.Pace, maxReportedPace))})
+		if l.Interactive > 0 && len(m.Turns) < maxTurnsPerDatagram {
+			m.Turns = append(m.Turns, turn{Server: serverHash(l.Backend), Interactive: uint32(l.Interactive)})
 		}
 	}
 	for _, placed := range r.Placements {
@@ -148,7 +146,7 @@
 	}
 	for _, l := range m.Loads {
 		if id, ok := ids[l.Server]; ok {
-			r.Loads = append(r.Loads, peridotplace.Load{Backend: id, PrefillTime: time.Duration(l.ReadingMillis) * time.Millisecond, LatePrefillTime: time.Duration(l.LateMillis) * time.Millisecond, Running: int(l.Running), Interactive: int(min(turns[l.Server].Interactive, l.Running)), Pace: float64(turns[l.Server].PacePercent) / 100})
+			r.Loads = append(r.Loads, peridotplace.Load{Backend: id, PrefillTime: time.Duration(l.ReadingMillis) * time.Millisecond, LatePrefillTime: time.Duration(l.LateMillis) * time.Millisecond, Running: int(l.Running), Interactive: int(min(turns[l.Server].Interactive, l.Running))})
 		}
 	}
 	for _, entry := range m.Placements {
--- a/peridotfront/turn.go
+++ b/peridotfront/turn.go
@@ -6,13 +6,9 @@
 	"peridotstack/peridotturn"
 )
 
-const (
-	// maxReportedPace bounds the pace of a server that is told to other fronts.
-	maxReportedPace = 100
-	// maxTurnsPerDatagram limits the servers in message.Turns, of up to 12 bytes each, so
-	// that the loads of 200 servers still fit into a datagram.
-	maxTurnsPerDatagram = 128
-)
+// maxTurnsPerDatagram limits the servers in message.Turns, of up to 7 bytes each, so that
+// the loads of 200 servers still fit into a datagram.
+const maxTurnsPerDatagram = 128
 
 // eventGaps holds the times between the events of a stream.
 type eventGaps struct {
--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -204,7 +204,7 @@
 		ratio := min(max(v.median/tokensPerMilli, minSlowness), maxSlowness)
 		s.slowness += (ratio - s.slowness) * smoothingFactor
 		if s.scarce {
-			s.observePace(now, ratio)
+			s.pace.Observe(now, ratio)
 			s.updatePace(now)
 		}
 	}
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -86,9 +86,6 @@
 	Running int
 	// Interactive is the number of interactive ones among them.
 	Interactive int
-	// Pace is the ratio of the time of the last request that the instance has observed there
-	// since its last report to the expected time; 0 if there is none.
-	Pace float64
 }
 
 // Placement records that the parts of a prompt were sent to an engine.
@@ -174,8 +171,8 @@
 	for _, s := range p.servers {
 		p.beginDemoted(now, s)
 		backlogMillis := s.backlogMillis(now)
-		if s.running > 0 || backlogMillis > 0 || s.unreportedPace > 0 {
-			r.Loads = append(r.Loads, Load{Backend: s.ID, PrefillTime: fromMillis(backlogMillis), LatePrefillTime: fromMillis(s.demotedMillis), Running: s.activeRequests(), Interactive: s.interactive, Pace: s.takePace()})
+		if s.running > 0 || backlogMillis > 0 {
+			r.Loads = append(r.Loads, Load{Backend: s.ID, PrefillTime: fromMillis(backlogMillis), LatePrefillTime: fromMillis(s.demotedMillis), Running: s.activeRequests(), Interactive: s.interactive})
 		}
 	}
 	n := min(limit, len(p.pendingPlacements))
@@ -190,7 +187,6 @@
 	loads := make(map[string]Load, len(r.Loads))
 	for _, l := range r.Loads {
 		loads[l.Backend] = l
-		p.observePeerTurn(now, l)
 	}
 	p.peers[instance] = &peer{receivedAt: now, loads: loads}
 	p.peerSum = nil
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -225,7 +225,7 @@
 		c.domainCost = crossDomainCostMillis
 	}
 	if s.scarce {
-		p.applyTurn(now, &c, prompt)
+		p.applyTurn(&c, prompt)
 	}
 	return c
 }
--- a/peridotplace/turn.go
+++ b/peridotplace/turn.go
@@ -16,8 +16,6 @@
 	interactive int
 	// pace is how long the server takes relative to most servers of its kind.
 	pace peridotturn.Pace
-	// unreportedPace is the last observation that no Report has told; 0 if there is none.
-	unreportedPace float64
 }
 
 // IsInteractive reports whether a request for a service is interactive at the measured
@@ -45,12 +43,6 @@
 	}
 }
 
-// observePace records the time of a request relative to the expected one.
-func (s *server) observePace(now time.Duration, ratio float64) {
-	s.pace.Observe(now, ratio)
-	s.unreportedPace = ratio
-}
-
 // updatePace sets the slowness of a server of a scarce service to its present pace.
 func (s *server) updatePace(now time.Duration) {
 	if s.scarce {
@@ -58,20 +50,6 @@
 	}
 }
 
-// takePace returns the last observation and forgets that it has not been reported.
-func (s *server) takePace() float64 {
-	pace := s.unreportedPace
-	s.unreportedPace = 0
-	return pace
-}
-
-// observePeerTurn records what another instance has observed at a server.
-func (p *Placer) observePeerTurn(now time.Duration, l Load) {
-	if s := p.servers[l.Backend]; s != nil && s.scarce && l.Pace > 0 {
-		s.pace.Observe(now, l.Pace)
-	}
-}
-
 // meanPlainSmoothing is the weight of an observation in the mean time of the requests of a
 // plain service. It is small, since a change at one server must not change the mean.
 const meanPlainSmoothing = 0.02
@@ -87,7 +65,7 @@
 	}
 	p.meanPlainMillis[s.Service] = mean + (served-mean)*meanPlainSmoothing
 	if mean > 0 {
-		s.observePace(now, served/mean)
+		s.pace.Observe(now, served/mean)
 	}
 }
 
@@ -101,16 +79,24 @@
 	return s.running + running
 }
 
+// spreadShare is the largest random cost of a long prompt at an engine, relative to its
+// prefill. Without it, fronts with the same old reports send their prompts to the same
+// engine. An instance without others needs none.
+const spreadShare = 0.5
+
 // applyTurn changes the estimates of a candidate of a scarce service by the rules for
 // interactive requests. An engine admits these before others.
-func (p *Placer) applyTurn(now time.Duration, c *candidate, prompt Prompt) {
-	_, peerLateMillis, _ := p.peerLoad(now, c.ID)
-	c.interactive = c.server.interactive + p.peerSum[c.ID].Interactive
+func (p *Placer) applyTurn(c *candidate, prompt Prompt) {
+	peers := p.peerSum[c.ID] // Place has read it with peerLoad.
+	c.interactive = c.server.interactive + peers.Interactive
 	if !prompt.Interactive {
+		if len(p.peers) > 0 {
+			c.decodeCost += spreadShare * p.random.Float64() * c.prefillMillis
+		}
 		return
 	}
 	e := peridotturn.Engine{
-		PrefillMillis: c.urgentMillis, LateMillis: c.demotedMillis + peerLateMillis,
+		PrefillMillis: c.urgentMillis, LateMillis: c.demotedMillis + toMillis(peers.LatePrefillTime),
 		ChunkMillis: p.estimatePrefillMillis(c.server, peridotturn.ChunkTokens), SlotMillis: p.meanSlotMillis[c.Service],
 		Running: c.requests, Interactive: c.interactive, Slots: c.engine.Slots,
 	}
