Front: bound connections, request heads and partial bodies by memory

Clients could make a front hold parsed heads, partial bodies and connections without bound. A guard on each TCP listener (callers, readiness, metrics, copies of the state) bounds connections, meters heads while they arrive and sets the deadlines until the end of a head, from the configuration for callers. Bodies grow in buffers that are reserved first, and end after 5 s without a byte. The runtime's memory limit is three quarters of limits.ram-mb.

--- a/peridot/front.go
+++ b/peridot/front.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -16,6 +17,7 @@
 	"peridotstack/peridotfront"
 	"peridotstack/peridotlog"
 	"peridotstack/peridotmetric"
+	"peridotstack/peridotreserve"
 	"peridotstack/platform"
 )
 
@@ -44,6 +46,7 @@
 			handler.Serve(writeCtx, os.Stdout)
 		}()
 		go checkSettings(reloads, *path)
+		debug.SetMemoryLimit(peridotreserve.LimitsOf(settings.MemoryBytes, settings.MaxDescriptors).RuntimeBytes)
 		err = serveFront(ctx, settings)
 		stopWriter()
 		<-writerDone
@@ -62,7 +65,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", metrics.Handler())
 	server := &http.Server{Handler: mux}
-	go func() { _ = server.Serve(listener) }() // Ends with Close.
+	go func() { _ = peridotfront.ServeBounded(listener, server) }() // Ends with Close.
 	defer server.Close()
 	clock := &peridotclock.SharedClock{}
 	client := platform.NewClient(settings.StoreAddress, settings.CloudAddress, clock, platform.WithCatchUpTime(settings.CatchUpTime), platform.WithLeaveWithin(settings.LeaveWithin), platform.WithCallObserver(metrics.RecordDuration))
--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -17,6 +17,7 @@
 	"peridotstack/peridotlink"
 	"peridotstack/peridotmetric"
 	"peridotstack/peridotplace"
+	"peridotstack/peridotreserve"
 	"peridotstack/peridotretry"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottree"
@@ -28,18 +29,23 @@
 	// backendDialTimeout limits the dialing of a backend server. The round trip takes
 	// a few milliseconds, and TCP retransmits a lost SYN only after one second.
 	backendDialTimeout = 400 * time.Millisecond
-	// maxHeaderBytes limits the combined size of the request line and headers.
+	// maxHeaderBytes limits the combined size of the request line and headers if the
+	// configuration sets no limit.
 	maxHeaderBytes = 64 << 10
-	// callerIdleTimeout is how long an idle connection of a caller is kept open. It
-	// exceeds the idle timeout of the callers themselves.
+	// serverHeaderBytes is the limit of the HTTP server itself. The guard of its listener
+	// enforces that of the configuration.
+	serverHeaderBytes = 1 << 20
+	// callerIdleTimeout is how long an idle connection of a caller is kept open if the
+	// configuration sets no limit. It exceeds the idle timeout of the callers themselves.
 	callerIdleTimeout = 2 * time.Minute
-	// callerHeaderTimeout limits the time to read the headers of a request.
+	// callerHeaderTimeout limits the time to read the headers of a request if the
+	// configuration sets no limit.
 	callerHeaderTimeout = 5 * time.Second
+	// headerTimeoutMargin is added to the limit of the configuration: a busy instance reads
+	// headers later than they arrive.
+	headerTimeoutMargin = time.Second
 	// pruneInterval is the time between two calls of removeExpired.
 	pruneInterval = 250 * time.Millisecond
-	// bodyMemoryShare is the fraction of Settings.MemoryBytes above which no further
-	// request bodies are read.
-	bodyMemoryShare = 0.25
 	// keptUsageWindows is the number of usage windows kept in memory.
 	keptUsageWindows = 8
 )
@@ -70,8 +76,8 @@
 	activeRequests atomic.Int64
 	// lastRequestAt is the value of now when the last request arrived.
 	lastRequestAt atomicDuration
-	// bodyBytes is the memory used by request bodies that have been read completely.
-	bodyBytes atomic.Int64
+	// bodies is the memory for request bodies.
+	bodies *peridotreserve.Pool
 
 	// backendsChanged gets a value when the backend servers have changed.
 	backendsChanged chan struct{}
@@ -141,6 +147,7 @@
 		feedSteadySince: make(map[string]time.Duration),
 		backendsChanged: make(chan struct{}, 1),
 	}
+	f.bodies = peridotreserve.NewPool(peridotreserve.LimitsOf(s.MemoryBytes, s.MaxDescriptors).BodyBytes, smallBodyBytes)
 	f.closing, f.startClosing = context.WithCancel(context.Background())
 	f.backends.byID = make(map[string]peridotsite.Backend)
 	f.backends.departures = make(departures)
@@ -189,15 +196,12 @@
 	tree.ServeBackground(serveCtx)
 	duties := newDuties(f)
 	duties.start(serveCtx)
-	probeServer := &http.Server{Handler: http.HandlerFunc(f.serveProbe), ReadHeaderTimeout: callerHeaderTimeout}
-	go func() { _ = probeServer.Serve(probes) }() // Ends with Close.
+	probeServer := &http.Server{Handler: http.HandlerFunc(f.serveProbe)}
+	go func() { _ = ServeBounded(probes, probeServer) }() // Ends with Close.
 	defer probeServer.Close()
-	callerServer := &http.Server{
-		Handler: f, ReadHeaderTimeout: callerHeaderTimeout,
-		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	callerServer := &http.Server{Handler: f, MaxHeaderBytes: serverHeaderBytes}
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- callerServer.Serve(callers) }()
+	go func() { serveErr <- f.callerGuard(callers).serve(callerServer) }()
 	log.WithFields(log.Fields{"instance": f.settings.Instance, "address": f.settings.CallerAddress}).Info(logPrefix + "serving")
 	select {
 	case <-ctx.Done():
@@ -230,6 +234,34 @@
 	drainCheckInterval = 50 * time.Millisecond
 )
 
+// callerGuard returns the guard of the callers' listener. Its limits are those of the
+// configuration in force.
+func (f *Front) callerGuard(listener net.Listener) *guard {
+	limits := peridotreserve.LimitsOf(f.settings.MemoryBytes, f.settings.MaxDescriptors)
+	g := newGuard(listener, limits.Connections, peridotreserve.NewPool(limits.HeadBytes, smallHeadCost), f.headLimits)
+	g.metrics = f.metrics
+	return g
+}
+
+// headLimits returns the limits of the configuration, or the defaults where it has none.
+func (f *Front) headLimits() headLimits {
+	l := headLimits{bytes: maxHeaderBytes, timeout: callerHeaderTimeout, idle: callerIdleTimeout}
+	config := f.config.Load()
+	if config == nil {
+		return l
+	}
+	if n := config.Limits.HeaderBytes; n > 0 {
+		l.bytes = int64(n)
+	}
+	if d := config.Limits.HeaderTimeout; d > 0 {
+		l.timeout = d + headerTimeoutMargin
+	}
+	if d := config.Limits.IdleTimeout; d > 0 {
+		l.idle = d
+	}
+	return l
+}
+
 // drain makes the readiness probe fail, but keeps serving the requests that can be
 // answered before the connections are closed. Once no more requests arrive, or the
 // time is up, it shuts the server down and waits for the requests in progress. At the
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,10 +11,10 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/pkg/errors"
 
 	"peridotstack/peridotclock"
 	"peridotstack/peridotquarantine"
+	"peridotstack/peridotreserve"
 	"peridotstack/peridotsite"
 	"peridotstack/peridotverdict"
 )
@@ -29,14 +28,10 @@
 	// noBackendRetryAfter is the Retry-After if no backend server accepts the
 	// request. A failing backend server is tried again at about this interval.
 	noBackendRetryAfter = 300 * time.Millisecond
-	// memoryRetryAfter is the Retry-After if request bodies use too much memory.
+	// memoryRetryAfter is the Retry-After if request heads or bodies use too much memory.
 	memoryRetryAfter = 300 * time.Millisecond
 	// defaultRequestTimeout limits a request if its route sets no timeout.
 	defaultRequestTimeout = time.Minute
-	// defaultMaxBodyBytes limits a request body if the configuration sets no limit.
-	defaultMaxBodyBytes = 4 << 20
-	// bodyReadTimeout limits the time to read a request body.
-	bodyReadTimeout = 10 * time.Second
 	// maxStackBytes limits the stack in the log line of a panic.
 	maxStackBytes = 4 << 10
 )
@@ -53,6 +48,8 @@
 	service *peridotsite.Service
 	account string
 	body    []byte
+	// bodyClaim is the memory reserved for body.
+	bodyClaim peridotreserve.Claim
 	// identity is what all requests have in common that ask the same.
 	identity peridotquarantine.Part
 	// suspects are the parts under which servers may end: identity and those of the prompt.
@@ -152,15 +149,23 @@
 	f.lastRequestAt.Store(f.now())
 	x := &exchange{front: f, writer: w, request: r, arrivedAt: peridotclock.BootTime(), logFields: log.Fields{}}
 	defer x.answerPanic()
+	if !headFits(r) {
+		f.metrics.Count("heads_refused")
+		x.limitDiscard()
+		x.refuse(peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "too many request heads are held", peridotverdict.RetryAfter(memoryRetryAfter)))
+		return
+	}
 	x.call = f.protocol.DecodeCall(r)
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	x.bodyClaim = f.bodies.NewClaim()
+	defer x.bodyClaim.Release()
 	if err := x.prepareRequest(); err != nil {
+		x.limitDiscard()
 		x.refuse(err)
 		return
 	}
-	defer f.bodyBytes.Add(-int64(len(x.body)))
 	ctx, cancel := context.WithTimeout(r.Context(), x.remaining())
 	defer cancel()
 	defer context.AfterFunc(f.closing, cancel)()
@@ -283,59 +288,6 @@
 	return x.authenticate(config)
 }
 
-// readBody reads the whole body into memory, because a retry sends it again.
-func (x *exchange) readBody() *peridotverdict.Error {
-	limit := int64(defaultMaxBodyBytes)
-	if x.config.Limits.BodyBytes != 0 {
-		limit = int64(max(0, x.config.Limits.BodyBytes))
-	}
-	if x.request.ContentLength > limit {
-		return tooLargeError(limit)
-	}
-	if x.request.ContentLength == 0 {
-		return nil
-	}
-	f := x.front
-	if f.bodyBytes.Load() > int64(bodyMemoryShare*float64(f.settings.MemoryBytes)) {
-		return peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "too many request bodies are held", peridotverdict.RetryAfter(memoryRetryAfter))
-	}
-	control := http.NewResponseController(x.writer)
-	// Without a deadline, a slow sender could keep its body in memory indefinitely.
-	if err := control.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
-		x.logFields["deadline_error"] = err.Error()
-	}
-	body, err := readAll(x.request.Body, x.request.ContentLength, limit)
-	if err != nil {
-		return peridotverdict.New(peridotverdict.RequestTimedOut, peridotverdict.NotRun, "the body did not arrive", peridotverdict.Cause(err))
-	}
-	if int64(len(body)) > limit {
-		return tooLargeError(limit)
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		x.logFields["deadline_error"] = err.Error()
-	}
-	x.body = body
-	f.bodyBytes.Add(int64(len(body)))
-	return nil
-}
-
-// readAll reads a body of the given length. If length is not positive, it reads to
-// the end of r, but at most limit+1 bytes, so that a result longer than limit shows
-// that the body is too large.
-func readAll(r io.Reader, length, limit int64) ([]byte, error) {
-	if length > 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, errors.Wrap(err, "read body")
-	}
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	return body, errors.Wrap(err, "read body")
-}
-
-func tooLargeError(limit int64) *peridotverdict.Error {
-	return peridotverdict.New(peridotverdict.TooLarge, peridotverdict.NotRun, "the body is larger than "+byteCount(limit), peridotverdict.Field("Content-Length"))
-}
-
 // remaining returns the time left until the timeout of the request. Time in which
 // the machine was suspended counts toward the timeout.
 func (x *exchange) remaining() time.Duration {
--- a/peridotfront/settings.go
+++ b/peridotfront/settings.go
@@ -23,6 +23,9 @@
 	CloudAddress string
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// MaxDescriptors is the maximum number of open descriptors; 0 means that only the memory
+	// bounds the connections.
+	MaxDescriptors int
 	// LinkBytesPerSecond is the rate of the instance's network link.
 	LinkBytesPerSecond float64
 	// LeaveWithin is the maximum time in which a backend server may still get requests
--- a/peridotfront/snapshot.go
+++ b/peridotfront/snapshot.go
@@ -52,9 +52,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+snapshotPath, f.writeSnapshot)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: snapshotTimeout}
+	server := &http.Server{Handler: mux}
 	defer context.AfterFunc(ctx, func() { server.Close() })()
-	if err := server.Serve(listener); ctx.Err() == nil {
+	if err := ServeBounded(listener, server); ctx.Err() == nil {
 		return errors.Wrap(err, "serve snapshots")
 	}
 	return nil
--- a/peridotsite/config.go
+++ b/peridotsite/config.go
@@ -169,6 +169,8 @@
 	BodyBytes   int
 	// HeaderTimeout is the maximum time that the header may take to arrive.
 	HeaderTimeout time.Duration
+	// IdleTimeout is the time for which idle connections of callers are kept; 0 means unknown.
+	IdleTimeout time.Duration
 }
 
 // Config is one version of the configuration. Call BuildIndex before its
