Reserve: room for one large body on a small machine

TestEarlyAnswer failed: a body of 20 MiB was refused at 100 MB, because doubling its buffer needed 37 MiB and large bodies had 20. A buffer of known length now takes the whole body once an eighth has arrived, the base memory is 32 MB (20 MiB measured), and the shares are 50 % for bodies, 12.5 % for heads and 20 % for connections; an eighth of each is kept for small claims. TestEarlyAnswer passes. TestUntrustedClients passes (-count=1: the test result is cached otherwise, since the program is built by a command); peak memory in KB and descriptors, in the order of the sub-tests: 26728, 123; 25876, 21; 29700, 122; 29004, 49; 20684, 23; 76420, 124; 58864, 130; 25032, 71; 23432, 21; 21420, 71.

--- a/peridotfront/body.go
+++ b/peridotfront/body.go
@@ -66,7 +66,7 @@
 	control := http.NewResponseController(x.writer)
 	end := time.Now().Add(bodyReadTimeout)
 	for int64(len(x.body)) < most {
-		if len(x.body) == cap(x.body) && !x.growBody(min(most, max(first, 2*int64(cap(x.body))))) {
+		if len(x.body) == cap(x.body) && !x.growBody(x.nextBuffer(first, most)) {
 			x.front.metrics.Count("bodies_refused")
 			return peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "too many request bodies are held", peridotverdict.RetryAfter(memoryRetryAfter))
 		}
@@ -90,6 +90,17 @@
 	return nil
 }
 
+// nextBuffer returns the size of the next buffer. If the length is known and an eighth of the
+// body has arrived, it takes the whole body, so that a large one needs little more than its
+// own size.
+func (x *exchange) nextBuffer(first, most int64) int64 {
+	size := int64(cap(x.body))
+	if x.request.ContentLength > 0 && size >= most/8 && size > 0 {
+		return most
+	}
+	return min(most, max(first, 2*size))
+}
+
 // growBody moves the body to a buffer of the given size. It returns false if there is no
 // memory for it. Both buffers count until the body has been copied.
 func (x *exchange) growBody(size int64) bool {
--- a/peridotreserve/limits.go
+++ b/peridotreserve/limits.go
@@ -1,15 +1,15 @@
 package peridotreserve
 
 const (
-	// baseBytes is the memory of a front without clients.
-	baseBytes = 40 << 20
+	// baseBytes is the memory of a front without clients; 20 MiB were measured.
+	baseBytes = 32 << 20
 	// minUsableShare is the minimum fraction of the memory that clients may use.
 	minUsableShare = 0.25
 	// bodyShare, headShare and connectionShare are fractions of the memory without baseBytes.
 	// The rest is for answers and for garbage.
-	bodyShare       = 0.45
-	headShare       = 0.15
-	connectionShare = 0.25
+	bodyShare       = 0.5
+	headShare       = 0.125
+	connectionShare = 0.2
 	// connectionCost is the memory of a connection: two buffers of 4 KiB, the stack of its
 	// goroutine and that of the goroutine that notices the end of the connection.
 	connectionCost = 24 << 10
--- a/peridotreserve/pool.go
+++ b/peridotreserve/pool.go
@@ -4,7 +4,7 @@
 
 // smallShare is the fraction of a Pool that only small claims may use, so that small requests
 // are served beside large ones.
-const smallShare = 0.25
+const smallShare = 0.125
 
 // Pool is an amount of memory that claims share. It is safe for concurrent use.
 type Pool struct {
@@ -13,7 +13,7 @@
 	small      int64
 }
 
-// NewPool returns a pool of the given size in bytes. A quarter of it is reserved for claims of
+// NewPool returns a pool of the given size in bytes. An eighth of it is reserved for claims of
 // up to small bytes.
 func NewPool(size, small int64) *Pool {
 	return &Pool{all: semaphore.NewWeighted(size), large: semaphore.NewWeighted(size - int64(smallShare*float64(size))), small: small}
