Front: keep new connections without a byte for the idle timeout

Callers that dial ahead keep a new connection for a later request and use it for up to four fifths of the idle timeout. The guard closed it after the timeout of heads, which may be short. Under pressure such connections are still the first ones to be closed.

--- a/peridotfront/guard.go
+++ b/peridotfront/guard.go
@@ -114,7 +114,7 @@
 	g.mu.Lock()
 	g.open++
 	g.mu.Unlock()
-	c.awaitHead(g.fresh, g.limits().timeout)
+	c.awaitHead(g.fresh, g.limits().idle) // Callers may keep new connections for later requests.
 	return c
 }
 
