--- a/peridotquota/report.go
+++ b/peridotquota/report.go
@@ -113,7 +113,7 @@
 // correct replaces what another instance was expected to have admitted by what it has.
 func (a *account) correct(now time.Duration, u *usage, total float64) {
 	used := total - u.total
-	a.level = min(a.level-(used-u.expected), a.limit.Burst)
+	a.level = min(a.level-(used-u.expected), a.size)
 	if dt := (now - u.reportedAt).Seconds(); dt > 0 {
 		u.rate += (max(0, used)/dt - u.rate) * smoothing
 		u.reportedAt = now
--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -9,11 +9,14 @@
 	// startLevel is the filling of a bucket when an instance starts, as a share of the
 	// burst: what the account used before the start is not known.
 	startLevel = 0.5
-	// minReserve and maxReserve bound the reserve as a share of the burst, and
-	// toleranceShare is the share of the tolerated excess on which the reserve may count.
-	minReserve     = 0.05
-	maxReserve     = 0.5
-	toleranceShare = 0.8
+	// burstShare is the share of the tolerated excess by which the bucket is larger than the
+	// burst: what the window allows must not be refused. toleranceShare is that on which the
+	// reserve may count.
+	burstShare     = 0.25
+	toleranceShare = 0.4
+	// minReserve and maxReserve bound the reserve as a share of the burst.
+	minReserve = 0.05
+	maxReserve = 0.5
 	// unseenFactor is the ratio of the use that the reserve allows for to the demand of the
 	// other instances in the time between two of their reports.
 	unseenFactor = 1.0
@@ -96,6 +99,8 @@
 // account is the bucket of one account.
 type account struct {
 	limit Limit
+	// size is the capacity of the bucket.
+	size float64
 	// level is the estimated filling of the bucket of all instances at updatedAt, and
 	// credit what this instance may use of its own part of the rate; both may be negative.
 	level, credit float64
@@ -123,6 +128,11 @@
 	return &Table{tolerance: tolerance, accounts: make(map[string]*account), peers: make(map[string]*peer), interval: defaultInterval}
 }
 
+// of returns the use beyond a limit that is tolerated in a window.
+func (t Tolerance) of(l Limit) float64 {
+	return t.Excess*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack
+}
+
 // SetLimits replaces the limits. An account whose limit changes keeps the filling of its
 // bucket in proportion.
 func (t *Table) SetLimits(now time.Duration, limits map[string]Limit) {
@@ -134,14 +144,16 @@
 		}
 		t.advance(now, a)
 		if next := limits[name]; next != a.limit {
-			a.level *= next.Burst / max(a.limit.Burst, 1)
+			size := next.Burst + burstShare*t.tolerance.of(next)
+			a.level *= size / max(a.size, 1)
 			a.credit = min(a.credit, 0)
-			a.limit = next
+			a.limit, a.size = next, size
 		}
 	}
 	for name, l := range limits {
 		if l.Rate > 0 && t.accounts[name] == nil {
-			t.accounts[name] = &account{limit: l, level: startLevel * l.Burst, updatedAt: now, demandAt: now, others: make(map[string]*usage)}
+			size := l.Burst + burstShare*t.tolerance.of(l)
+			t.accounts[name] = &account{limit: l, size: size, level: startLevel * l.Burst, updatedAt: now, demandAt: now, others: make(map[string]*usage)}
 		}
 	}
 }
@@ -183,7 +195,7 @@
 }
 
 func (a *account) use(cost float64) {
-	a.level = min(a.level-cost, a.limit.Burst)
+	a.level = min(a.level-cost, a.size)
 	a.credit -= cost
 	a.total += cost
 }
@@ -191,12 +203,11 @@
 // reserve returns the filling of the bucket below which this instance admits only its own
 // part: what the others may have admitted since their last reports, beyond what is tolerated.
 func (t *Table) reserve(a *account) float64 {
-	tolerated := t.tolerance.Excess*(a.limit.Rate*t.tolerance.Window.Seconds()+a.limit.Burst) + t.tolerance.Slack
 	demand := 0.0
 	for _, u := range a.others {
 		demand += u.demand
 	}
-	reserve := unseenFactor*demand*t.interval.Seconds() - toleranceShare*tolerated
+	reserve := unseenFactor*demand*t.interval.Seconds() - toleranceShare*t.tolerance.of(a.limit)
 	return min(max(reserve, minReserve*a.limit.Burst), maxReserve*a.limit.Burst)
 }
 
@@ -215,7 +226,7 @@
 			u.expected += u.rate * dt
 		}
 	}
-	a.level = min(a.level, a.limit.Burst)
+	a.level = min(a.level, a.size)
 	part := t.part(now, a)
 	a.credit = min(a.credit+part*seconds, part*creditTime.Seconds())
 	a.updatedAt = now
