Quota: instances that are cut off expect the others to go on; larger bucket

An instance that heard nobody for 5 s took the whole limit for its own: with one of four cut off while an account was hot, 1.03 of what is allowed were used once the bucket held half of the tolerance. It now takes itself for cut off, not all others for gone. The bucket holds 0.6 of the tolerated excess beside the burst, so that demand which varies within the window is not refused.

--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -12,8 +12,8 @@
 	// burstShare is the share of the tolerated excess by which the bucket is larger than the
 	// burst: what the window allows must not be refused. toleranceShare is that on which the
 	// reserve may count.
-	burstShare     = 0.25
-	toleranceShare = 0.4
+	burstShare     = 0.6
+	toleranceShare = 0.3
 	// minReserve and maxReserve bound the reserve as a share of the burst.
 	minReserve = 0.05
 	maxReserve = 0.5
@@ -37,6 +37,9 @@
 	// silenceTime is how long an instance from which no report comes is expected to go on
 	// as before. One that is cut off from the others may serve its callers meanwhile.
 	silenceTime = 5 * time.Second
+	// aloneTime is how long no other instance may be heard before this one takes itself for
+	// cut off, and expects all others to go on until they are forgotten.
+	aloneTime = time.Second
 	// joinTime is the time since the start within which the totals of other instances are
 	// taken to be from before it.
 	joinTime = 2 * time.Second
@@ -219,8 +222,9 @@
 	}
 	seconds := (now - a.updatedAt).Seconds()
 	a.level += a.limit.Rate * seconds
+	expected := t.expectedFor(now)
 	for _, u := range a.others {
-		until := min(now, u.reportedAt+silenceTime)
+		until := min(now, u.reportedAt+expected)
 		if dt := (until - max(a.updatedAt, u.reportedAt)).Seconds(); dt > 0 && u.rate > 0 {
 			a.level -= u.rate * dt
 			u.expected += u.rate * dt
@@ -232,12 +236,23 @@
 	a.updatedAt = now
 }
 
+// expectedFor returns how long a silent instance is expected to go on.
+func (t *Table) expectedFor(now time.Duration) time.Duration {
+	for _, p := range t.peers {
+		if now-p.heardAt <= aloneTime+3*t.interval {
+			return silenceTime
+		}
+	}
+	return time.Hour // Until Forget.
+}
+
 // part returns the rate that this instance may admit below the reserve.
 func (t *Table) part(now time.Duration, a *account) float64 {
 	rate := max(a.limit.Rate+a.level/levelTime.Seconds(), a.limit.Rate*minRateShare)
 	own, sum, n := a.demandAtTime(now), 0.0, 1
+	expected := t.expectedFor(now)
 	for name, p := range t.peers {
-		if now-p.heardAt > silenceTime {
+		if now-p.heardAt > expected {
 			continue
 		}
 		n++
--- a/peridotquota/table_test.go
+++ b/peridotquota/table_test.go
@@ -145,7 +145,7 @@
 func even(int, int) float64 { return 1 }
 
 // uneven gives one instance as much as ten others, and some nothing.
-func uneven(instance, n int) float64 {
+func uneven(instance, _ int) float64 {
 	switch {
 	case instance == 0:
 		return 10
