Quarantine: servers of plain services end under no part of a prompt

Cause: a stream to a plain service suspected the parts of its prompt. Until an answer had cleared them for ever; with ends since the last answer, a part shared by such streams was quarantined after some ends. Change: only the whole request is suspected at a server that is no engine.

--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -263,7 +263,10 @@
 		prompt = uint64(x.call.Parts[n-1].Hash) // Covers the parts before it.
 	}
 	x.identity = peridotquarantine.RequestOf(x.request.Method, target, x.account, prompt, x.body)
-	x.suspects = append([]peridotquarantine.Part{x.identity}, x.call.PromptParts...)
+	x.suspects = []peridotquarantine.Part{x.identity}
+	if x.service.Engine != nil { // Other servers don't read prompts.
+		x.suspects = append(x.suspects, x.call.PromptParts...)
+	}
 }
 
 // hostOf returns the host of the request in lower case and without a port.
--- a/peridotfront/quarantine_test.go
+++ b/peridotfront/quarantine_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -231,3 +233,25 @@
 		t.Errorf("got %d accusations after a report with a long name, want %d", got, before)
 	}
 }
+
+// TestSuspectsOfPlainService guards against prompts that are refused because servers of a
+// plain service, which read no prompts, ended while streams with the same parts ran there.
+func TestSuspectsOfPlainService(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		engine *peridotsite.Engine
+		want   int
+	}{
+		{name: "plain service", want: 1},
+		{name: "engines", engine: &peridotsite.Engine{Slots: 8}, want: 1 + len(badParts)},
+	} {
+		x := &exchange{
+			service: &peridotsite.Service{Name: "s", Engine: test.engine},
+			request: httptest.NewRequest(http.MethodPost, "/x", nil), call: Call{PromptParts: badParts},
+		}
+		x.identify()
+		if got := len(x.suspects); got != test.want || !x.suspects[0].IsRequest() {
+			t.Errorf("%s: got %d suspects, want %d, the whole request first", test.name, got, test.want)
+		}
+	}
+}
