Quarantine: ends at one moment don't refuse a request that others answer

Cause: since five ends after the last answer quarantine a part at once, at the front that saw them, while the other fronts hear of them only after 500 ms without an answer. The retries of the same requests were answered within that time. Change: at the front that saw them, too, ends under a part that was answered before count once 500 ms have passed without an answer. They are added whenever a request is judged or registrations come, so that a front without others stores them as well; before, one without others never did.

--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -28,9 +28,10 @@
 	// trialSlot is the time for which one front may send a request on trial. It exceeds the
 	// time in which the other fronts learn how the trial ended.
 	trialSlot = time.Second
-	// answeredSettleTime is how long accusations of a part that was answered before are kept
-	// from the other fronts and the table service. Most parts that ran at a server when it
-	// ended are answered again elsewhere within that time.
+	// answeredSettleTime is how long accusations of a part that was answered before don't
+	// count. Most parts that ran at a server when it ended are answered again elsewhere
+	// within that time. Without it a frequent request was refused if several servers ended
+	// at one moment.
 	answeredSettleTime = 500 * time.Millisecond
 	// maxUnsettled limits the accusations that wait for that.
 	maxUnsettled = 4096
@@ -58,7 +59,8 @@
 	pending peridotquarantine.Pending
 	news    quarantineNews
 	rows    quarantineRows
-	// unsettled contains the accusations that wait for answeredSettleTime, oldest first.
+	// unsettled contains the accusations that wait for answeredSettleTime, oldest first. They
+	// don't count yet.
 	unsettled []unsettledAccusation
 	// loaded is set once the stored accusations, or those of another front, are known.
 	loaded bool
@@ -66,7 +68,8 @@
 	lastTrialSlot int64
 }
 
-// unsettledAccusation is an accusation that other fronts get at a time of Front.now.
+// unsettledAccusation is an accusation that counts from a time of Front.now on, unless the
+// part is answered until then.
 type unsettledAccusation struct {
 	peridotquarantine.Accusation
 	settlesAt time.Duration
@@ -176,6 +179,7 @@
 // whose address a later incarnation has.
 func (q *quarantine) recordBackends(byID map[string]peridotsite.Backend) {
 	q.mu.Lock()
+	q.settle()
 	q.pending.Expire(q.front.now())
 	ended := q.pending.Ended(func(s peridotquarantine.Suspicion) peridotquarantine.Registration {
 		return registrationOf(byID, s)
@@ -209,14 +213,13 @@
 	}
 	for _, s := range suspicions {
 		for _, a := range s.Accusations() {
-			if !q.accuse(now, a) {
-				continue
-			}
 			if _, ok := q.table.AnsweredAt(a.Part, a.At); ok && len(q.unsettled) < maxUnsettled {
 				q.unsettled = append(q.unsettled, unsettledAccusation{a, q.front.now() + answeredSettleTime})
 				continue
 			}
-			q.tell(a)
+			if q.accuse(now, a) {
+				q.tell(a)
+			}
 		}
 	}
 }
@@ -228,12 +231,12 @@
 	q.news.addAccusation(a, len(q.table.Of(a.Part)) > 1)
 }
 
-// tellSettled passes the accusations on that no answer has refuted in time. The caller must
-// hold q.mu.
-func (q *quarantine) tellSettled() {
-	now := q.front.now()
+// settle adds the accusations that no answer has refuted in time, and passes them on. The
+// caller must hold q.mu.
+func (q *quarantine) settle() {
+	now, trueTime := q.front.now(), q.front.trueTime()
 	for len(q.unsettled) > 0 && q.unsettled[0].settlesAt <= now {
-		if a := q.unsettled[0].Accusation; !q.table.IsRefuted(a) {
+		if a := q.unsettled[0].Accusation; q.accuse(trueTime, a) {
 			q.tell(a)
 		}
 		q.unsettled = q.unsettled[1:]
@@ -275,6 +278,7 @@
 func (q *quarantine) isAnyAccused(parts []peridotquarantine.Part) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.settle()
 	return slices.ContainsFunc(parts, q.table.IsAccused)
 }
 
--- a/peridotfront/quarantine_test.go
+++ b/peridotfront/quarantine_test.go
@@ -178,6 +178,44 @@
 	}
 }
 
+// TestEndsAtOneMoment guards against a frequent request that is refused because several
+// servers ended at one moment while it ran there, although others go on answering it.
+func TestEndsAtOneMoment(t *testing.T) {
+	request := []peridotquarantine.Part{peridotquarantine.RequestOf("GET", "api/x", "", 0, nil)}
+	for _, test := range []struct {
+		name string
+		// isAnswered is set if another server answers the request after the ends.
+		isAnswered bool
+		want       peridotquarantine.Judgment
+	}{
+		{name: "answered again", isAnswered: true, want: peridotquarantine.Allowed},
+		{name: "not answered again", want: peridotquarantine.Refused},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFront(t, newPlatform(), "front-0")
+			q := f.quarantine
+			q.recordAnswered(request, testSoftware)
+			brokeAt := f.trueTime().Add(time.Millisecond)
+			for server := range 5 {
+				s := peridotquarantine.Suspicion{ID: fmt.Sprint("server-", server), Born: 1, At: testSoftware, Parts: request, BrokeAt: brokeAt}
+				q.pending.Add(f.now(), s)
+				q.confirm(s.End())
+			}
+			if got := judge(f, request); got != peridotquarantine.Allowed {
+				t.Errorf("got %v at the moment of the ends, want %v", got, peridotquarantine.Allowed)
+			}
+			time.Sleep(2 * time.Millisecond)
+			if test.isAnswered {
+				q.recordAnswered(request, testSoftware)
+			}
+			time.Sleep(answeredSettleTime)
+			if got := judge(f, request); got != test.want {
+				t.Errorf("got %v after %v, want %v", got, answeredSettleTime, test.want)
+			}
+		})
+	}
+}
+
 // TestTrialsAreFew guards against fronts that each try a prompt whose part may have ended
 // servers.
 func TestTrialsAreFew(t *testing.T) {
--- a/peridotfront/quarantinenews.go
+++ b/peridotfront/quarantinenews.go
@@ -148,7 +148,7 @@
 	now := q.front.trueTime()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.tellSettled()
+	q.settle()
 	accusations, answered := q.news.take()
 	if announce {
 		accusations = append(accusations, q.table.Announce(now, maxNewsPerDatagram-len(accusations))...)
