Account limits: a sliding window instead of a token bucket

Cause: the limit is a rate, a window and a burst, and counts in windows of 8 s; a token bucket of the same rate and burst refuses an account that uses three times its rate for 3 s after a quiet time, which the window allows. Change: each front estimates what all have admitted in a sliding window, in slots of a 32nd; below the reserve the parts share what is left and what leaves the window in the next second. A window of 0 means 8 s.

--- a/peridotquota/report.go
+++ b/peridotquota/report.go
@@ -113,7 +113,7 @@
 // correct replaces what another instance was expected to have admitted by what it has.
 func (a *account) correct(now time.Duration, u *usage, total float64) {
 	used := total - u.total
-	a.level = min(a.level-(used-u.expected), a.size)
+	a.window.add(used - u.expected)
 	if dt := (now - u.reportedAt).Seconds(); dt > 0 {
 		u.rate += (max(0, used)/dt - u.rate) * smoothing
 		u.reportedAt = now
@@ -137,7 +137,7 @@
 
 // State is what an operator may see of an account.
 type State struct {
-	// Level is the estimated filling of the bucket, as a share of the burst.
+	// Level is what is left of the limit, as a share of the burst.
 	Level float64
 	// IsStrict is set while this instance admits only its own part.
 	IsStrict bool
@@ -150,5 +150,5 @@
 		return State{}, false
 	}
 	t.advance(now, a)
-	return State{Level: a.level / max(a.limit.Burst, 1), IsStrict: a.level < t.reserve(a)}, true
+	return State{Level: a.level() / max(a.limit.Burst, 1), IsStrict: a.level() < t.reserve(a)}, true
 }
--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -6,27 +6,33 @@
 )
 
 const (
-	// startLevel is the filling of a bucket when an instance starts, as a share of the
+	// startLevel is what an account has left when an instance starts, as a share of the
 	// burst: what the account used before the start is not known.
 	startLevel = 0.5
-	// burstShare is the share of the tolerated excess by which the bucket is larger than the
-	// burst: what the window allows must not be refused. toleranceShare is that on which the
-	// reserve may count.
+	// burstShare is the share of the tolerated excess by which an instance exceeds the limit
+	// of a window: what the window allows must not be refused. toleranceShare is that on
+	// which the reserve may count.
 	burstShare     = 0.6
 	toleranceShare = 0.3
+	// fullShareInterval is the time between two reports of an instance from which on the
+	// share is less: the instances admit more without knowing of each other.
+	fullShareInterval = 400 * time.Millisecond
 	// minReserve and maxReserve bound the reserve as a share of the burst.
 	minReserve = 0.05
-	maxReserve = 0.5
+	maxReserve = 1.0
 	// unseenFactor is the ratio of the use that the reserve allows for to the demand of the
 	// other instances in the time between two of their reports.
 	unseenFactor = 1.0
+	// defaultWindow is the window of a Tolerance without one.
+	defaultWindow = 8 * time.Second
 	// defaultInterval is the time between two reports before any has been observed.
 	defaultInterval = 300 * time.Millisecond
-	// levelTime is the time in which the instances use up what is left in the bucket, or
-	// make up for what is overdrawn, beside the rate.
+	// levelTime is the time in which the instances use up what is left of the limit, and
+	// what becomes free meanwhile.
 	levelTime = time.Second
-	// minRateShare is the least part of the rate that they admit while it is overdrawn.
-	minRateShare = 0.3
+	// slots is the number of parts of a window whose use is counted together. One more is
+	// counted than the window has: a request runs some time after it was admitted.
+	slots = 32
 	// minDemandShare is the least demand of an instance as a share of the mean, so that one
 	// without requests can begin.
 	minDemandShare = 0.05
@@ -56,7 +62,7 @@
 }
 
 // Tolerance says how far the use of an account in any Window may exceed Rate x Window +
-// Burst: by the share Excess of that, and Slack more.
+// Burst: by the share Excess of that, and Slack more. A Window of 0 or less means 8 s.
 type Tolerance struct {
 	Window time.Duration
 	Excess float64
@@ -80,7 +86,7 @@
 	Usages []Usage
 }
 
-// Table keeps the buckets of all accounts. Use NewTable to create one. It is not safe for
+// Table counts the use of all accounts. Use NewTable to create one. It is not safe for
 // concurrent use.
 type Table struct {
 	tolerance Tolerance
@@ -99,15 +105,16 @@
 	start   uint64
 }
 
-// account is the bucket of one account.
+// account counts the use of one account.
 type account struct {
 	limit Limit
-	// size is the capacity of the bucket.
+	// size is what all instances may admit in a window.
 	size float64
-	// level is the estimated filling of the bucket of all instances at updatedAt, and
-	// credit what this instance may use of its own part of the rate; both may be negative.
-	level, credit float64
-	updatedAt     time.Duration
+	// window is what they are estimated to have admitted in it until updatedAt.
+	window window
+	// credit is what this instance may use of its own part; it may be negative.
+	credit    float64
+	updatedAt time.Duration
 	// total and demand are those of Usage; demandAt is when demand was computed.
 	total, demand float64
 	demandAt      time.Duration
@@ -128,6 +135,9 @@
 
 // NewTable returns a table without limits.
 func NewTable(tolerance Tolerance) *Table {
+	if tolerance.Window < slots {
+		tolerance.Window = defaultWindow
+	}
 	return &Table{tolerance: tolerance, accounts: make(map[string]*account), peers: make(map[string]*peer), interval: defaultInterval}
 }
 
@@ -136,8 +146,14 @@
 	return t.Excess*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack
 }
 
-// SetLimits replaces the limits. An account whose limit changes keeps the filling of its
-// bucket in proportion.
+// sizeOf returns what all instances may admit in a window.
+func (t *Table) sizeOf(l Limit) float64 {
+	share := burstShare * min(1, fullShareInterval.Seconds()/max(t.interval, time.Millisecond).Seconds())
+	return l.Rate*t.tolerance.Window.Seconds() + l.Burst + share*t.tolerance.of(l)
+}
+
+// SetLimits replaces the limits. If the limit of an account is lowered, what it has used
+// counts in proportion.
 func (t *Table) SetLimits(now time.Duration, limits map[string]Limit) {
 	t.begin(now)
 	for name, a := range t.accounts {
@@ -147,16 +163,18 @@
 		}
 		t.advance(now, a)
 		if next := limits[name]; next != a.limit {
-			size := next.Burst + burstShare*t.tolerance.of(next)
-			a.level *= size / max(a.size, 1)
+			size := t.sizeOf(next)
+			a.window.scale(min(1, size/max(a.size, 1)))
 			a.credit = min(a.credit, 0)
 			a.limit, a.size = next, size
 		}
 	}
 	for name, l := range limits {
 		if l.Rate > 0 && t.accounts[name] == nil {
-			size := l.Burst + burstShare*t.tolerance.of(l)
-			t.accounts[name] = &account{limit: l, size: size, level: startLevel * l.Burst, updatedAt: now, demandAt: now, others: make(map[string]*usage)}
+			a := &account{limit: l, size: t.sizeOf(l), updatedAt: now, demandAt: now, others: make(map[string]*usage)}
+			a.window.slot = t.tolerance.Window / slots
+			a.window.fill(now, a.size-startLevel*l.Burst)
+			t.accounts[name] = a
 		}
 	}
 }
@@ -182,7 +200,7 @@
 	}
 	t.advance(now, a)
 	a.addDemand(now, cost)
-	if a.level-cost < t.reserve(a) && a.credit <= 0 {
+	if a.level()-cost < t.reserve(a) && a.credit <= 0 {
 		return false, t.untilCredit(now, a)
 	}
 	a.use(cost)
@@ -197,13 +215,18 @@
 	}
 }
 
+// level returns what is left of the limit. It is negative if the limit is overdrawn.
+func (a *account) level() float64 {
+	return a.size - a.window.sum
+}
+
 func (a *account) use(cost float64) {
-	a.level = min(a.level-cost, a.size)
+	a.window.add(cost)
 	a.credit -= cost
 	a.total += cost
 }
 
-// reserve returns the filling of the bucket below which this instance admits only its own
+// reserve returns the level below which this instance admits only its own
 // part: what the others may have admitted since their last reports, beyond what is tolerated.
 func (t *Table) reserve(a *account) float64 {
 	demand := 0.0
@@ -214,23 +237,23 @@
 	return min(max(reserve, minReserve*a.limit.Burst), maxReserve*a.limit.Burst)
 }
 
-// advance brings the bucket up to date: it fills with the rate, less what the other
-// instances are expected to have admitted.
+// advance brings an account up to date: what has left the window is free again, less what
+// the other instances are expected to have admitted.
 func (t *Table) advance(now time.Duration, a *account) {
 	if now <= a.updatedAt {
 		return
 	}
 	seconds := (now - a.updatedAt).Seconds()
-	a.level += a.limit.Rate * seconds
+	a.window.advance(now)
+	a.size = t.sizeOf(a.limit)
 	expected := t.expectedFor(now)
 	for _, u := range a.others {
 		until := min(now, u.reportedAt+expected)
 		if dt := (until - max(a.updatedAt, u.reportedAt)).Seconds(); dt > 0 && u.rate > 0 {
-			a.level -= u.rate * dt
+			a.window.add(u.rate * dt)
 			u.expected += u.rate * dt
 		}
 	}
-	a.level = min(a.level, a.size)
 	part := t.part(now, a)
 	a.credit = min(a.credit+part*seconds, part*creditTime.Seconds())
 	a.updatedAt = now
@@ -248,7 +271,7 @@
 
 // part returns the rate that this instance may admit below the reserve.
 func (t *Table) part(now time.Duration, a *account) float64 {
-	rate := max(a.limit.Rate+a.level/levelTime.Seconds(), a.limit.Rate*minRateShare)
+	rate := max(0, a.level()+a.window.expiring(levelTime)) / levelTime.Seconds()
 	own, sum, n := a.demandAtTime(now), 0.0, 1
 	expected := t.expectedFor(now)
 	for name, p := range t.peers {
@@ -270,12 +293,11 @@
 
 // untilCredit returns the time until this instance may admit a request again.
 func (t *Table) untilCredit(now time.Duration, a *account) time.Duration {
-	part := t.part(now, a)
-	if part <= 0 {
-		return maxRetryAfter
+	wait := a.window.untilFree(a.window.sum - a.size)
+	if part := t.part(now, a); part > 0 {
+		wait = max(wait, time.Duration(-a.credit/part*float64(time.Second)))
 	}
-	seconds := -a.credit / part
-	return min(time.Duration(math.Ceil(seconds*1000))*time.Millisecond, maxRetryAfter)
+	return min(wait.Truncate(time.Millisecond)+time.Millisecond, maxRetryAfter)
 }
 
 // addDemand counts a request in the demand.
--- /dev/null
+++ b/peridotquota/window.go
@@ -0,0 +1,71 @@
+package peridotquota
+
+import "time"
+
+// window is the use of one account in the last slots+1 to slots+2 slots.
+type window struct {
+	// slot is the length of a slot.
+	slot time.Duration
+	// used is the use in each slot, current the number of the slot in use since time 0, and
+	// sum the use in all of them.
+	used    [slots + 2]float64
+	current int64
+	sum     float64
+}
+
+// fill spreads a use over the whole window.
+func (w *window) fill(now time.Duration, use float64) {
+	w.current = int64(now / w.slot)
+	for i := range w.used {
+		w.used[i] = use / float64(len(w.used))
+	}
+	w.sum = use
+}
+
+// advance drops the slots that have left the window.
+func (w *window) advance(now time.Duration) {
+	next := int64(now / w.slot)
+	if next <= w.current {
+		return
+	}
+	for n := max(w.current+1, next-int64(len(w.used))+1); n <= next; n++ {
+		w.used[n%int64(len(w.used))] = 0
+	}
+	w.current = next
+	w.sum = 0 // Added up anew, so that rounding errors don't accumulate.
+	for _, use := range w.used {
+		w.sum += use
+	}
+}
+
+// add counts a use, which may be negative, in the slot in use.
+func (w *window) add(use float64) {
+	w.used[w.current%int64(len(w.used))] += use
+	w.sum += use
+}
+
+// scale multiplies the use in all slots.
+func (w *window) scale(factor float64) {
+	for i := range w.used {
+		w.used[i] *= factor
+	}
+	w.sum *= factor
+}
+
+// expiring returns the use that leaves the window in the given time.
+func (w *window) expiring(in time.Duration) float64 {
+	use := 0.0
+	for i := range min(int64(in/w.slot), int64(len(w.used))-1) {
+		use += w.used[(w.current+1+i)%int64(len(w.used))]
+	}
+	return use
+}
+
+// untilFree returns the time until the given use has left the window, at most its length.
+func (w *window) untilFree(use float64) time.Duration {
+	n := int64(0)
+	for ; use > 0 && n < int64(len(w.used)); n++ {
+		use -= w.used[(w.current+1+n)%int64(len(w.used))]
+	}
+	return time.Duration(n) * w.slot
+}
