Account limits: reports that come at once are not a high rate

Cause: what another front admitted between two reports was divided by the time between them, however short; after a delay on the way that gives many times its real rate, which was then expected to go on until the next report. Change: the time is at least the usual one between two reports.

--- a/peridotquota/report.go
+++ b/peridotquota/report.go
@@ -58,7 +58,7 @@
 	for _, u := range r.Usages {
 		if a := t.accounts[u.Account]; a != nil && isPlausible(u) {
 			t.advance(now, a)
-			a.observe(now, instance, u, hasRestarted, isNew && now-t.start < joinTime)
+			a.observe(now, t.interval, instance, u, hasRestarted, isNew && now-t.start < joinTime)
 		}
 	}
 	if !hasRestarted && !isNew {
@@ -83,7 +83,7 @@
 			continue
 		}
 		t.advance(now, a)
-		a.correct(now, u, u.total)
+		a.correct(now, t.interval, u, u.total)
 	}
 }
 
@@ -94,7 +94,7 @@
 
 // observe applies what another instance reports of the account. wasBefore is set if its
 // total is from before the start of this instance.
-func (a *account) observe(now time.Duration, instance string, reported Usage, hasRestarted, wasBefore bool) {
+func (a *account) observe(now, interval time.Duration, instance string, reported Usage, hasRestarted, wasBefore bool) {
 	u := a.others[instance]
 	if u == nil {
 		u = &usage{reportedAt: now}
@@ -107,15 +107,17 @@
 		u.total, u.rate = 0, 0
 	}
 	u.demand = reported.Demand
-	a.correct(now, u, reported.Total)
+	a.correct(now, interval, u, reported.Total)
 }
 
 // correct replaces what another instance was expected to have admitted by what it has.
-func (a *account) correct(now time.Duration, u *usage, total float64) {
+// interval is the usual time between two reports: what a delayed one tells was not admitted
+// in the short time until the next.
+func (a *account) correct(now, interval time.Duration, u *usage, total float64) {
 	used := total - u.total
 	a.window.add(used - u.expected)
-	if dt := (now - u.reportedAt).Seconds(); dt > 0 {
-		u.rate += (max(0, used)/dt - u.rate) * smoothing
+	if now > u.reportedAt {
+		u.rate += (max(0, used)/max(now-u.reportedAt, interval).Seconds() - u.rate) * smoothing
 		u.reportedAt = now
 	}
 	u.total, u.expected = total, 0
--- a/peridotquota/table_test.go
+++ b/peridotquota/table_test.go
@@ -258,6 +258,24 @@
 	}
 }
 
+// TestReportsAtOnce guards against refusals because reports of another instance came
+// shortly after each other, as after a delay on the way, and its use was taken for a high
+// rate.
+func TestReportsAtOnce(t *testing.T) {
+	table := NewTable(Tolerance{Window: windowTime})
+	table.SetLimits(0, map[string]Limit{"a": {1000, 1000}})
+	table.Observe(time.Second, "other", Report{Usages: []Usage{{"a", 0, 0}}})
+	now := 10 * time.Second
+	for i := range 3 {
+		table.Observe(now, "other", Report{Usages: []Usage{{"a", 100 * float64(i+1), 0}}})
+		now += time.Millisecond
+	}
+	now += 200 * time.Millisecond
+	if state, _ := table.State(now, "a"); state.Level < 8 {
+		t.Errorf("got %v times the burst left after 300 of 9,000 were used, want 8 at least", state.Level)
+	}
+}
+
 // TestReturn guards against requests that did not run and still count.
 func TestReturn(t *testing.T) {
 	table := NewTable(tolerance)
