Quarantine: no trial of a part whose rivals were all answered before

Cause, suspected (the log names no trial): every prompt that ended engines also had a part that other prompts share. The two are rivals, so that prompts with only one of them get trials, also those with the part that is the cause. Change: a part that was never answered is refused without a trial for a minute after its last end if every rival was answered before at that version, which makes the former the likelier cause. A front that passes on accusations of a part that was answered before says so, since the others need to know it to count five ends. Measured: two new rows of TestJudge, the first fails before.

--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -237,6 +237,7 @@
 	now, trueTime := q.front.now(), q.front.trueTime()
 	for len(q.unsettled) > 0 && q.unsettled[0].settlesAt <= now {
 		if a := q.unsettled[0].Accusation; q.accuse(trueTime, a) {
+			q.addAnswered(a.Part, a.At) // Decides how many ends the others need.
 			q.tell(a)
 		}
 		q.unsettled = q.unsettled[1:]
--- a/peridotquarantine/table.go
+++ b/peridotquarantine/table.go
@@ -27,6 +27,10 @@
 	// and loneRequestAnnounced how long they are announced.
 	loneRequestTTL       = 10 * time.Minute
 	loneRequestAnnounced = time.Minute
+	// soundRivalDelay is the time since its last end after which a part that was never
+	// answered may get a trial although every rival was. A part that was answered before
+	// is less likely to be the cause, and each trial of the one that is costs a server.
+	soundRivalDelay = time.Minute
 	// maxEndsPerPart limits the accusations kept of one part.
 	maxEndsPerPart = 8
 	// maxAccusedParts limits the parts that are accused.
@@ -220,7 +224,7 @@
 		if !t.IsQuarantined(now, part, at) {
 			continue
 		}
-		if !t.hasRival(t.countedEnds(now, part, at), part, parts) {
+		if !t.hasRival(now, t.countedEnds(now, part, at), part, at, parts) {
 			return Refused, part
 		}
 		judgment, reason = OnTrial, part
@@ -264,11 +268,16 @@
 
 // hasRival reports whether there is another part, not among those of the request, that
 // every server had to answer which ended under the given part. Either may be the cause.
-func (t *Table) hasRival(ends []Accusation, part Part, request []Part) bool {
+func (t *Table) hasRival(now time.Time, ends []Accusation, part Part, at Software, request []Part) bool {
+	_, isAnswered := t.AnsweredAt(part, at)
+	mayBeSound := isAnswered || now.Sub(t.lastEnd(part)) >= soundRivalDelay
 	for rival, list := range t.accused {
 		if rival == part || len(list) < len(ends) || slices.Contains(request, rival) {
 			continue
 		}
+		if _, ok := t.AnsweredAt(rival, at); ok && !mayBeSound {
+			continue
+		}
 		missing := slices.ContainsFunc(ends, func(a Accusation) bool {
 			return !slices.ContainsFunc(list, func(other Accusation) bool { return other.End == a.End })
 		})
--- a/peridotquarantine/table_test.go
+++ b/peridotquarantine/table_test.go
@@ -107,6 +107,12 @@
 		{name: "answered at this version, ends at another", runs: []run{
 			answered("x"), atV2(1), atV2(2), atV2(3), atV2(4), atV2(5),
 		}, prompt: "x", at: v1, after: time.Second},
+		{name: "the other part was answered before", runs: []run{
+			answered("a"), later(1, "ax"), later(2, "ax"), later(3, "ax"),
+		}, prompt: "bx", at: v1, after: time.Second, want: Refused},
+		{name: "the other part was answered before, a minute later", runs: []run{
+			answered("a"), later(1, "ax"), later(2, "ax"), later(3, "ax"),
+		}, prompt: "bx", at: v1, after: time.Second + soundRivalDelay, want: OnTrial},
 		{name: "the other part is sound", runs: append(sameParts[:3:3], answered("a")), prompt: "bx", at: v1, want: Refused},
 		{name: "always together", runs: sameParts, prompt: "ax", at: v1, want: Refused},
 		{name: "one of two that were always together", runs: sameParts, prompt: "ab", at: v1, want: OnTrial},
