--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -122,7 +122,7 @@
 	f.updatePlacer()
 	f.quota.setLimits(f.now(), c)
 	for _, problem := range c.Problems {
-		log.WithFields(log.Fields{"version": c.Version, "problem": problem}).Warn(logPrefix + "field of the configuration cannot be understood")
+		log.WithFields(log.Fields{"version": c.Version, "problem": problem.Text}).Warn(logPrefix + "field of the configuration cannot be understood")
 	}
 	f.metrics.SetGauge("config_problems", float64(len(c.Problems)))
 	f.metrics.SetGauge("config_version", float64(c.Version))
--- a/peridotsite/config.go
+++ b/peridotsite/config.go
@@ -187,6 +187,19 @@
 	IdleTimeout time.Duration
 }
 
+// Problem describes a field of the configuration that could not be understood, in the
+// configuration's own format.
+type Problem struct {
+	// Field is the path of the field, such as "tenants[2].burst"; empty means the whole
+	// configuration.
+	Field string
+	// Offset is the number of bytes of the value of Field that had been read when the problem
+	// was found; 0 means that the problem concerns the whole value.
+	Offset int64
+	// Text names the field and says what is wrong with it, for people.
+	Text string
+}
+
 // Config is one version of the configuration. Call BuildIndex before its
 // look-up methods.
 type Config struct {
@@ -201,7 +214,7 @@
 	Keyless bool
 	Limits  Limits
 	// Problems are fields that could not be understood, for people; the rest holds.
-	Problems []string
+	Problems []Problem
 
 	routesByHost   map[string][]*Route
 	servicesByName map[string]*Service
