Command peridot check: exit codes for scripts, text and JSON

Change: peridot check FILE [--against FILE] [--settings FILE] [--largest-request TOKENS] [--json], also with one dash. A wrong command line of check ends with 3, because kingpin's 1 would mean warnings; other commands end as before. Measured: go test -run 'TestCheckCommand|TestDocs|TestExamples' ./peridot passes.

--- a/peridot/main.go
+++ b/peridot/main.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/lesismal/nbio/logging"
+	"github.com/pkg/errors"
 )
 
 const version = "0.1.0"
@@ -30,12 +31,21 @@
 	commands = append(commands, standinCommands(app)...)
 	commands = append(commands, operatorCommands(app)...)
 	commands = append(commands, measureCommand(app), explainCommand(app))
-	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
+	chosen, err := app.Parse(expandCheckFlags(os.Args[1:]))
+	if err != nil {
+		app.Errorf("%s, try --help", err)
+		os.Exit(usageStatus(os.Args[1:]))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	for _, c := range commands {
 		if c.clause.FullCommand() == chosen {
-			app.FatalIfError(c.run(ctx), "%s", chosen)
+			err := c.run(ctx)
+			var status exitStatus
+			if errors.As(err, &status) {
+				os.Exit(int(status))
+			}
+			app.FatalIfError(err, "%s", chosen)
 		}
 	}
 }
--- a/peridot/operator.go
+++ b/peridot/operator.go
@@ -63,6 +63,7 @@
 		withdrawKeyCommand(app, c),
 		statusCommand(app, c),
 		historyCommand(app, c),
+		checkCommand(app, c),
 	}
 }
 
