Place: no allocation and fewer map look-ups for each candidate

A profile of a decision at 300 engines showed a third of the time in the growth of the lists of candidates and in the garbage collector, and much of the rest in maps of speeds, which were read up to three times an engine.

Place reuses its lists, a server refers to the speeds of its kind, and an engine that is usable is not checked twice.

BenchmarkPlace at 300 engines: 28 to 14 us.

--- a/peridotplace/candidates.go
+++ b/peridotplace/candidates.go
@@ -42,7 +42,7 @@
 // For a group of at most maxCandidates engines, these are all engines. For a larger
 // group, they are consecutive engines on the ring and some engines drawn at random. The
 // consecutive ones are the same on every instance for all prompts of a session, so the
-// session's parts are cached there.
+// session's parts are cached there. The next call may overwrite the list.
 func (p *Placer) candidates(prompt Prompt) []*server {
 	key := groupKey{prompt.Service, prompt.SoftwareVersion}
 	group := p.groups[key]
@@ -50,7 +50,7 @@
 		return group
 	}
 	r := p.rings[key]
-	list := make([]*server, 0, maxCandidates)
+	list := p.list[:0]
 	start := r.successor(affinityHash(prompt.Parts))
 	for i := range maxCandidates - randomCandidates {
 		list = append(list, r[(start+i)%len(r)].server)
@@ -58,6 +58,7 @@
 	for range randomCandidates {
 		list = append(list, group[p.random.IntN(len(group))])
 	}
+	p.list = list
 	return list
 }
 
--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -250,10 +250,10 @@
 // slotWaitMillis returns the estimated time in ms until a server that has the given
 // number of requests has a free slot for another.
 func (p *Placer) slotWaitMillis(s *server, requests int) float64 {
-	if s.Role == peridotsite.Prefill || s.engine.Slots <= 0 {
+	if s.Role == peridotsite.Prefill || s.engine.Slots <= 0 || requests < s.engine.Slots {
 		return 0
 	}
-	return float64(max(0, requests+1-s.engine.Slots)) * p.meanSlotMillis[s.Service] / float64(s.engine.Slots)
+	return float64(requests+1-s.engine.Slots) * p.meanSlotMillis[s.Service] / float64(s.engine.Slots)
 }
 
 // Progress records that the server of a flight has sent a part of its answer.
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -56,6 +56,9 @@
 	peerSums    map[string]*peerSum
 	peerSumAt   time.Duration
 	hasPeerSums bool
+	// list, prefillEngines and decodeEngines are memory that the next call of Place uses.
+	list                          []*server
+	prefillEngines, decodeEngines []candidate
 	// pendingPlacements holds the first placements since the last Report, at most
 	// maxPendingPlacements.
 	pendingPlacements []Placement
@@ -175,7 +178,7 @@
 			s.limits = p.limits
 			s.heldUntil = p.holds[incarnation{b.ID, b.Born}]
 		}
-		s.peers = p.peerSumOf(b.ID)
+		s.peers, s.kindSpeed = p.peerSumOf(b.ID), p.kindSpeedOf(speedKeyOf(b))
 		s.update(now, b, config.Service(b.Service))
 		servers[b.ID] = s
 		all, sameVersion := groupKey{service: b.Service}, groupKey{b.Service, b.SoftwareVersion}
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -146,20 +146,24 @@
 // and in pairs. It skips unusable engines unless allowUnusable is set.
 func (p *Placer) place(now time.Duration, prompt Prompt, group []*server, allowUnusable bool) (Choice, bool) {
 	holders := p.prefixHolders(now, prompt, group)
-	var prefillEngines, decodeEngines []candidate
+	prefillEngines, decodeEngines := p.prefillEngines[:0], p.decodeEngines[:0]
 	for _, s := range group {
-		if !s.accepts(now) || s.engine == nil || slices.Contains(prompt.Exclude, s.ID) || !allowUnusable && !s.usable(now) {
+		isAllowed := s.usable(now) || allowUnusable && s.accepts(now)
+		if !isAllowed || s.engine == nil || slices.Contains(prompt.Exclude, s.ID) {
 			continue
 		}
-		c := p.estimate(now, s, prompt)
-		p.considerFetch(&c, prompt, holders)
+		list := &decodeEngines
 		if s.Role == peridotsite.Prefill {
-			if !prompt.Single {
-				prefillEngines = append(prefillEngines, c)
-			}
-		} else {
-			decodeEngines = append(decodeEngines, c)
+			list = &prefillEngines
 		}
+		*list = append(*list, candidate{})
+		c := &(*list)[len(*list)-1]
+		p.estimate(c, now, s, prompt)
+		p.considerFetch(c, prompt, holders)
+	}
+	p.prefillEngines, p.decodeEngines = prefillEngines, decodeEngines
+	if prompt.Single {
+		prefillEngines = nil
 	}
 	best, leastCost, found := Choice{}, math.Inf(1), false
 	sendCost := toMillis(prompt.SendTime) * (1 + linkWeight)
@@ -207,13 +211,13 @@
 	return list
 }
 
-// estimate returns s as a candidate, with the estimates for a prompt.
-func (p *Placer) estimate(now time.Duration, s *server, prompt Prompt) candidate {
+// estimate sets c to s as a candidate, with the estimates for a prompt.
+func (p *Placer) estimate(c *candidate, now time.Duration, s *server, prompt Prompt) {
 	peerPrefillMillis, peerLateMillis, running := p.peerLoad(now, s)
 	s.updatePace(now)
 	uncachedTokens := max(0, prompt.Tokens-s.cache.cachedTokens(prompt.Parts))
 	urgentMillis := s.backlogMillis(now) + peerPrefillMillis
-	c := candidate{server: s, urgentMillis: urgentMillis, waitMillis: urgentMillis, prefillMillis: p.estimatePrefillMillis(s, uncachedTokens), uncachedTokens: uncachedTokens}
+	*c = candidate{server: s, urgentMillis: urgentMillis, waitMillis: urgentMillis, prefillMillis: p.estimatePrefillMillis(s, uncachedTokens), uncachedTokens: uncachedTokens}
 	if prompt.Late {
 		c.waitMillis += s.demotedMillis + peerLateMillis
 	}
@@ -225,9 +229,8 @@
 		c.domainCost = crossDomainCostMillis
 	}
 	if s.scarce {
-		p.applyTurn(&c, prompt)
+		p.applyTurn(c, prompt)
 	}
-	return c
 }
 
 // singleChoice returns the choice of one engine for both prefill and decode.
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -42,6 +42,8 @@
 	limits *peridotlimit.Table
 	// peers is the sum of the loads that the other instances reported for the server.
 	peers *peerSum
+	// kindSpeed is the speed of the engines of its kind.
+	kindSpeed kindSpeed
 
 	// remainingMillis is the estimated time in ms at updatedAt to finish the prefills
 	// of flights that are not demoted. unconfirmedMillis is the sum of their prefill
--- a/peridotplace/speed.go
+++ b/peridotplace/speed.go
@@ -83,22 +83,37 @@
 // tokensPerMilli returns the estimated number of prompt tokens that the engines of a key
 // read in a millisecond.
 func (p *Placer) tokensPerMilli(key speedKey) float64 {
-	if v := p.speeds[key]; v.isMeasured() {
-		return v.median
-	}
-	other := p.speeds[speedKey{key.service, !key.prefill}]
+	return p.kindSpeedOf(key).tokensPerMilli()
+}
+
+// kindSpeed is the speed of one kind of the engines of a service, and that of the other kind,
+// from which it is estimated while it is not measured.
+type kindSpeed struct {
+	own, other *speed
+	prefill    bool
+}
+
+func (p *Placer) kindSpeedOf(key speedKey) kindSpeed {
+	return kindSpeed{p.speedOf(key), p.speedOf(speedKey{key.service, !key.prefill}), key.prefill}
+}
+
+// tokensPerMilli returns the estimated number of prompt tokens that an engine reads in a
+// millisecond.
+func (k kindSpeed) tokensPerMilli() float64 {
 	switch {
-	case !other.isMeasured() && key.prefill:
+	case k.own.isMeasured():
+		return k.own.median
+	case !k.other.isMeasured() && k.prefill:
 		return defaultTokensPerMilli
-	case !other.isMeasured():
+	case !k.other.isMeasured():
 		return defaultTokensPerMilli / decodePrefillFactor
-	case key.prefill:
-		return other.median * decodePrefillFactor
+	case k.prefill:
+		return k.other.median * decodePrefillFactor
 	}
-	return other.median / decodePrefillFactor
+	return k.other.median / decodePrefillFactor
 }
 
 // estimatePrefillMillis returns the time in ms that an idle server takes to read tokens.
 func (p *Placer) estimatePrefillMillis(s *server, tokens int) float64 {
-	return float64(tokens) / p.tokensPerMilli(speedKeyOf(s.Backend)) * s.slowness
+	return float64(tokens) / s.kindSpeed.tokensPerMilli() * s.slowness
 }
