Place: random cost also at prefill engines

Fronts that decide by the same old reports sent all prompts to the same prefill engine: the random cost was part of the cost of generating the answer, which counts only at the decode engine of a pair.

The random cost is a field of its own, and a pair counts both engines'.

TestPrefillEnginesAreSpread fails before: 300 of 300 choices are r0. Single engines are chosen as before.

--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -133,6 +133,8 @@
 	// that of sending the request to another failure domain.
 	decodeCost float64
 	domainCost float64
+	// spreadCost is a random cost in ms of a prompt there: see spreadShare.
+	spreadCost float64
 }
 
 // admissionMillis returns the estimated time in ms until the engine admits a prompt whose
@@ -169,7 +171,7 @@
 	sendCost := toMillis(prompt.SendTime) * (1 + linkWeight)
 	for i := range decodeEngines {
 		d := &decodeEngines[i]
-		cost := max(d.waitMillis, d.slotWaitMillis) + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost + d.pauseCost()
+		cost := max(d.waitMillis, d.slotWaitMillis) + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.spreadCost + d.domainCost + d.pauseCost()
 		if cost < leastCost {
 			best, leastCost, found = p.singleChoice(d), cost, true
 		}
@@ -182,7 +184,7 @@
 				continue
 			}
 			transferMillis := estimateTransferMillis(prompt.Tokens, pf.server, d.server)
-			cost := pf.waitMillis + pf.fetchCost() + pf.prefillMillis*(1+prefillWorkWeight) + transferMillis + transferCostMillis + d.admissionMillis() + d.decodeCost + pf.domainCost + d.domainCost + sendCost
+			cost := pf.waitMillis + pf.fetchCost() + pf.prefillMillis*(1+prefillWorkWeight) + transferMillis + transferCostMillis + d.admissionMillis() + d.decodeCost + pf.spreadCost + d.spreadCost + pf.domainCost + d.domainCost + sendCost
 			if cost < leastCost {
 				best, leastCost, found = p.splitChoice(d, pf, transferMillis), cost, true
 			}
@@ -204,7 +206,7 @@
 		switch {
 		case at < 0:
 			list = append(list, d)
-		case d.admissionMillis()+d.decodeCost < list[at].admissionMillis()+list[at].decodeCost:
+		case d.admissionMillis()+d.decodeCost+d.spreadCost < list[at].admissionMillis()+list[at].decodeCost+list[at].spreadCost:
 			list[at] = d
 		}
 	}
--- a/peridotplace/turn.go
+++ b/peridotplace/turn.go
@@ -91,7 +91,7 @@
 	c.interactive = c.server.interactive + peers.interactive
 	if !prompt.Interactive {
 		if len(p.peers) > 0 {
-			c.decodeCost += spreadShare * p.random.Float64() * c.prefillMillis
+			c.spreadCost = spreadShare * p.random.Float64() * c.prefillMillis
 		}
 		return
 	}
