Place: random cost doesn't send prompts to other failure domains

The random cost of a long prompt is up to half of its prefill, 11 ms for the mean and 70 ms for the largest one, and leaving the failure domain costs 3 ms. So long prompts left it although its engines were as fast.

The random cost decides only among the engines of the own domain, and among those of the others. Whether a prompt leaves depends on the least cost without it. Deployments with one domain, and services that are not scarce, decide as before.

TestOwnDomainIsKept fails before: 92 of 300 mean prompts and 186 of 300 of the largest leave 8 idle engines.

--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -1,7 +1,6 @@
 package peridotplace
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -167,13 +166,13 @@
 	if prompt.Single {
 		prefillEngines = nil
 	}
-	best, leastCost, found := Choice{}, math.Inf(1), false
+	choices := newDomainChoices()
 	sendCost := toMillis(prompt.SendTime) * (1 + linkWeight)
 	for i := range decodeEngines {
 		d := &decodeEngines[i]
-		cost := max(d.waitMillis, d.slotWaitMillis) + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.spreadCost + d.domainCost + d.pauseCost()
-		if cost < leastCost {
-			best, leastCost, found = p.singleChoice(d), cost, true
+		cost := max(d.waitMillis, d.slotWaitMillis) + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost + d.pauseCost()
+		if best := choices.of(d.domainCost > 0); best.update(cost, d.spreadCost) {
+			best.prefill, best.decode = nil, d
 		}
 	}
 	cheapestDecode := cheapestDecodeEngines(decodeEngines)
@@ -184,13 +183,20 @@
 				continue
 			}
 			transferMillis := estimateTransferMillis(prompt.Tokens, pf.server, d.server)
-			cost := pf.waitMillis + pf.fetchCost() + pf.prefillMillis*(1+prefillWorkWeight) + transferMillis + transferCostMillis + d.admissionMillis() + d.decodeCost + pf.spreadCost + d.spreadCost + pf.domainCost + d.domainCost + sendCost
-			if cost < leastCost {
-				best, leastCost, found = p.splitChoice(d, pf, transferMillis), cost, true
+			cost := pf.waitMillis + pf.fetchCost() + pf.prefillMillis*(1+prefillWorkWeight) + transferMillis + transferCostMillis + d.admissionMillis() + d.decodeCost + pf.domainCost + d.domainCost + sendCost
+			if best := choices.of(pf.domainCost+d.domainCost > 0); best.update(cost, pf.spreadCost+d.spreadCost) {
+				best.prefill, best.decode = pf, d
 			}
 		}
 	}
-	return best, found
+	switch best := choices.best(); {
+	case best.decode == nil:
+		return Choice{}, false
+	case best.prefill == nil:
+		return p.singleChoice(best.decode), true
+	default:
+		return p.splitChoice(best.decode, best.prefill, estimateTransferMillis(prompt.Tokens, best.prefill.server, best.decode.server)), true
+	}
 }
 
 // cheapestDecodeEngines returns the engine with the least cost of decoding of each
--- a/peridotplace/turn.go
+++ b/peridotplace/turn.go
@@ -1,6 +1,7 @@
 package peridotplace
 
 import (
+	"math"
 	"time"
 
 	"peridotstack/peridotsite"
@@ -81,9 +82,58 @@
 
 // spreadShare is the largest random cost of a long prompt at an engine, relative to its
 // prefill. Without it, fronts with the same old reports send their prompts to the same
-// engine. An instance without others needs none.
+// engine. An instance without others needs none. It doesn't count between failure domains.
 const spreadShare = 0.5
 
+// domainChoices holds the best choice within the own failure domain, and the best one that
+// needs an engine in another.
+type domainChoices struct {
+	own, other domainChoice
+}
+
+// domainChoice is a candidate that does both prefill and decode, or a pair if prefill is set.
+// Both are nil if there is none.
+type domainChoice struct {
+	prefill, decode *candidate
+	// leastCost is the least cost in ms so far without random costs, and spreadCost that of
+	// the choice with them.
+	leastCost, spreadCost float64
+}
+
+func newDomainChoices() domainChoices {
+	none := domainChoice{leastCost: math.Inf(1), spreadCost: math.Inf(1)}
+	return domainChoices{none, none}
+}
+
+// of returns the best choice of those that leave the own domain, or of those that don't.
+func (c *domainChoices) of(leaves bool) *domainChoice {
+	if leaves {
+		return &c.other
+	}
+	return &c.own
+}
+
+// update records a choice with the given cost and random cost in ms, and reports whether it
+// is better than the best one so far.
+func (c *domainChoice) update(cost, random float64) bool {
+	c.leastCost = min(c.leastCost, cost)
+	if cost+random < c.spreadCost {
+		c.spreadCost = cost + random
+		return true
+	}
+	return false
+}
+
+// best returns the choice within the own domain unless the other domains have one of less
+// cost. Random costs don't count: otherwise long prompts, whose random costs are many times
+// that of leaving the domain, would leave it although it has engines that are as fast.
+func (c *domainChoices) best() *domainChoice {
+	if c.own.leastCost <= c.other.leastCost {
+		return &c.own
+	}
+	return &c.other
+}
+
 // applyTurn changes the estimates of a candidate of a scarce service by the rules for
 // interactive requests. An engine admits these before others.
 func (p *Placer) applyTurn(c *candidate, prompt Prompt) {
--- a/peridotplace/turn_test.go
+++ b/peridotplace/turn_test.go
@@ -31,3 +31,40 @@
 		}
 	}
 }
+
+// TestOwnDomainIsKept guards against prompts that leave the failure domain although its
+// engines serve them as soon as others, and against ones that stay where they wait for long.
+func TestOwnDomainIsKept(t *testing.T) {
+	tests := []struct {
+		name   string
+		tokens int
+		queue  int // Tokens of the prompt that each engine of the own domain reads; 0 for none.
+		want   string
+	}{
+		{name: "short prompt", tokens: 220, want: "a"},
+		{name: "mean prompt", tokens: 9190, want: "a"},
+		{name: "largest prompt", tokens: 57_000, want: "a"},
+		{name: "prompts wait in the own domain", tokens: 9190, queue: 9190, want: "b"},
+	}
+	for _, test := range tests {
+		p, list, config := newFleet(0, 32)
+		config.Services[0].Scarce = true
+		domains := make(map[string]string)
+		for i := range list {
+			if i >= 8 {
+				list[i].Domain = "b"
+			}
+			domains[list[i].ID] = list[i].Domain
+		}
+		p.SetBackends(0, list, config)
+		if test.queue > 0 {
+			for _, b := range list[:8] {
+				p.BeginPrefill(0, b.ID, nil, test.queue)
+			}
+		}
+		got := countChoices(p, test.tokens, func(c Choice) string { return domains[c.Backend] })
+		if got[test.want] != 300 {
+			t.Errorf("%s: got choices %v by domain, want %s only", test.name, got, test.want)
+		}
+	}
+}
