Place: plain servers have no pace once their service isn't scarce

A plain server kept its last pace when a new configuration ended Scarce for its service. Nothing measures it then, so a server that was slow at that moment was avoided for good.

The slowness of such a server is 1 from then on. TestPaceEndsWithScarce fails before: p0 is chosen, which has more requests.

--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -98,6 +98,9 @@
 	s.Backend = b
 	s.engine, s.scarce = nil, service != nil && service.Scarce
 	if service == nil || service.Engine == nil {
+		if !s.scarce {
+			s.slowness = 1 // Nothing measures it any more.
+		}
 		return
 	}
 	s.engine = service.Engine
--- a/peridotplace/turn_test.go
+++ b/peridotplace/turn_test.go
@@ -1,6 +1,11 @@
 package peridotplace
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"peridotstack/peridotsite"
+)
 
 // countChoices returns how often each engine of a choice that get returns is chosen for a
 // prompt of the given length in 300 decisions by the same reports.
@@ -68,3 +73,32 @@
 		}
 	}
 }
+
+// TestPaceEndsWithScarce guards against plain servers that were slow when their service ceased
+// to be scarce and that are avoided for good, since nothing measures them any more.
+func TestPaceEndsWithScarce(t *testing.T) {
+	p, list, config := newFleet(0, 0)
+	for _, id := range []string{"p0", "p1"} {
+		list = append(list, peridotsite.Backend{ID: id, Service: "plain", Domain: "a", Slots: 6})
+	}
+	config.Services[1].Scarce = true
+	p.SetBackends(0, list, config)
+	for i := range 5 {
+		now := time.Duration(i) * 100 * time.Millisecond
+		fast, slow := p.Begin(now, "p0"), p.Begin(now, "p1")
+		p.Done(now+20*time.Millisecond, fast, Answered)
+		p.Done(now+90*time.Millisecond, slow, Answered)
+	}
+	p.Begin(time.Second, "p0")
+	p.Begin(time.Second, "p0")
+	p.Begin(time.Second, "p1")
+	prompt := Prompt{Service: "plain"}
+	if got, _ := p.Place(time.Second, prompt); got.Backend != "p0" {
+		t.Errorf("scarce: got %q, want the fast server p0", got.Backend)
+	}
+	config.Services[1].Scarce = false
+	p.SetBackends(time.Second, list, config)
+	if got, _ := p.Place(time.Second, prompt); got.Backend != "p1" {
+		t.Errorf("not scarce: got %q, want p1, which has fewer requests", got.Backend)
+	}
+}
