Place: random cost doesn't cause fetches from other domains

The random cost of the engines could outweigh the cost of fetching it from another failure domain although an idle engine of the own one had it.

A candidate that fetches across domains counts as one that leaves the own.

TestNeededFetchOnly fails before: w3 fetches from domain b although w0 is idle and has the prefix.

--- a/peridotplace/fetch.go
+++ b/peridotplace/fetch.go
@@ -67,6 +67,11 @@
 	return c.fetchMillis + transferCostMillis
 }
 
+// fetchesAcross reports whether the candidate fetches a prefix from another failure domain.
+func (c *candidate) fetchesAcross() bool {
+	return c.fetchFrom != nil && c.fetchFrom.Domain != c.Domain
+}
+
 // fetchBackend returns the ID of the engine from which a prefix is fetched, or empty.
 func (c *candidate) fetchBackend() string {
 	if c.fetchFrom == nil {
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -171,7 +171,7 @@
 	for i := range decodeEngines {
 		d := &decodeEngines[i]
 		cost := max(d.waitMillis, d.slotWaitMillis) + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost + d.pauseCost()
-		if best := choices.of(d.domainCost > 0); best.update(cost, d.spreadCost) {
+		if best := choices.of(d.domainCost > 0 || d.fetchesAcross()); best.update(cost, d.spreadCost) {
 			best.prefill, best.decode = nil, d
 		}
 	}
@@ -184,7 +184,7 @@
 			}
 			transferMillis := estimateTransferMillis(prompt.Tokens, pf.server, d.server)
 			cost := pf.waitMillis + pf.fetchCost() + pf.prefillMillis*(1+prefillWorkWeight) + transferMillis + transferCostMillis + d.admissionMillis() + d.decodeCost + pf.domainCost + d.domainCost + sendCost
-			if best := choices.of(pf.domainCost+d.domainCost > 0); best.update(cost, pf.spreadCost+d.spreadCost) {
+			if best := choices.of(pf.domainCost+d.domainCost > 0 || pf.fetchesAcross()); best.update(cost, pf.spreadCost+d.spreadCost) {
 				best.prefill, best.decode = pf, d
 			}
 		}
--- a/peridotplace/turn.go
+++ b/peridotplace/turn.go
@@ -82,11 +82,13 @@
 
 // spreadShare is the largest random cost of a long prompt at an engine, relative to its
 // prefill. Without it, fronts with the same old reports send their prompts to the same
-// engine. An instance without others needs none. It doesn't count between failure domains.
+// engine. An instance without others needs none. It doesn't count between failure domains. A
+// prefix that an engine fetches counts like the rest of the prefill: leaving it out led to a
+// seventh more fetches in a simulation, with as many prompts on time.
 const spreadShare = 0.5
 
 // domainChoices holds the best choice within the own failure domain, and the best one that
-// needs an engine in another.
+// needs an engine in another, also if only to fetch a prefix from it.
 type domainChoices struct {
 	own, other domainChoice
 }
@@ -105,7 +107,7 @@
 	return domainChoices{none, none}
 }
 
-// of returns the best choice of those that leave the own domain, or of those that don't.
+// of returns the best choice so far of those that leave the own domain, or of those that don't.
 func (c *domainChoices) of(leaves bool) *domainChoice {
 	if leaves {
 		return &c.other
--- a/peridotplace/turn_test.go
+++ b/peridotplace/turn_test.go
@@ -102,3 +102,21 @@
 		t.Errorf("not scarce: got %q, want p1, which has fewer requests", got.Backend)
 	}
 }
+
+// TestNeededFetchOnly guards against prefixes that are fetched from another failure domain
+// although an engine of the own domain has them and is idle.
+func TestNeededFetchOnly(t *testing.T) {
+	p, list, config := newFleet(0, 9)
+	config.Services[0].Scarce = true
+	list[8].Domain = "b"
+	p.SetBackends(0, list, config)
+	prefix := parts(1, 2, 3)
+	p.Done(0, p.BeginPrefill(0, "w8", prefix, 9000), Answered)
+	p.Observe(time.Second, "other", Report{Placements: []Placement{{Backend: "w0", Parts: prefix}}})
+	prompt := Prompt{Service: service, Parts: append(prefix, parts(4, 5, 6)...), Tokens: 18_000}
+	for range 300 {
+		if c, _ := p.Place(time.Second, prompt); c.Backend != "w0" || c.FetchBackend != "" {
+			t.Fatalf("got %+v, want w0 without a fetch", c)
+		}
+	}
+}
