Turn: a gap of 0 is no limit in the cost of an engine

InteractiveCost added the time of a chunk for a gap of 0 or less, as if each chunk exceeded it; elsewhere such a gap means that there is no limit.

A gap of 0 or less adds nothing now. Fronts don't send such requests today.

TestInteractiveCost fails before: a cost of 30 instead of 20 ms.

--- a/peridotturn/engine.go
+++ b/peridotturn/engine.go
@@ -47,13 +47,14 @@
 
 // InteractiveCost returns the cost in ms of an interactive answer with the given maximum
 // gap at an engine, beside the wait and the prefill: the pauses that other prefills make,
-// and the work that is lost if it preempts a request because no slot is free.
+// and the work that is lost if it preempts a request because no slot is free. A gap of 0 or
+// less means no limit.
 func (e Engine) InteractiveCost(gap time.Duration) float64 {
 	cost := e.PrefillMillis + lateShare*e.LateMillis + e.ChunkMillis*(laterChunks+runningShare*float64(e.Running))
 	if e.Slots > 0 && e.Running >= e.Slots {
 		cost += max(e.SlotMillis, e.ChunkMillis)
 	}
-	if e.ChunkMillis > toMillis(gap) {
+	if gap > 0 && e.ChunkMillis > toMillis(gap) {
 		cost += e.ChunkMillis // Each chunk makes the answer late.
 	}
 	return cost
--- a/peridotturn/turn_test.go
+++ b/peridotturn/turn_test.go
@@ -77,7 +77,7 @@
 }
 
 // TestInteractiveCost guards against interactive requests at engines that are busy, slow or
-// have no free slot.
+// have no free slot, and against a gap that is absent and counts as one that each chunk exceeds.
 func TestInteractiveCost(t *testing.T) {
 	const gap = 150 * time.Millisecond
 	idle := Engine{ChunkMillis: 10, SlotMillis: 30, Slots: 8}
@@ -88,4 +88,10 @@
 			t.Errorf("%+v: got a cost of %v, want more than %v of an idle engine", other, got, least)
 		}
 	}
+	long := idle.InteractiveCost(time.Hour)
+	for _, none := range []time.Duration{0, -1} {
+		if got := idle.InteractiveCost(none); got != long {
+			t.Errorf("gap %v: got a cost of %v, want %v as without a limit", none, got, long)
+		}
+	}
 }
