Place: prefill engines have no slots for interactive prompts either

The wait of an interactive prompt counted the slots of a prefill engine with many of them, but a prefill takes no slot: others count none there, see slotWaitMillis. So pairs cost too much by the time of long answers.

The slots of a prefill engine are unlimited in this estimate.

TestPrefillEngineHasNoSlots fails before: a wait of 1,016 instead of 14 ms with 128 interactive prompts at an engine of 64 slots.

--- a/peridotplace/turn.go
+++ b/peridotplace/turn.go
@@ -147,10 +147,14 @@
 		}
 		return
 	}
+	slots := c.engine.Slots
+	if c.Role == peridotsite.Prefill {
+		slots = 0 // A prefill takes none.
+	}
 	e := peridotturn.Engine{
 		PrefillMillis: c.urgentMillis, LateMillis: c.demotedMillis + toMillis(peers.latePrefillTime),
 		ChunkMillis: p.estimatePrefillMillis(c.server, peridotturn.ChunkTokens), SlotMillis: p.meanSlotMillis[c.Service],
-		Running: c.requests, Interactive: c.interactive, Slots: c.engine.Slots,
+		Running: c.requests, Interactive: c.interactive, Slots: slots,
 	}
 	wait := e.WaitMillis()
 	c.urgentMillis, c.waitMillis, c.slotWaitMillis = wait, wait, wait
--- a/peridotplace/turn_test.go
+++ b/peridotplace/turn_test.go
@@ -120,3 +120,20 @@
 		}
 	}
 }
+
+// TestPrefillEngineHasNoSlots guards against waits for slots at prefill engines, which have
+// none: with many interactive prompts there, pairs would cost too much.
+func TestPrefillEngineHasNoSlots(t *testing.T) {
+	p, list, config := newFleet(1, 1)
+	config.Services[0].Scarce = true
+	p.SetBackends(0, list, config)
+	p.meanSlotMillis[service] = 1000
+	for range 128 {
+		p.BeginPrefill(0, "r0", nil, 1).SetInteractive()
+	}
+	var c candidate
+	p.estimate(&c, 0, p.servers["r0"], Prompt{Service: service, Tokens: 220, Interactive: true, Gap: simulatedGap})
+	if c.waitMillis > 14 {
+		t.Errorf("got a wait of %v ms, want at most the time of a chunk, 14 ms", c.waitMillis)
+	}
+}
