Test: sums of the loads that other fronts report

The sums are now kept between reports, so a load could count twice, stay after its report expired, or get lost when the list of servers changes.

TestPeerLoad covers reports that name a server twice, are replaced or expire, and servers that are listed later, again or not any more.

It passes; without the subtraction of a replaced report it fails: 2 running requests instead of 0 after the report was replaced.

--- a/peridotplace/turn_test.go
+++ b/peridotplace/turn_test.go
@@ -137,3 +137,40 @@
 		t.Errorf("got a wait of %v ms, want at most the time of a chunk, 14 ms", c.waitMillis)
 	}
 }
+
+// TestPeerLoad guards against loads of other instances that count twice, are kept after the
+// report expired, or are lost when the list of servers changes.
+func TestPeerLoad(t *testing.T) {
+	p, list, config := newFleet(0, 2)
+	load := func(id string, prefill time.Duration, n int) Load {
+		return Load{Backend: id, PrefillTime: prefill, LatePrefillTime: 5 * time.Millisecond, Running: n, Interactive: n}
+	}
+	at := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+	check := func(name string, now time.Duration, id string, wantPrefill, wantLate float64, wantRunning int) {
+		t.Helper()
+		s := p.servers[id]
+		prefill, late, running := p.peerLoad(now, s)
+		if prefill != wantPrefill || late != wantLate || running != wantRunning || s.peers.interactive != wantRunning {
+			t.Errorf("%s: got %v ms, %v ms late, %d running, %d interactive; want %v ms, %v ms, %d and %d", name, prefill, late, running, s.peers.interactive, wantPrefill, wantLate, wantRunning, wantRunning)
+		}
+	}
+	p.Observe(0, "a", Report{Loads: []Load{load("w0", at(900), 1), load("w1", at(10), 1), load("w0", at(800), 2)}})
+	check("the last load of a server counts", 0, "w0", 800, 5, 2)
+	p.Observe(at(100), "b", Report{Loads: []Load{load("w1", at(30), 4)}})
+	check("two reports", at(100), "w1", 30, 10, 5)
+	check("time passes", at(120), "w1", 10, 10, 5)
+	p.Observe(at(200), "a", Report{Loads: []Load{load("w2", at(40), 3)}})
+	check("replaced report", at(200), "w0", 0, 0, 0)
+	p.SetBackends(at(200), list[:1], config)
+	list = append(list, peridotsite.Backend{ID: "w2", Service: service, Domain: "a"})
+	p.SetBackends(at(210), list, config)
+	check("listed after the report", at(210), "w2", 30, 5, 3)
+	check("listed again", at(210), "w1", 0, 5, 4)
+	check("one report expired", at(1150), "w1", 0, 0, 0)
+	check("the other one has not", at(1150), "w2", 0, 5, 3)
+	check("both expired", at(1250), "w2", 0, 0, 0)
+	p.SetBackends(at(2000), list[:1], config)
+	if got := len(p.peerSums); got != 1 {
+		t.Errorf("got sums of %d servers, want only that of the listed one", got)
+	}
+}
