--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	s := f.server
-	peerPrefillMillis, _, _ := p.peerLoad(now, backend)
+	peerPrefillMillis, _, _ := p.peerLoad(now, s)
 	f.estimatedWaitMillis = s.backlogMillis(now) + peerPrefillMillis
 	f.startedIdle = s.unconfirmedMillis == 0 && peerPrefillMillis < minBusyWaitMillis
 	f.prefillMillis, f.uncachedTokens = p.estimatePrefillMillis(s, uncachedTokens), uncachedTokens
@@ -137,7 +137,7 @@
 	if len(s.demotedQueue) == 0 || s.unconfirmedMillis >= minBusyWaitMillis {
 		return
 	}
-	if peerMillis, _, _ := p.peerLoad(now, s.ID); peerMillis >= minBusyWaitMillis {
+	if peerMillis, _, _ := p.peerLoad(now, s); peerMillis >= minBusyWaitMillis {
 		return
 	}
 	f := s.demotedQueue[0]
@@ -250,10 +250,10 @@
 // slotWaitMillis returns the estimated time in ms until a server that has the given
 // number of requests has a free slot for another.
 func (p *Placer) slotWaitMillis(s *server, requests int) float64 {
-	if s.Role == peridotsite.Prefill || s.engine.Slots <= 0 {
+	if s.Role == peridotsite.Prefill || s.engine.Slots <= 0 || requests < s.engine.Slots {
 		return 0
 	}
-	return float64(max(0, requests+1-s.engine.Slots)) * p.meanSlotMillis[s.Service] / float64(s.engine.Slots)
+	return float64(requests+1-s.engine.Slots) * p.meanSlotMillis[s.Service] / float64(s.engine.Slots)
 }
 
 // Progress records that the server of a flight has sent a part of its answer.
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -1,7 +1,6 @@
 package peridotplace
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -133,6 +132,8 @@
 	// that of sending the request to another failure domain.
 	decodeCost float64
 	domainCost float64
+	// spreadCost is a random cost in ms of a prompt there: see spreadShare.
+	spreadCost float64
 }
 
 // admissionMillis returns the estimated time in ms until the engine admits a prompt whose
@@ -146,28 +147,32 @@
 // and in pairs. It skips unusable engines unless allowUnusable is set.
 func (p *Placer) place(now time.Duration, prompt Prompt, group []*server, allowUnusable bool) (Choice, bool) {
 	holders := p.prefixHolders(now, prompt, group)
-	var prefillEngines, decodeEngines []candidate
+	prefillEngines, decodeEngines := p.prefillEngines[:0], p.decodeEngines[:0]
 	for _, s := range group {
-		if !s.accepts(now) || s.engine == nil || slices.Contains(prompt.Exclude, s.ID) || !allowUnusable && !s.usable(now) {
+		isAllowed := s.usable(now) || allowUnusable && s.accepts(now)
+		if !isAllowed || s.engine == nil || slices.Contains(prompt.Exclude, s.ID) {
 			continue
 		}
-		c := p.estimate(now, s, prompt)
-		p.considerFetch(&c, prompt, holders)
+		list := &decodeEngines
 		if s.Role == peridotsite.Prefill {
-			if !prompt.Single {
-				prefillEngines = append(prefillEngines, c)
-			}
-		} else {
-			decodeEngines = append(decodeEngines, c)
+			list = &prefillEngines
 		}
+		*list = append(*list, candidate{})
+		c := &(*list)[len(*list)-1]
+		p.estimate(c, now, s, prompt)
+		p.considerFetch(c, prompt, holders)
+	}
+	p.prefillEngines, p.decodeEngines = prefillEngines, decodeEngines
+	if prompt.Single {
+		prefillEngines = nil
 	}
-	best, leastCost, found := Choice{}, math.Inf(1), false
+	choices := newDomainChoices()
 	sendCost := toMillis(prompt.SendTime) * (1 + linkWeight)
 	for i := range decodeEngines {
 		d := &decodeEngines[i]
 		cost := max(d.waitMillis, d.slotWaitMillis) + d.fetchCost() + d.prefillMillis*(1+prefillWorkWeight+interferenceWeight*float64(d.requests)) + d.decodeCost + d.domainCost + d.pauseCost()
-		if cost < leastCost {
-			best, leastCost, found = p.singleChoice(d), cost, true
+		if best := choices.of(d.domainCost > 0 || d.fetchesAcross()); best.update(cost, d.spreadCost) {
+			best.prefill, best.decode = nil, d
 		}
 	}
 	cheapestDecode := cheapestDecodeEngines(decodeEngines)
@@ -179,12 +184,19 @@
 			}
 			transferMillis := estimateTransferMillis(prompt.Tokens, pf.server, d.server)
 			cost := pf.waitMillis + pf.fetchCost() + pf.prefillMillis*(1+prefillWorkWeight) + transferMillis + transferCostMillis + d.admissionMillis() + d.decodeCost + pf.domainCost + d.domainCost + sendCost
-			if cost < leastCost {
-				best, leastCost, found = p.splitChoice(d, pf, transferMillis), cost, true
+			if best := choices.of(pf.domainCost+d.domainCost > 0 || pf.fetchesAcross()); best.update(cost, pf.spreadCost+d.spreadCost) {
+				best.prefill, best.decode = pf, d
 			}
 		}
 	}
-	return best, found
+	switch best := choices.best(); {
+	case best.decode == nil:
+		return Choice{}, false
+	case best.prefill == nil:
+		return p.singleChoice(best.decode), true
+	default:
+		return p.splitChoice(best.decode, best.prefill, estimateTransferMillis(prompt.Tokens, best.prefill.server, best.decode.server)), true
+	}
 }
 
 // cheapestDecodeEngines returns the engine with the least cost of decoding of each
@@ -200,20 +212,20 @@
 		switch {
 		case at < 0:
 			list = append(list, d)
-		case d.admissionMillis()+d.decodeCost < list[at].admissionMillis()+list[at].decodeCost:
+		case d.admissionMillis()+d.decodeCost+d.spreadCost < list[at].admissionMillis()+list[at].decodeCost+list[at].spreadCost:
 			list[at] = d
 		}
 	}
 	return list
 }
 
-// estimate returns s as a candidate, with the estimates for a prompt.
-func (p *Placer) estimate(now time.Duration, s *server, prompt Prompt) candidate {
-	peerPrefillMillis, peerLateMillis, running := p.peerLoad(now, s.ID)
+// estimate sets c to s as a candidate, with the estimates for a prompt.
+func (p *Placer) estimate(c *candidate, now time.Duration, s *server, prompt Prompt) {
+	peerPrefillMillis, peerLateMillis, running := p.peerLoad(now, s)
 	s.updatePace(now)
 	uncachedTokens := max(0, prompt.Tokens-s.cache.cachedTokens(prompt.Parts))
 	urgentMillis := s.backlogMillis(now) + peerPrefillMillis
-	c := candidate{server: s, urgentMillis: urgentMillis, waitMillis: urgentMillis, prefillMillis: p.estimatePrefillMillis(s, uncachedTokens), uncachedTokens: uncachedTokens}
+	*c = candidate{server: s, urgentMillis: urgentMillis, waitMillis: urgentMillis, prefillMillis: p.estimatePrefillMillis(s, uncachedTokens), uncachedTokens: uncachedTokens}
 	if prompt.Late {
 		c.waitMillis += s.demotedMillis + peerLateMillis
 	}
@@ -225,9 +237,8 @@
 		c.domainCost = crossDomainCostMillis
 	}
 	if s.scarce {
-		p.applyTurn(&c, prompt)
+		p.applyTurn(c, prompt)
 	}
-	return c
 }
 
 // singleChoice returns the choice of one engine for both prefill and decode.
--- a/peridotplace/server.go
+++ b/peridotplace/server.go
@@ -40,6 +40,10 @@
 	cache  *cache
 	// limits is Placer.limits.
 	limits *peridotlimit.Table
+	// peers is the sum of the loads that the other instances reported for the server.
+	peers *peerSum
+	// kindSpeed is the speed of the engines of its kind.
+	kindSpeed kindSpeed
 
 	// remainingMillis is the estimated time in ms at updatedAt to finish the prefills
 	// of flights that are not demoted. unconfirmedMillis is the sum of their prefill
@@ -94,6 +98,9 @@
 	s.Backend = b
 	s.engine, s.scarce = nil, service != nil && service.Scarce
 	if service == nil || service.Engine == nil {
+		if !s.scarce {
+			s.slowness = 1 // Nothing measures it any more.
+		}
 		return
 	}
 	s.engine = service.Engine
