--- a/peridotplace/flight.go
+++ b/peridotplace/flight.go
@@ -55,6 +55,7 @@
 		return nil
 	}
 	s.addRequest(now)
+	p.countArrival(now, s)
 	return &Flight{server: s, startedAt: now, requestsAtStart: p.countRequests(now, s)}
 }
 
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -57,6 +57,7 @@
 	// pendingPlacements holds the first placements since the last Report, at most
 	// maxPendingPlacements.
 	pendingPlacements []Placement
+	locality          locality
 }
 
 // groupKey identifies a group of servers: those of one software version of a service,
@@ -70,6 +71,7 @@
 type peer struct {
 	receivedAt time.Duration
 	loads      map[string]Load
+	locality   peerLocality
 }
 
 // Load is the outstanding work that one instance has sent to a backend server.
@@ -98,6 +100,11 @@
 type Report struct {
 	Loads      []Load
 	Placements []Placement
+	// Domain is the failure domain of the instance. It is empty, and Arrivals and Times are,
+	// if there are no servers of scarce plain services.
+	Domain   string
+	Arrivals []Arrival
+	Times    []ServedTime
 }
 
 // New returns a Placer for an instance in the given failure domain. Its random draws
@@ -114,6 +121,7 @@
 		speeds:          make(map[speedKey]*speed),
 		meanSlotMillis:  make(map[string]float64),
 		meanPlainMillis: make(map[string]float64),
+		locality:        newLocality(),
 	}
 }
 
@@ -146,6 +154,7 @@
 		})
 	}
 	p.servers = servers
+	p.updateLocality(config)
 	p.dropLimits(now)
 	p.rings = make(map[groupKey]ring)
 	for key, group := range p.groups {
@@ -175,6 +184,7 @@
 			r.Loads = append(r.Loads, Load{Backend: s.ID, PrefillTime: fromMillis(backlogMillis), LatePrefillTime: fromMillis(s.demotedMillis), Running: s.activeRequests(), Interactive: s.interactive})
 		}
 	}
+	p.addLocalityReport(now, &r)
 	n := min(limit, len(p.pendingPlacements))
 	r.Placements = p.pendingPlacements[len(p.pendingPlacements)-n:]
 	p.pendingPlacements = nil
@@ -188,7 +198,7 @@
 	for _, l := range r.Loads {
 		loads[l.Backend] = l
 	}
-	p.peers[instance] = &peer{receivedAt: now, loads: loads}
+	p.peers[instance] = &peer{receivedAt: now, loads: loads, locality: p.observeLocality(now, instance, r, p.peers[instance])}
 	p.peerSum = nil
 	for _, placement := range r.Placements {
 		if s := p.servers[placement.Backend]; s != nil && s.cache != nil {
--- a/peridotplace/plain.go
+++ b/peridotplace/plain.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"peridotstack/peridotlocality"
 )
 
 const (
@@ -19,34 +21,56 @@
 
 // placePlain returns the server of a group of a plain service with the least work relative
 // to its size, or false if every server is excluded, leaving or held. It returns an
-// unusable server only if no other is left.
-func (p *Placer) placePlain(now time.Duration, group []*server, exclude []string) (Choice, bool) {
-	var best *server
-	leastCost := 0.0
+// unusable server only if no other is left. Of a scarce service, the balance of the failure
+// domains comes first.
+func (p *Placer) placePlain(now time.Duration, group []*server, prompt Prompt) (Choice, bool) {
+	if group[0].balances() {
+		if c, ok := p.placeBalanced(now, group, prompt); ok {
+			return c, true
+		}
+	}
 	for pass := range 2 {
-		ties := 1
-		for _, s := range group {
-			if !s.accepts(now) || slices.Contains(exclude, s.ID) || pass == 0 && !s.usable(now) {
-				continue
-			}
-			cost := p.plainCost(now, s)
-			if best != nil && cost == leastCost {
-				ties++
-				if p.random.IntN(ties) == 0 {
-					best = s
-				}
+		best := p.leastCost(now, group, func(s *server) bool {
+			if pass == 0 {
+				return s.canServe(now, prompt.Exclude)
 			}
-			if best == nil || cost < leastCost {
-				best, leastCost, ties = s, cost, 1
-			}
-		}
+			return s.accepts(now) && !slices.Contains(prompt.Exclude, s.ID)
+		})
 		if best != nil {
-			return Choice{Backend: best.ID}, true
+			return Choice{Backend: best.ID, Reason: p.reasonFor(best, peridotlocality.Cost)}, true
 		}
 	}
 	return Choice{}, false
 }
 
+// canServe reports whether the server may get a request now and is not excluded.
+func (s *server) canServe(now time.Duration, exclude []string) bool {
+	return s.usable(now) && !slices.Contains(exclude, s.ID)
+}
+
+// leastCost returns the server with the least cost of those that are accepted, or nil if none
+// is. It draws among equal ones.
+func (p *Placer) leastCost(now time.Duration, group []*server, accepts func(s *server) bool) *server {
+	var best *server
+	leastCost, ties := 0.0, 1
+	for _, s := range group {
+		if !accepts(s) {
+			continue
+		}
+		cost := p.plainCost(now, s)
+		if best != nil && cost == leastCost {
+			ties++
+			if p.random.IntN(ties) == 0 {
+				best = s
+			}
+		}
+		if best == nil || cost < leastCost {
+			best, leastCost, ties = s, cost, 1
+		}
+	}
+	return best
+}
+
 // plainCost returns the cost of sending another request to a server: its requests
 // relative to its size, with penalties for failures and for another failure domain.
 func (p *Placer) plainCost(now time.Duration, s *server) float64 {
--- a/peridotplace/prompt.go
+++ b/peridotplace/prompt.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"peridotstack/peridotlocality"
 	"peridotstack/peridotsite"
 )
 
@@ -56,6 +57,10 @@
 	// SendTime is the time that this instance's link takes to send the request once.
 	// It is sent twice if prefill and decode are on different engines.
 	SendTime time.Duration
+	// ToObjective and ToDeadline are the times left for the answer; 0 means that there is
+	// none. Bytes is the size of the body. Only scarce plain services need them.
+	ToObjective, ToDeadline time.Duration
+	Bytes                   int
 }
 
 // Choice is the engine or pair of engines chosen for a prompt.
@@ -79,6 +84,9 @@
 	// prefill fetches a prefix of the prompt that it does not have; empty if it fetches
 	// none.
 	FetchBackend string
+	// Reason says why a plain server in another failure domain was chosen; empty for other
+	// servers.
+	Reason peridotlocality.Reason
 }
 
 // Place returns the engine or pair of engines with the least estimated cost for a
@@ -89,7 +97,7 @@
 // returns false if no server can serve it.
 func (p *Placer) Place(now time.Duration, prompt Prompt) (Choice, bool) {
 	if all := p.groups[groupKey{prompt.Service, prompt.SoftwareVersion}]; len(all) > 0 && all[0].engine == nil {
-		return p.placePlain(now, all, prompt.Exclude)
+		return p.placePlain(now, all, prompt)
 	}
 	group := p.candidates(prompt)
 	for pass := range 2 {
--- a/peridotplace/turn.go
+++ b/peridotplace/turn.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotstack/peridotlocality"
 	"peridotstack/peridotsite"
 	"peridotstack/peridotturn"
 )
@@ -16,6 +17,8 @@
 	interactive int
 	// pace is how long the server takes relative to most servers of its kind.
 	pace peridotturn.Pace
+	// times are how long a plain server lately took for this instance's requests.
+	times peridotlocality.Times
 }
 
 // IsInteractive reports whether a request for a service is interactive at the measured
@@ -59,6 +62,7 @@
 func (p *Placer) observePlain(now time.Duration, f *Flight) {
 	s := f.server
 	served := toMillis(now-f.startedAt) * min(1, float64(max(1, s.Slots))/float64(f.requestsAtStart))
+	s.times.Observe(now, served)
 	mean, ok := p.meanPlainMillis[s.Service]
 	if !ok {
 		mean = served
