Locality: balance scarce plain services across failure domains

Cause: a fixed extra cost of 0.7 requests let more than half of the requests for scarce plain services leave their domain although it had room, and all fronts followed the same old reports. Change: peridotlocality decides from the expected waits, the times left and the bytes; only the fraction that equalizes the waits leaves, and nothing if the own domain answers within half of the objective. Reports carry the domain, arrivals and served times (field 25); counters and log lines by reason. Sums over reports are kept incrementally.

--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -71,6 +71,9 @@
 	QuotaStart uint64       `cbor:"24,keyasint,omitempty"`
 	// HoldsDuties is set if the sender holds the lease of the duties.
 	HoldsDuties bool `cbor:"19,keyasint,omitempty"`
+	// Locality tells the load of the sender's failure domain; nil if there are no scarce plain
+	// services, and from older program versions.
+	Locality *localityReport `cbor:"25,keyasint,omitempty"`
 	// Turns completes Loads for servers of scarce services; instances that don't know it
 	// ignore it.
 	Turns []turn `cbor:"30,keyasint,omitempty"`
@@ -138,6 +141,7 @@
 		}
 		m.Placements = append(m.Placements, entry)
 	}
+	m.Locality = newLocalityReport(r)
 }
 
 // report returns the load report in the message. It omits backend servers whose
@@ -204,13 +208,18 @@
 	return list
 }
 
-// encode encodes the message as a datagram. It returns an error if the datagram
-// would exceed maxDatagramBytes.
+// encode encodes the message as a datagram, without Locality if it would be too large with
+// it. It returns an error if the datagram would exceed maxDatagramBytes.
 func (m *message) encode() ([]byte, error) {
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode datagram")
 	}
+	if len(data) > maxDatagramBytes && m.Locality != nil {
+		shorter := *m
+		shorter.Locality = nil
+		return shorter.encode()
+	}
 	if len(data) > maxDatagramBytes {
 		return nil, errors.Errorf("datagram of %d bytes, at most %d can be sent", len(data), maxDatagramBytes)
 	}
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 
 	"peridotstack/peridotclock"
+	"peridotstack/peridotlocality"
 	"peridotstack/peridotquarantine"
 	"peridotstack/peridotreserve"
 	"peridotstack/peridotsite"
@@ -75,6 +76,9 @@
 	// runs is the number of tries that may have run the request.
 	runs int
 	retryState
+	// placedFor is the Reason of the last peridotplace.Choice, and crossedFor why the present
+	// try goes to another failure domain; empty if it doesn't.
+	placedFor, crossedFor peridotlocality.Reason
 	// headReceived is set if the head of the last try's answer came from a backend server
 	// that runs the request.
 	headReceived bool
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -441,7 +441,9 @@
 	f.quota.handleReport(f.now(), m)
 	f.backends.observeSoftware(f.now(), m.Software)
 	f.observePast(m.PastSoftware)
-	f.placer.Observe(f.now(), m.From, m.report(f.backends.idByHash))
+	report := m.report(f.backends.idByHash)
+	m.Locality.addTo(&report, f.backends.idByHash, f.backends.serviceByHash)
+	f.placer.Observe(f.now(), m.From, report)
 }
 
 // recordSender updates the state of the front that sent m.
--- a/peridotfront/serve.go
+++ b/peridotfront/serve.go
@@ -142,11 +142,14 @@
 	defer f.mu.Unlock()
 	isWhole := x.route.Kind != peridotsite.Stream
 	prompt := peridotplace.Prompt{Service: x.service.Name, Parts: x.call.Parts, Tokens: x.promptTokens(), SoftwareVersion: software, Single: x.singleEngine || isWhole, Late: x.late, SendTime: x.sendTime(), Interactive: x.interactive, Gap: x.route.Gap}
+	x.setTimesLeft(&prompt)
 	x.withServers(func(exclude []string) bool {
 		prompt.Exclude = exclude
 		choice, ok = f.placer.Place(f.now(), prompt)
 		return ok
 	})
+	x.placedFor = choice.Reason
+	f.logLocalityChanges()
 	return choice, ok
 }
 
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -30,6 +30,8 @@
 	// idByHash contains the IDs of the known backend servers, by the hash that
 	// identifies each of them in datagrams.
 	idByHash map[uint32]string
+	// serviceByHash contains the names of the configured services in the same way.
+	serviceByHash map[uint32]string
 	// missingUntil contains, by ID, the time until which an unregistered backend
 	// server remains in use.
 	missingUntil map[string]time.Duration
@@ -177,6 +179,7 @@
 		list = append(list, s)
 		f.backends.idByHash[serverHash(id)] = id
 	}
+	f.backends.serviceByHash = serviceHashes(config)
 	f.placer.SetBackends(f.now(), list, config)
 }
 
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -190,6 +190,7 @@
 			x.recordBreak(ctx, to, failure, x.suspects)
 			return failure
 		}
+		x.recordCrossingBytes(len(piece))
 		s.watch.pause() // A caller that reads slowly is no silence of the server.
 		if isEvent(piece) {
 			s.recordProgress()
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -65,8 +65,12 @@
 			if reused && failure.Verdict == peridotverdict.NotRun && ctx.Err() == nil {
 				continue
 			}
+			if failure.Verdict != peridotverdict.NotRun {
+				x.recordCrossing(to)
+			}
 			return nil, AnswerHead{}, failure
 		}
+		x.recordCrossing(to)
 		head := f.protocol.DecodeAnswer(answer.StatusCode, answer.Header)
 		// An answer without an ID may be a late copy of an earlier one on a reused connection.
 		mayLackID := !reused && (head.NotRun || requestHead.Prefill)
--- a/peridotfront/whole.go
+++ b/peridotfront/whole.go
@@ -118,6 +118,7 @@
 		return nil, err
 	}
 	whole := &bufferedAnswer{status: answer.StatusCode, body: body}
+	x.recordSizes(len(body))
 	if x.service.Engine == nil || !whole.isFailure() { // An engine may fail before it has read the prompt.
 		f.quarantine.recordAnswered(x.suspects, softwareOf(from))
 	}
--- a/peridotlocality/balance.go
+++ b/peridotlocality/balance.go
@@ -13,11 +13,11 @@
 	// stayShare is the fraction of the time left to the objective within which the own
 	// domain is expected to answer a request that stays in any case. The rest covers
 	// estimates that are a report interval old, in which a server may slow down by 2.5 times.
-	stayShare = 0.4
+	stayShare = 0.5
 	// targetShare is the fraction of that time at which the answers of the own domain are
 	// held. It is above stayShare, so that the fraction that leaves changes gradually
 	// instead of switching between none and all that is needed.
-	targetShare = 0.5
+	targetShare = 0.6
 	// gainShare is the fraction of that time by which another domain must answer sooner.
 	// Without it, requests would leave on differences that are errors of the estimates.
 	gainShare = 0.1
@@ -147,8 +147,9 @@
 
 // rooms returns the room in requests of each other domain that may get the request, and the
 // fraction of the own domain's requests that leaves. If each domain with more than its share
-// of the load sends away the excess, all waits are equal at the end of the horizon; the own
-// domain sends less if that is enough to answer within the target in ms.
+// of the load sends away the excess, all waits are equal at the end of the horizon. The own
+// domain sends less while it answers within the target in ms: only what it needs to send so
+// that it answers within targetShare of the target.
 func (b *Balance) rooms(r Request, target float64) (rooms []float64, fraction float64) {
 	horizon := toMillis(b.Horizon)
 	load, capacity := b.Own.load(horizon), b.Own.Capacity
@@ -179,7 +180,12 @@
 	if usable <= 0 {
 		return rooms, 0
 	}
-	return rooms, min(1, max(0, min(excess*usable/all, needed)/arriving))
+	leaving := excess * usable / all
+	if needed < leaving {
+		lateness := (b.Own.AnswerMillis/target - targetShare) / (1 - targetShare)
+		leaving = needed + (leaving-needed)*min(1, max(0, lateness))
+	}
+	return rooms, min(1, max(0, leaving/arriving))
 }
 
 // pays reports whether a domain is expected to answer the request clearly sooner than the own
--- a/peridotlocality/measure.go
+++ b/peridotlocality/measure.go
@@ -67,14 +67,18 @@
 
 // At returns the average with its weight at now.
 func (t *Times) At(now time.Duration) Times {
+	if t.Weight == 0 {
+		return Times{at: max(t.at, now)}
+	}
 	factor := decay(now, t.at, timeTime)
 	return Times{t.Sum * factor, t.Weight * factor, max(t.at, now)}
 }
 
-// Merge adds the observations of another front, which must be as they are at the same time.
-func (t *Times) Merge(other Times) {
-	t.Sum += other.Sum
-	t.Weight += other.Weight
+// Merge adds the observations of another front at now, or takes them back if sign is -1.
+func (t *Times) Merge(now time.Duration, other Times, sign float64) {
+	*t, other = t.At(now), other.At(now)
+	t.Sum = max(0, t.Sum+sign*other.Sum)
+	t.Weight = max(0, t.Weight+sign*other.Weight)
 }
 
 // Mean returns the mean time in ms. The expected one counts like a single observation.
--- a/peridotmetric/metric.go
+++ b/peridotmetric/metric.go
@@ -86,6 +86,20 @@
 	m.countTagged(name, "place", place)
 }
 
+// CountCrossing increments the counter of requests sent to servers in other failure domains
+// for the given reason.
+func (m *Metrics) CountCrossing(reason string) {
+	m.countTagged("cross_domain_requests", "reason", reason)
+}
+
+// CountCrossingBytes adds to the counter of bytes sent to or received from servers in other
+// failure domains.
+func (m *Metrics) CountCrossingBytes(reason string, n int) {
+	if m.scope != nil {
+		m.scope.Tagged(map[string]string{"reason": reason}).Counter("cross_domain_bytes").Inc(int64(n))
+	}
+}
+
 // CountResumption increments the counter of streams that callers resume, by result.
 func (m *Metrics) CountResumption(result string) {
 	m.countTagged("resumptions", "result", result)
--- a/peridotplace/locality.go
+++ b/peridotplace/locality.go
@@ -20,8 +20,9 @@
 	// maxHealthyFailureRate is the failure rate above which a server is not counted as
 	// capacity: that at which the fixed costs prefer a server in another domain.
 	maxHealthyFailureRate = crossDomainCostRequests / failureCost
-	// answerBytesSmoothing is the weight of an answer in the mean size of a service's answers.
-	answerBytesSmoothing = 0.05
+	// bytesSmoothing is the weight of a request in the mean sizes of a service's requests and
+	// answers.
+	bytesSmoothing = 0.05
 	// maxLocalityChanges is the number of changes kept for the caller; further ones are lost.
 	maxLocalityChanges = 64
 )
@@ -66,50 +67,81 @@
 
 // locality is what an instance knows of the load of the failure domains.
 type locality struct {
-	// applies is set if there are servers of scarce plain services.
+	// applies is set if there are servers of scarce plain services. Otherwise nothing is
+	// recorded.
 	applies bool
-	// instances holds the other instances that reported within domainMemory.
-	instances map[string]domainInstance
+	// instances holds the other instances that reported within domainMemory, and domains what
+	// those of each failure domain report.
+	instances map[string]*instanceReport
+	domains   map[string]*domainState
+	checkedAt time.Duration
 	// interval is the mean time between two reports of an instance.
 	interval time.Duration
-	// arrivals holds the rates of this instance's requests, and answerBytes the mean sizes of
-	// their answers, by service.
-	arrivals    map[string]*peridotlocality.Rate
-	answerBytes map[string]float64
-	bodyBytes   map[string]float64
-	states      map[string]*peridotlocality.State
-	known       map[string]KnownChange
-	changes     []LocalityChange
-
-	// arrivalSum and timeSum are the sums of the reports at sumAt: the requests in a ms by
-	// domain and service, and the times by server. They are nil before the first report.
-	arrivalSum map[domainService]float64
-	timeSum    map[string]peridotlocality.Times
-	sumAt      time.Duration
+	// arrivals holds the rates of this instance's requests, and requestBytes and answerBytes
+	// the mean sizes of their bodies and answers, by service.
+	arrivals                  map[string]*peridotlocality.Rate
+	requestBytes, answerBytes map[string]float64
+	states                    map[string]*peridotlocality.State
+	changes                   []LocalityChange
 }
 
-type domainInstance struct {
-	domain string
-	at     time.Duration
+// domainState is what the instances of a failure domain report.
+type domainState struct {
+	name string
+	// arrivals is the sum of the recent reports, in requests per second, by service.
+	arrivals map[string]float64
+	// instances is the number of known instances, heard that of those with recent reports.
+	instances, heard int
+	known            bool
 }
 
-type domainService struct{ domain, service string }
-
-// peerLocality is the part of another instance's report on the failure domains.
-type peerLocality struct {
-	domain   string
+// instanceReport is the last report of another instance. It is counted in the sums while it is
+// recent: summing up all reports for each decision takes too long with 300 instances.
+type instanceReport struct {
+	at      time.Duration
+	counted bool
+	// domain is nil if the instance doesn't tell it.
+	domain   *domainState
 	arrivals []Arrival
-	times    map[string]peridotlocality.Times
+	servers  []serverReport
+}
+
+// serverReport is what an instance reports of a server.
+type serverReport struct {
+	server  *server
+	running int
+	times   peridotlocality.Times
+}
+
+// count adds the report to the sums at now, or takes it back.
+func (r *instanceReport) count(now time.Duration, counted bool) {
+	if r.counted == counted {
+		return
+	}
+	r.counted = counted
+	sign := 1
+	if !counted {
+		sign = -1
+	}
+	for _, s := range r.servers {
+		s.server.otherRunning += sign * s.running
+		s.server.otherTimes.Merge(now, s.times, float64(sign))
+	}
+	if r.domain != nil {
+		for _, a := range r.arrivals {
+			r.domain.arrivals[a.Service] = max(0, r.domain.arrivals[a.Service]+float64(sign)*a.PerSecond)
+		}
+	}
 }
 
 func newLocality() locality {
 	return locality{
-		instances:   make(map[string]domainInstance),
-		arrivals:    make(map[string]*peridotlocality.Rate),
-		answerBytes: make(map[string]float64),
-		bodyBytes:   make(map[string]float64),
-		states:      make(map[string]*peridotlocality.State),
-		known:       make(map[string]KnownChange),
+		instances:    make(map[string]*instanceReport),
+		domains:      make(map[string]*domainState),
+		arrivals:     make(map[string]*peridotlocality.Rate),
+		requestBytes: make(map[string]float64),
+		answerBytes:  make(map[string]float64),
+		states:       make(map[string]*peridotlocality.State),
 	}
 }
 
@@ -120,17 +152,23 @@
 
 // updateLocality records whether the rules apply to any of the servers.
 func (p *Placer) updateLocality(config *peridotsite.Config) {
-	l := &p.locality
-	l.applies = false
+	applies := false
 	for _, s := range p.servers {
-		l.applies = l.applies || s.balances()
+		applies = applies || s.balances()
 	}
-	for service := range l.arrivals {
+	if !applies && p.locality.applies {
+		p.locality = newLocality()
+		for _, s := range p.servers {
+			s.otherRunning, s.otherTimes = 0, peridotlocality.Times{}
+		}
+	}
+	p.locality.applies = applies
+	for service := range p.locality.arrivals {
 		if config.Service(service) == nil {
-			delete(l.arrivals, service)
-			delete(l.answerBytes, service)
-			delete(l.bodyBytes, service)
-			delete(l.states, service)
+			delete(p.locality.arrivals, service)
+			delete(p.locality.requestBytes, service)
+			delete(p.locality.answerBytes, service)
+			delete(p.locality.states, service)
 		}
 	}
 }
@@ -148,12 +186,12 @@
 	rate.Add(now)
 }
 
-// RecordBytes records the sizes in bytes of a request for a service and of its answer. Other
-// than scarce plain services need none.
+// RecordBytes records the sizes in bytes of a request for a scarce plain service and of its
+// answer.
 func (p *Placer) RecordBytes(service string, request, answer int) {
 	l := &p.locality
-	l.bodyBytes[service] += (float64(request) - l.bodyBytes[service]) * answerBytesSmoothing
-	l.answerBytes[service] += (float64(answer) - l.answerBytes[service]) * answerBytesSmoothing
+	l.requestBytes[service] += (float64(request) - l.requestBytes[service]) * bytesSmoothing
+	l.answerBytes[service] += (float64(answer) - l.answerBytes[service]) * bytesSmoothing
 }
 
 // LocalityChanges returns the changes of assumed states since the last call.
@@ -190,86 +228,114 @@
 	}
 }
 
-// observeLocality records the part of another instance's report on the failure domains.
-// previous is its last report; nil if there is none that is recent.
-func (p *Placer) observeLocality(now time.Duration, instance string, r Report, previous *peer) peerLocality {
+// observeLocality records the part of another instance's report that concerns failure domains
+// and plain servers of scarce services.
+func (p *Placer) observeLocality(now time.Duration, instance string, r Report) {
 	l := &p.locality
-	if previous != nil {
-		l.interval += time.Duration(float64(now-previous.receivedAt-l.interval) * intervalSmoothing)
+	if !l.applies {
+		return
+	}
+	report := &instanceReport{at: now, arrivals: r.Arrivals}
+	if previous := l.instances[instance]; previous != nil {
+		if previous.counted {
+			l.interval += time.Duration(float64(now-previous.at-l.interval) * intervalSmoothing)
+		}
+		previous.count(now, false)
+	}
+	if r.Domain != "" {
+		report.domain = l.domains[r.Domain]
+		if report.domain == nil {
+			report.domain = &domainState{name: r.Domain, arrivals: make(map[string]float64)}
+			l.domains[r.Domain] = report.domain
+		}
 	}
-	if r.Domain == "" {
-		return peerLocality{}
+	for _, load := range r.Loads {
+		if s := p.servers[load.Backend]; s != nil && s.balances() {
+			report.servers = append(report.servers, serverReport{server: s, running: load.Running})
+		}
 	}
-	l.instances[instance] = domainInstance{r.Domain, now}
-	times := make(map[string]peridotlocality.Times, len(r.Times))
 	for _, t := range r.Times {
-		times[t.Backend] = peridotlocality.NewTimes(now, t.Millis, t.Weight)
+		if s := p.servers[t.Backend]; s != nil && s.balances() {
+			report.servers = append(report.servers, serverReport{server: s, times: peridotlocality.NewTimes(now, t.Millis, t.Weight)})
+		}
+	}
+	l.instances[instance] = report
+	report.count(now, true)
+	if report.domain != nil && !report.domain.known {
+		l.checkedAt = 0 // Its load may be known from now on.
 	}
-	return peerLocality{r.Domain, r.Arrivals, times}
 }
 
-// sumLocality adds up the recent reports, at most once in peerSumTTL.
-func (p *Placer) sumLocality(now time.Duration) {
+// checkReports takes back reports older than peerTTL, and finds out which domains' loads are
+// known: those of which more than half of the instances reported within that time. One that
+// was killed makes a domain unknown only if most were; if most are out of reach, so may be the
+// load that they send.
+func (p *Placer) checkReports(now time.Duration) {
 	l := &p.locality
-	if l.arrivalSum != nil && now >= l.sumAt && now-l.sumAt <= peerSumTTL {
+	if now >= l.checkedAt && now-l.checkedAt <= peerSumTTL && l.checkedAt > 0 {
 		return
 	}
-	l.arrivalSum, l.timeSum, l.sumAt = make(map[domainService]float64), make(map[string]peridotlocality.Times), now
-	for _, peer := range p.peers {
-		if now-peer.receivedAt > peerTTL {
-			continue
+	l.checkedAt = now
+	for _, d := range l.domains {
+		d.instances, d.heard = 0, 0
+	}
+	for name, r := range l.instances {
+		age := now - r.at
+		if age > peerTTL {
+			r.count(now, false)
 		}
-		for _, a := range peer.locality.arrivals {
-			l.arrivalSum[domainService{peer.locality.domain, a.Service}] += a.PerSecond / 1000
+		if age > domainMemory {
+			delete(l.instances, name)
+			continue
 		}
-		for id, t := range peer.locality.times {
-			sum := l.timeSum[id]
-			sum.Merge(t.At(now))
-			l.timeSum[id] = sum
+		if r.domain != nil {
+			r.domain.instances++
+			if r.counted {
+				r.domain.heard++
+			}
 		}
 	}
-	l.updateKnown(now)
-}
-
-// updateKnown records which domains' loads are known: those of which more than half of the
-// instances reported within peerTTL. One that was killed makes a domain unknown only if most
-// were; if most are out of reach, so may be the load that they send.
-func (l *locality) updateKnown(now time.Duration) {
-	counts := make(map[string]KnownChange)
-	for instance, at := range l.instances {
-		if now-at.at > domainMemory {
-			delete(l.instances, instance)
-			continue
+	for name, d := range l.domains {
+		if known := 2*d.heard > d.instances; known != d.known {
+			d.known = known
+			l.addChange(KnownChange{Domain: name, Known: known, Heard: d.heard, Instances: d.instances})
 		}
-		c := counts[at.domain]
-		c.Instances++
-		if now-at.at <= peerTTL {
-			c.Heard++
+		if d.instances == 0 {
+			delete(l.domains, name)
 		}
-		counts[at.domain] = c
 	}
-	for domain := range l.known {
-		if _, ok := counts[domain]; !ok {
-			counts[domain] = KnownChange{}
-		}
+}
+
+// isKnown reports whether the load of a failure domain is known.
+func (l *locality) isKnown(domain string) bool {
+	d := l.domains[domain]
+	return d != nil && d.known
+}
+
+// arrivalsOf returns the requests in a ms that the other instances of a domain get for a
+// service.
+func (l *locality) arrivalsOf(domain, service string) float64 {
+	if d := l.domains[domain]; d != nil {
+		return d.arrivals[service] / 1000
 	}
-	for domain, c := range counts {
-		c.Domain, c.Known = domain, 2*c.Heard > c.Instances
-		if c.Known != l.known[domain].Known {
-			l.addChange(c)
-		}
-		l.known[domain] = c
-		if c.Instances == 0 {
-			delete(l.known, domain)
-		}
+	return 0
+}
+
+// plainRequests returns the number of requests of all instances at a plain server.
+func (p *Placer) plainRequests(now time.Duration, s *server) int {
+	if s.balances() {
+		p.checkReports(now)
+		return s.running + s.otherRunning
 	}
+	_, _, running := p.peerLoad(now, s.ID)
+	return s.running + running
 }
 
 // balance returns the load of the failure domains of a group of a scarce plain service, or
 // false if it can't be told and fixed costs decide: nothing is known of the servers' times, or
 // all servers of the own domain that can be used fail often.
 func (p *Placer) balance(now time.Duration, group []*server, exclude []string) (peridotlocality.Balance, bool) {
-	p.sumLocality(now)
+	p.checkReports(now)
 	l := &p.locality
 	service := group[0].Service
 	mean := p.expectedPlainMillis(now, group)
@@ -286,12 +352,10 @@
 			if !ok {
 				i = len(b.Others)
 				index[s.Domain] = i
-				b.Others = append(b.Others, peridotlocality.Domain{Name: s.Domain, IsKnown: l.known[s.Domain].Known, Arrivals: l.arrivalSum[domainService{s.Domain, service}]})
+				b.Others = append(b.Others, peridotlocality.Domain{Name: s.Domain, IsKnown: l.isKnown(s.Domain), Arrivals: l.arrivalsOf(s.Domain, service)})
 			}
 			d = &b.Others[i]
 		}
-		_, _, peerRunning := p.peerLoad(now, s.ID)
-		requests := float64(s.running + peerRunning)
 		if !s.canServe(now, exclude) {
 			continue
 		}
@@ -299,8 +363,9 @@
 			ownFails = ownFails || s.Domain == p.domain
 			continue
 		}
+		requests := float64(s.running + s.otherRunning)
 		times := s.times.At(now)
-		times.Merge(l.timeSum[s.ID])
+		times.Merge(now, s.otherTimes, 1)
 		millis, slots := max(minServedMillis, times.Mean(mean)), float64(max(1, s.Slots))
 		answer := millis * max(1, (requests+1)/slots)
 		if d.Capacity == 0 || answer < d.AnswerMillis {
@@ -309,7 +374,7 @@
 		d.Capacity += slots / millis
 		d.Requests += requests
 	}
-	b.Own.Arrivals = l.arrivalSum[domainService{p.domain, service}]
+	b.Own.Arrivals = l.arrivalsOf(p.domain, service)
 	if rate := l.arrivals[service]; rate != nil {
 		b.Own.Arrivals += rate.PerMilli(now)
 	}
@@ -327,7 +392,7 @@
 	}
 	var all peridotlocality.Times
 	for _, s := range group {
-		all.Merge(p.locality.timeSum[s.ID])
+		all.Merge(now, s.otherTimes, 1)
 	}
 	if all.Weight <= 0 {
 		return 0
@@ -346,7 +411,7 @@
 	request := peridotlocality.Request{ToObjective: prompt.ToObjective, ToDeadline: prompt.ToDeadline}
 	if prompt.Bytes > 0 {
 		request.Bytes = float64(prompt.Bytes) + p.locality.answerBytes[service]
-		request.MeanBytes = p.locality.bodyBytes[service] + p.locality.answerBytes[service]
+		request.MeanBytes = p.locality.requestBytes[service] + p.locality.answerBytes[service]
 	}
 	decision := b.Decide(request, p.random)
 	p.observeDecision(now, service, &b, decision)
@@ -360,7 +425,7 @@
 		if decision.Domain != "" {
 			return s.Domain == decision.Domain
 		}
-		return s.Domain == p.domain || !p.locality.known[s.Domain].Known
+		return s.Domain == p.domain || !p.locality.isKnown(s.Domain)
 	})
 	if best == nil {
 		return Choice{}, false
--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -71,7 +71,6 @@
 type peer struct {
 	receivedAt time.Duration
 	loads      map[string]Load
-	locality   peerLocality
 }
 
 // Load is the outstanding work that one instance has sent to a backend server.
@@ -198,7 +197,8 @@
 	for _, l := range r.Loads {
 		loads[l.Backend] = l
 	}
-	p.peers[instance] = &peer{receivedAt: now, loads: loads, locality: p.observeLocality(now, instance, r, p.peers[instance])}
+	p.peers[instance] = &peer{receivedAt: now, loads: loads}
+	p.observeLocality(now, instance, r)
 	p.peerSum = nil
 	for _, placement := range r.Placements {
 		if s := p.servers[placement.Backend]; s != nil && s.cache != nil {
--- a/peridotplace/plain.go
+++ b/peridotplace/plain.go
@@ -74,9 +74,8 @@
 // plainCost returns the cost of sending another request to a server: its requests
 // relative to its size, with penalties for failures and for another failure domain.
 func (p *Placer) plainCost(now time.Duration, s *server) float64 {
-	_, _, peerRunning := p.peerLoad(now, s.ID)
 	s.updatePace(now)
-	cost := float64(s.running+peerRunning+1) * referenceSlots / float64(max(1, s.Slots)) * s.slowness
+	cost := float64(p.plainRequests(now, s)+1) * referenceSlots / float64(max(1, s.Slots)) * s.slowness
 	cost += failureCost * s.failureRate
 	if s.Domain != p.domain {
 		cost += crossDomainCostRequests
--- a/peridotplace/turn.go
+++ b/peridotplace/turn.go
@@ -19,6 +19,10 @@
 	pace peridotturn.Pace
 	// times are how long a plain server lately took for this instance's requests.
 	times peridotlocality.Times
+	// otherRunning and otherTimes are the sums of what the other instances reported lately of
+	// a plain server.
+	otherRunning int
+	otherTimes   peridotlocality.Times
 }
 
 // IsInteractive reports whether a request for a service is interactive at the measured
@@ -76,11 +80,10 @@
 // countRequests returns the number of requests at a plain server of a scarce service, or 0
 // for other servers.
 func (p *Placer) countRequests(now time.Duration, s *server) int {
-	if !s.scarce || s.engine != nil {
+	if !s.balances() {
 		return 0
 	}
-	_, _, running := p.peerLoad(now, s.ID)
-	return s.running + running
+	return p.plainRequests(now, s)
 }
 
 // spreadShare is the largest random cost of a long prompt at an engine, relative to its
