--- a/peridotplace/placer.go
+++ b/peridotplace/placer.go
@@ -62,6 +62,7 @@
 	// pendingPlacements holds the first placements since the last Report, at most
 	// maxPendingPlacements.
 	pendingPlacements []Placement
+	locality          locality
 }
 
 // groupKey identifies a group of servers: those of one software version of a service,
@@ -146,6 +147,11 @@
 type Report struct {
 	Loads      []Load
 	Placements []Placement
+	// Domain is the failure domain of the instance. It is empty, and Arrivals and Times are,
+	// if there are no servers of scarce plain services.
+	Domain   string
+	Arrivals []Arrival
+	Times    []ServedTime
 }
 
 // New returns a Placer for an instance in the given failure domain. Its random draws
@@ -163,6 +169,7 @@
 		speeds:          make(map[speedKey]*speed),
 		meanSlotMillis:  make(map[string]float64),
 		meanPlainMillis: make(map[string]float64),
+		locality:        newLocality(),
 	}
 }
 
@@ -197,6 +204,7 @@
 	}
 	p.servers = servers
 	p.dropPeerSums(now)
+	p.updateLocality(config)
 	p.dropLimits(now)
 	p.rings = make(map[groupKey]ring)
 	for key, group := range p.groups {
@@ -226,6 +234,7 @@
 			r.Loads = append(r.Loads, Load{Backend: s.ID, PrefillTime: fromMillis(backlogMillis), LatePrefillTime: fromMillis(s.demotedMillis), Running: s.activeRequests(), Interactive: s.interactive})
 		}
 	}
+	p.addLocalityReport(now, &r)
 	n := min(limit, len(p.pendingPlacements))
 	r.Placements = p.pendingPlacements[len(p.pendingPlacements)-n:]
 	p.pendingPlacements = nil
@@ -255,6 +264,7 @@
 		sum.reportedAt = now
 	}
 	p.hasPeerSums = false
+	p.observeLocality(now, instance, r)
 	for _, placement := range r.Placements {
 		if s := p.servers[placement.Backend]; s != nil && s.cache != nil {
 			s.cache.add(placement.Parts, now+p.estimateReadTime(now, s, placement.Parts))
--- a/peridotplace/turn.go
+++ b/peridotplace/turn.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"peridotstack/peridotlocality"
 	"peridotstack/peridotsite"
 	"peridotstack/peridotturn"
 )
@@ -17,6 +18,12 @@
 	interactive int
 	// pace is how long the server takes relative to most servers of its kind.
 	pace peridotturn.Pace
+	// times are how long a plain server lately took for this instance's requests.
+	times peridotlocality.Times
+	// otherRunning and otherTimes are the sums of what the other instances reported lately of
+	// a plain server.
+	otherRunning int
+	otherTimes   peridotlocality.Times
 }
 
 // IsInteractive reports whether a request for a service is interactive at the measured
@@ -60,6 +67,7 @@
 func (p *Placer) observePlain(now time.Duration, f *Flight) {
 	s := f.server
 	served := toMillis(now-f.startedAt) * min(1, float64(max(1, s.Slots))/float64(f.requestsAtStart))
+	s.times.Observe(now, served)
 	mean, ok := p.meanPlainMillis[s.Service]
 	if !ok {
 		mean = served
@@ -73,11 +81,10 @@
 // countRequests returns the number of requests at a plain server of a scarce service, or 0
 // for other servers.
 func (p *Placer) countRequests(now time.Duration, s *server) int {
-	if !s.scarce || s.engine != nil {
+	if !s.balances() {
 		return 0
 	}
-	_, _, running := p.peerLoad(now, s)
-	return s.running + running
+	return p.plainRequests(now, s)
 }
 
 // spreadShare is the largest random cost of a long prompt at an engine, relative to its
