Account limits: a margin for the start of all fronts, and levels that pass on

Also, a front that starts learned what is left only from one that had run for a window; where fronts start in turn there may be none. Change: the cap in times shorter than the window leaves 0.3 of the burst for what all admit until they hear of each other, and 0.2 instead of 0.3 is left at a start. A front that was told what is left tells it to others.

--- a/peridotquota/report.go
+++ b/peridotquota/report.go
@@ -23,7 +23,7 @@
 // accounts, those whose use has changed most, or all that were ever used if all is set.
 func (t *Table) Report(now time.Duration, start uint64, limit int, all bool) Report {
 	t.begin(now)
-	r := Report{Start: start, HasLevels: now-t.start >= t.tolerance.Window}
+	r := Report{Start: start, HasLevels: true}
 	news := func(a *account) float64 { return math.Abs(a.total-a.told) / max(a.limit.Burst, 1) }
 	var names []string
 	for name, a := range t.accounts {
@@ -38,6 +38,7 @@
 		a := t.accounts[name]
 		t.advance(now, a)
 		a.told = a.total
+		r.HasLevels = r.HasLevels && (a.knowsPast || now-t.start >= t.tolerance.Window)
 		r.Usages = append(r.Usages, Usage{Account: name, Total: a.total, Demand: a.demandAtTime(now), Level: t.level(a)})
 	}
 	return r
--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -10,8 +10,11 @@
 	// burst, and startRate what becomes free from then on, as a share of the rate, until a
 	// window has passed or another instance tells what is left: what was used before the
 	// start is not known. They suffice for an account whose usual use is half of its rate.
-	startLevel = 0.3
+	startLevel = 0.2
 	startRate  = 0.6
+	// startMargin is what all instances admit, as a share of the burst, until they hear of
+	// each other after a start of all.
+	startMargin = 0.3
 	// burstShare is the share of the tolerated excess by which an instance exceeds the limit
 	// of a window: what the window allows must not be refused. toleranceShare is that on
 	// which the reserve may count.
@@ -89,7 +92,8 @@
 	// Start identifies the start of the instance; a total of another start is a new one.
 	Start  uint64
 	Usages []Usage
-	// HasLevels is set if the instance has run for a window, so that it knows what was used.
+	// HasLevels is set if the instance knows what was used in the window of all Usages: it has
+	// run for that long, or another one has told it.
 	HasLevels bool
 }
 
@@ -227,10 +231,10 @@
 }
 
 // cap returns what all instances may admit in a time that is shorter than the window. If all
-// instances are killed after it, they admit startLevel and startRate in the rest of the
-// window, and the sum must not exceed the limit.
+// instances are killed after it, they admit startLevel, startMargin and startRate in the rest
+// of the window, and the sum must not exceed the limit.
 func (t *Table) cap(a *account, in time.Duration) float64 {
-	return a.size - startLevel*a.limit.Burst - startRate*a.limit.Rate*max(0, t.tolerance.Window-in).Seconds()
+	return a.size - (startLevel+startMargin)*a.limit.Burst - startRate*a.limit.Rate*max(0, t.tolerance.Window-in).Seconds()
 }
 
 // room returns what is left of the limit, which is negative if it is overdrawn, and what
