Account limits: 0.8 of the rate after a start

Cause: the more an account may use at once in usual times, the less is left after a start that knows nothing.

--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -10,11 +10,11 @@
 	// burst, and startRate what becomes free from then on, as a share of the rate, until a
 	// window has passed or another instance tells what is left: what was used before the
 	// start is not known. They suffice for an account whose usual use is half of its rate.
-	startLevel = 0.2
-	startRate  = 0.6
+	startLevel = 0.3
+	startRate  = 0.8
 	// startMargin is what all instances admit, as a share of the burst, until they hear of
 	// each other after a start of all.
-	startMargin = 0.3
+	startMargin = 0.2
 	// burstShare is the share of the tolerated excess by which an instance exceeds the limit
 	// of a window: what the window allows must not be refused. toleranceShare is that on
 	// which the reserve may count.
