Peers: bound the fronts that are known only from datagrams

Cause: each address in a datagram became a front for good, and each new name of a sender left its own reports, so that a flood of datagrams took memory without end, and slowed the gossip for ever. Change: at most 2,048 fronts that the roster doesn't show; they are forgotten after 20 s of silence at the next read of the roster. One address has one name until it is silent for 1.5 s. Fronts of the roster are never refused. Refused datagrams are counted (datagrams_refused).

--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -56,6 +56,15 @@
 	// rosterLoadTime is how long after its start a front is not ready if it could not read
 	// the roster.
 	rosterLoadTime = 2 * time.Second
+	// maxUnlistedPeers limits the fronts that are known only from datagrams, which anybody
+	// may send. Those in the roster are not limited. Without a roster, it exceeds the design
+	// size of 1,200 fronts.
+	maxUnlistedPeers = 2048
+	// maxInstanceBytes limits the length of an instance's name in a datagram.
+	maxInstanceBytes = 256
+	// forgetInterval is the minimum time between two searches for fronts to forget if there
+	// are too many.
+	forgetInterval = time.Second
 	// rosterPrefix is the key prefix of the rows of the roster.
 	rosterPrefix = "front/"
 )
@@ -69,6 +78,10 @@
 	mu sync.Mutex
 	// byAddress contains the other fronts by address.
 	byAddress map[netip.AddrPort]*peerState
+	// unlisted is the number of those that the roster has never shown, and forgottenAt when
+	// silent ones of them were last removed.
+	unlisted    int
+	forgottenAt time.Duration
 	// rounds counts the rounds of datagrams sent.
 	rounds int
 	// reportBytes is the moving average of the size of a load report.
@@ -86,6 +99,8 @@
 	heardAt time.Duration
 	// addedAt is when the address of the front became known.
 	addedAt time.Duration
+	// isListed is set once the roster has shown the front.
+	isListed bool
 	// storeSteadySince is the time since which the table service has answered the front
 	// without interruption. It is valid only if storeAnswering is set, which means that
 	// the table service answers the front.
@@ -418,7 +433,10 @@
 	if err != nil || m.From == f.settings.Instance {
 		return
 	}
-	p.recordSender(address, m)
+	if !p.recordSender(address, m) {
+		f.metrics.Count("datagrams_refused")
+		return
+	}
 	for _, text := range m.Peers {
 		if other, err := netip.ParseAddrPort(text); err == nil {
 			p.addAddress(other)
@@ -444,14 +462,19 @@
 	f.placer.Observe(f.now(), m.From, m.report(f.backends.idByHash))
 }
 
-// recordSender updates the state of the front that sent m.
-func (p *peers) recordSender(address netip.AddrPort, m *message) {
+// recordSender updates the state of the front that sent m. It returns false if the message
+// must be ignored: the name is too long, there are too many fronts, or another front is
+// alive at the address.
+func (p *peers) recordSender(address netip.AddrPort, m *message) bool {
+	if len(m.From) > maxInstanceBytes {
+		return false
+	}
 	now := p.front.now()
 	p.mu.Lock()
-	state := p.byAddress[address]
-	if state == nil {
-		state = &peerState{addedAt: now}
-		p.byAddress[address] = state
+	state := p.stateOf(now, address)
+	if state == nil || state.heardAt > 0 && state.instance != m.From && now-state.heardAt < peerAliveTimeout {
+		p.mu.Unlock()
+		return false
 	}
 	isNew := state.heardAt == 0
 	if isNew {
@@ -472,10 +495,44 @@
 		log.WithFields(log.Fields{"instance": m.From, "address": address.String()}).Info(logPrefix + "received the first datagram from another front")
 		p.front.updateRetryBudget()
 	}
+	return true
+}
+
+// stateOf returns the state of the front at the given address. It adds the front if it is
+// unknown, and returns nil if there are too many. The caller must hold p.mu.
+func (p *peers) stateOf(now time.Duration, address netip.AddrPort) *peerState {
+	if state := p.byAddress[address]; state != nil {
+		return state
+	}
+	if p.unlisted >= maxUnlistedPeers && now-p.forgottenAt >= forgetInterval {
+		p.forgetSilent(now)
+	}
+	if p.unlisted >= maxUnlistedPeers {
+		return nil
+	}
+	state := &peerState{addedAt: now}
+	p.byAddress[address] = state
+	p.unlisted++
+	return state
+}
+
+// forgetSilent removes the fronts that are not in the roster and have been silent for
+// peerForgetTimeout. The caller must hold p.mu.
+func (p *peers) forgetSilent(now time.Duration) {
+	p.forgottenAt = now
+	maps.DeleteFunc(p.byAddress, func(_ netip.AddrPort, state *peerState) bool {
+		return !state.isListed && now-max(state.heardAt, state.addedAt) >= peerForgetTimeout
+	})
+	p.unlisted = 0
+	for _, state := range p.byAddress {
+		if !state.isListed {
+			p.unlisted++
+		}
+	}
 }
 
 // addAddress adds the address of a front unless it is known already or is that of this
-// front.
+// front, or there are too many.
 func (p *peers) addAddress(address netip.AddrPort) {
 	if address.String() == p.front.settings.PeerAddress {
 		return
@@ -483,12 +540,30 @@
 	now := p.front.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.byAddress[address] == nil {
-		p.byAddress[address] = &peerState{addedAt: now}
+	if p.byAddress[address] == nil && p.stateOf(now, address) != nil {
 		p.changes++
 	}
 }
 
+// addListed adds the address of a front in the roster, however many there are.
+func (p *peers) addListed(address netip.AddrPort) {
+	if address.String() == p.front.settings.PeerAddress {
+		return
+	}
+	now := p.front.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.byAddress[address]
+	switch {
+	case state == nil:
+		p.byAddress[address] = &peerState{addedAt: now, isListed: true}
+		p.changes++
+	case !state.isListed:
+		state.isListed = true
+		p.unlisted--
+	}
+}
+
 // followRoster adds this front to the roster, again in each new era of the table
 // service, and reads the roster periodically until ctx is done.
 func (p *peers) followRoster(ctx context.Context) {
@@ -554,10 +629,17 @@
 			log.WithField("row", row.Key).Warn(logPrefix + "cannot parse the address of another front")
 			continue
 		}
-		p.addAddress(address)
+		p.addListed(address)
 	}
+	now := p.front.now()
 	p.mu.Lock()
 	p.rosterRead = true
+	before := len(p.byAddress)
+	p.forgetSilent(now)
+	hasForgotten := len(p.byAddress) < before
 	p.mu.Unlock()
+	if hasForgotten {
+		p.front.updateRetryBudget()
+	}
 	return true
 }
