Usage: bound the counts and final counts of other fronts

Cause: usage counts from datagrams were kept for any window, process and account name, and final counts for any window with any number of accounts; one for a window far ahead also deleted the seals of all others. Change: counts of other fronts take at most 12 % of the memory above 32 MB (peridotreserve UsageBytes); only windows that are kept and the next one are accepted once the clock is anchored; all fronts delete old windows, not only the holder of the duties; final counts take 1 MiB a window. What a front counts itself is never refused. Refusals are counted (usage_refused).

--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -129,7 +129,8 @@
 // of the table service's clock to clock.
 func New(s Settings, platform Platform, protocol Protocol, clock *peridotclock.SharedClock, options ...Option) *Front {
 	self := peridotusage.Process{Instance: s.Instance, Incarnation: rand.Text()}
-	tally := peridotusage.NewTally(self, s.UsageWindow, keptUsageWindows)
+	limits := peridotreserve.LimitsOf(s.MemoryBytes, s.MaxDescriptors)
+	tally := peridotusage.NewTally(self, s.UsageWindow, keptUsageWindows, peridotusage.WithMergedLimit(int(limits.UsageBytes)))
 	f := &Front{
 		settings: s, platform: platform, protocol: protocol, clock: clock,
 		metrics:         &peridotmetric.Metrics{},
@@ -149,7 +150,7 @@
 		feedSteadySince: make(map[string]time.Duration),
 		backendsChanged: make(chan struct{}, 1),
 	}
-	f.bodies = peridotreserve.NewPool(peridotreserve.LimitsOf(s.MemoryBytes, s.MaxDescriptors).BodyBytes, smallBodyBytes)
+	f.bodies = peridotreserve.NewPool(limits.BodyBytes, smallBodyBytes)
 	f.closing, f.startClosing = context.WithCancel(context.Background())
 	f.backends.byID = make(map[string]peridotsite.Backend)
 	f.backends.departures = make(departures)
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -445,14 +445,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m.Usage != nil {
-		from := peridotusage.Process{Instance: m.From, Incarnation: m.Usage.Incarnation}
-		f.tally.Merge(from, peridotusage.Window(m.Usage.Window), m.Usage.Counts)
+		f.handleUsage(m)
 		return
 	}
 	if m.Seal != nil {
-		if !f.seals.Merge(peridotusage.Window(m.Seal.Window), m.Seal.Accounts, m.Seal.Counts) {
-			f.metrics.Count("usage_seal_contradictions")
-		}
+		f.handleSeal(m.Seal)
 		return
 	}
 	f.handleLimits(m)
--- a/peridotfront/seals.go
+++ b/peridotfront/seals.go
@@ -39,6 +39,43 @@
 	return own
 }
 
+// isUsageWindow reports whether other fronts may send counts of a window now: those that are
+// kept, and the next one, since clocks differ. Any window may be sent until the clock is
+// anchored. The caller must hold f.mu.
+func (f *Front) isUsageWindow(window int64) bool {
+	now, ok := f.clock.TrueTime(peridotclock.BootTime())
+	if !ok {
+		return true
+	}
+	current := int64(f.tally.WindowAt(now))
+	return window > current-keptUsageWindows && window <= current+1
+}
+
+// handleUsage adds the counts that another front sent. The caller must hold f.mu.
+func (f *Front) handleUsage(m *message) {
+	if now, ok := f.clock.TrueTime(peridotclock.BootTime()); ok {
+		f.tally.DeleteOld(f.tally.WindowAt(now))
+	}
+	from := peridotusage.Process{Instance: m.From, Incarnation: m.Usage.Incarnation}
+	if !f.isUsageWindow(m.Usage.Window) || !f.tally.Merge(from, peridotusage.Window(m.Usage.Window), m.Usage.Counts) {
+		f.metrics.Count("usage_refused")
+	}
+}
+
+// handleSeal adds the final counts that another front announced. The caller must hold f.mu.
+func (f *Front) handleSeal(s *seal) {
+	if now, ok := f.clock.TrueTime(peridotclock.BootTime()); ok {
+		f.seals.DeleteAfter(f.tally.WindowAt(now) + 1)
+	}
+	if !f.isUsageWindow(s.Window) {
+		f.metrics.Count("usage_refused")
+		return
+	}
+	if !f.seals.Merge(peridotusage.Window(s.Window), s.Accounts, s.Counts) {
+		f.metrics.Count("usage_seal_contradictions")
+	}
+}
+
 // recordSeal records the final counts of a window that this front reports as the
 // holder of the duties. It returns the counts that count, which are those known
 // before, if any.
--- a/peridotreserve/limits.go
+++ b/peridotreserve/limits.go
@@ -6,10 +6,13 @@
 	// minUsableShare is the minimum fraction of the memory that clients may use.
 	minUsableShare = 0.25
 	// bodyShare, headShare and connectionShare are fractions of the memory without baseBytes.
-	// The rest is for answers and for garbage.
+	// What these and usageShare leave is for answers and for garbage.
 	bodyShare       = 0.5
 	headShare       = 0.125
 	connectionShare = 0.2
+	// usageShare is the fraction for the usage counts of other fronts, which anybody may send.
+	// At 144 MiB, it holds 8 windows of 100 accounts from 200 fronts.
+	usageShare = 0.12
 	// connectionCost is the memory of a connection: two buffers of 4 KiB, the stack of its
 	// goroutine and that of the goroutine that notices the end of the connection.
 	connectionCost = 24 << 10
@@ -26,6 +29,8 @@
 type Limits struct {
 	// BodyBytes and HeadBytes are the memory of request bodies and of parsed request heads.
 	BodyBytes, HeadBytes int64
+	// UsageBytes is the memory of the usage counts of other fronts.
+	UsageBytes int64
 	// Connections is the maximum number of connections from clients.
 	Connections int
 	// RuntimeBytes is the memory limit of the Go runtime.
@@ -41,7 +46,7 @@
 	}
 	usable := max(float64(memory-baseBytes), minUsableShare*float64(memory))
 	l := Limits{
-		BodyBytes: int64(bodyShare * usable), HeadBytes: int64(headShare * usable),
+		BodyBytes: int64(bodyShare * usable), HeadBytes: int64(headShare * usable), UsageBytes: int64(usageShare * usable),
 		Connections:  max(1, int(connectionShare*usable/connectionCost)),
 		RuntimeBytes: int64(runtimeShare * float64(memory)),
 	}
--- a/peridotreserve/pool_test.go
+++ b/peridotreserve/pool_test.go
@@ -81,7 +81,7 @@
 		if l.Connections != test.connections {
 			t.Errorf("%d bytes, %d descriptors: got %d connections, want %d", test.memory, test.descriptors, l.Connections, test.connections)
 		}
-		if sum := l.BodyBytes + l.HeadBytes + int64(l.Connections)*connectionCost; test.memory > 0 && (sum > l.RuntimeBytes || l.RuntimeBytes > test.memory) {
+		if sum := l.BodyBytes + l.HeadBytes + l.UsageBytes + int64(l.Connections)*connectionCost; test.memory > 0 && (sum > l.RuntimeBytes || l.RuntimeBytes > test.memory) {
 			t.Errorf("%d bytes, %d descriptors: got %+v, want bounds below the memory", test.memory, test.descriptors, l)
 		}
 	}
--- a/peridotusage/seals.go
+++ b/peridotusage/seals.go
@@ -2,6 +2,14 @@
 
 import "maps"
 
+// maxSealBytes limits the memory of the final counts of one window: 13,000 accounts with names
+// of 16 bytes.
+const maxSealBytes = 1 << 20
+
+// maxSealsFactor limits the windows of other processes, as a multiple of keepWindows: they may
+// be any until the clock of the process is set.
+const maxSealsFactor = 2
+
 // Seals holds the final counts of the latest sealed windows, as sealed by this process
 // or announced by others. The first counts known of a window stay. A Seals must be
 // created with NewSeals and is not safe for concurrent use.
@@ -15,6 +23,8 @@
 type seal struct {
 	accounts int
 	counts   map[string]int64
+	// bytes is about the memory of the counts.
+	bytes int
 }
 
 // NewSeals returns a Seals that keeps the newest keepWindows windows.
@@ -24,10 +34,13 @@
 
 // Merge adds a part of the final counts of a window, which has the given number of
 // accounts in all. It reports false, and ignores the part, if it contradicts the
-// counts known so far.
+// counts known so far, is too large, or if too many windows are known.
 func (s *Seals) Merge(w Window, accounts int, part map[string]int64) bool {
 	known := s.seals[w]
 	if known == nil {
+		if len(s.seals) >= maxSealsFactor*int(s.keepWindows) {
+			return false
+		}
 		known = &seal{accounts: accounts, counts: make(map[string]int64)}
 		s.seals[w] = known
 		s.deleteOld(w)
@@ -35,12 +48,20 @@
 	if known.accounts != accounts {
 		return false
 	}
+	bytes := known.bytes
 	for account, n := range part {
 		old, ok := known.counts[account]
 		if ok && old != n || !ok && len(known.counts) == accounts {
 			return false
 		}
+		if !ok {
+			bytes += countBytes + len(account)
+		}
 	}
+	if bytes > maxSealBytes {
+		return false
+	}
+	known.bytes = bytes
 	maps.Copy(known.counts, part)
 	return true
 }
@@ -82,3 +103,8 @@
 		}
 	}
 }
+
+// DeleteAfter deletes the windows after w, which can't have ended.
+func (s *Seals) DeleteAfter(w Window) {
+	maps.DeleteFunc(s.seals, func(number Window, _ *seal) bool { return number > w })
+}
--- a/peridotusage/seals_test.go
+++ b/peridotusage/seals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strconv"
 	"testing"
 )
 
@@ -47,3 +48,27 @@
 		t.Errorf("got %d windows kept, want 3", got)
 	}
 }
+
+// TestSealsAreBounded guards against final counts, of any window, that take all memory.
+func TestSealsAreBounded(t *testing.T) {
+	s := NewSeals(3)
+	n := 0
+	for n < maxSealBytes && s.Merge(7, 1<<30, map[string]int64{strconv.Itoa(n): 1}) {
+		n++
+	}
+	if most := maxSealBytes / countBytes; n < most/2 || n > most {
+		t.Errorf("got %d accounts, want %d to %d", n, most/2, most)
+	}
+	s = NewSeals(3)
+	for w := range Window(100) {
+		s.Merge(100-w, 1, map[string]int64{"a": 1})
+	}
+	if got := len(s.All()); got != 6 {
+		t.Errorf("got %d windows, want 6", got)
+	}
+	s.Set(2, map[string]int64{"a": 1})
+	s.DeleteAfter(96)
+	if got := len(s.All()); got != 3 {
+		t.Errorf("got %d windows up to 96, want 3", got)
+	}
+}
--- a/peridotusage/tally.go
+++ b/peridotusage/tally.go
@@ -5,6 +5,15 @@
 	"time"
 )
 
+const (
+	// defaultMergedBytes limits the memory of the counts of other processes if no option sets
+	// it. At 80 bytes per count it holds 8 windows of 100 accounts from 260 processes.
+	defaultMergedBytes = 16 << 20
+	// countBytes is about the memory of a count without the account's name, and processBytes
+	// that of the counts of a process without its name.
+	countBytes, processBytes = 64, 256
+)
+
 // Tally holds the number of requests that each client account started in each
 // window, as counted by each process. The counts only grow, so they can be merged
 // in any order and any number of times. A Tally must be created with NewTally and
@@ -15,13 +24,30 @@
 	keepWindows  Window
 	// counts holds the number of requests by window, process and account.
 	counts map[Window]map[Process]map[string]int64
+	// mergedBytes is about the memory of the counts of other processes by window.
+	mergedBytes map[Window]int
+	// maxMerged limits their sum.
+	maxMerged int
+}
+
+// TallyOption sets an optional part of a Tally.
+type TallyOption func(*Tally)
+
+// WithMergedLimit limits the memory of the counts of other processes to about the given number
+// of bytes. Sums of the counts take as much again.
+func WithMergedLimit(bytes int) TallyOption {
+	return func(t *Tally) { t.maxMerged = bytes }
 }
 
 // NewTally returns the Tally of the process self. Its windows have the given
 // length and are numbered from the Unix epoch. DeleteOld keeps the counts of the
 // newest keepWindows windows.
-func NewTally(self Process, windowLength time.Duration, keepWindows int) *Tally {
-	return &Tally{self: self, windowLength: windowLength, keepWindows: Window(keepWindows), counts: make(map[Window]map[Process]map[string]int64)}
+func NewTally(self Process, windowLength time.Duration, keepWindows int, options ...TallyOption) *Tally {
+	t := &Tally{maxMerged: defaultMergedBytes, self: self, windowLength: windowLength, keepWindows: Window(keepWindows), counts: make(map[Window]map[Process]map[string]int64), mergedBytes: make(map[Window]int)}
+	for _, option := range options {
+		option(t)
+	}
+	return t
 }
 
 // WindowAt returns the window that contains the wall-clock time at.
@@ -52,12 +78,33 @@
 }
 
 // Merge merges another process's counts for a window. It keeps the larger count of
-// each account.
-func (t *Tally) Merge(from Process, w Window, counts map[string]int64) {
+// each account. It returns false, and changes nothing, if there is no memory for them.
+func (t *Tally) Merge(from Process, w Window, counts map[string]int64) bool {
+	known, ok := t.counts[w][from]
+	more := 0
+	if !ok {
+		more = processBytes + len(from.Instance) + len(from.Incarnation)
+	}
+	for account := range counts {
+		if _, ok := known[account]; !ok {
+			more += countBytes + len(account)
+		}
+	}
+	all := more
+	for _, bytes := range t.mergedBytes {
+		all += bytes
+	}
+	if more > 0 && all > t.maxMerged {
+		return false
+	}
+	if more > 0 {
+		t.mergedBytes[w] += more
+	}
 	merged := t.countsOf(w, from)
 	for account, n := range counts {
 		merged[account] = max(merged[account], n)
 	}
+	return true
 }
 
 // Sum returns the number of requests that each account started in a window,
@@ -73,11 +120,17 @@
 }
 
 // DeleteOld deletes the counts of the windows that are keepWindows or more windows
-// before w.
+// before w, and those of other processes of windows that are as far after it, which they
+// can't have.
 func (t *Tally) DeleteOld(w Window) {
 	for number := range t.counts {
-		if number <= w-t.keepWindows {
+		switch {
+		case number <= w-t.keepWindows:
 			delete(t.counts, number)
+			delete(t.mergedBytes, number)
+		case number >= w+t.keepWindows && t.mergedBytes[number] > 0:
+			maps.DeleteFunc(t.counts[number], func(p Process, _ map[string]int64) bool { return p != t.self })
+			delete(t.mergedBytes, number)
 		}
 	}
 }
--- a/peridotusage/tally_test.go
+++ b/peridotusage/tally_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"reflect"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -38,3 +40,37 @@
 		t.Errorf("Sum of a kept window: got %v, want 1 of x", got)
 	}
 }
+
+// TestTallyIsBounded guards against counts of other processes, or of processes that don't
+// exist, that take all memory, and against windows to come that keep it.
+func TestTallyIsBounded(t *testing.T) {
+	self := Process{Instance: "a", Incarnation: "1"}
+	const limit = 1 << 20
+	tally := NewTally(self, time.Second, 3, WithMergedLimit(limit))
+	at := time.Unix(1000, 0)
+	w := tally.WindowAt(at)
+	merge := func(n int) bool {
+		return tally.Merge(Process{Instance: "b", Incarnation: strconv.Itoa(n)}, w+Window(5*(n%2)), map[string]int64{strings.Repeat("x", 1<<10): 1})
+	}
+	n := 0
+	for n < limit>>10 && merge(n) {
+		n++
+	}
+	if most := limit / (1<<10 + countBytes + processBytes); n < most/2 || n > most {
+		t.Errorf("got %d processes, want %d to %d", n, most/2, most)
+	}
+	if merge(n) || !merge(0) {
+		t.Error("full: got a further process or not the known one, want just that")
+	}
+	tally.Add("x", at)
+	if got := tally.Sum(w)["x"]; got != 1 {
+		t.Errorf("full: got %d own requests, want 1", got)
+	}
+	tally.DeleteOld(w)
+	if got := len(tally.Sum(w + 5)); got != 0 {
+		t.Errorf("got %d accounts in a window to come, want none", got)
+	}
+	if !merge(n) {
+		t.Error("got no room after the deletion, want some")
+	}
+}
