Software: bound the versions that are known only from datagrams

Cause: each service and version in a datagram was kept, for 5 minutes or, at a front that had just started, for good. Change: at most 1,024 of them, of at most 264 bytes together with the service.

--- a/peridotfront/history.go
+++ b/peridotfront/history.go
@@ -234,7 +234,7 @@
 		return
 	}
 	for _, a := range list {
-		if _, ok := f.history.past[a.Service]; !ok {
+		if _, ok := f.history.past[a.Service]; !ok && len(f.history.past) < maxHeardSoftware && len(a.Service)+len(a.Version) <= maxSoftwareBytes {
 			f.history.past[a.Service] = pastVersion{version: a.Version, at: f.now() - time.Duration(a.Millis)*time.Millisecond}
 		}
 	}
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -23,6 +23,8 @@
 	maxSoftwareAges = 32
 	// maxAnnouncedBytes limits the length of a software version in a datagram.
 	maxAnnouncedBytes = 64
+	// maxHeardSoftware limits the software versions that are known only from datagrams.
+	maxHeardSoftware = 1024
 	// unstatedSoftware stands for the software version of servers that state none.
 	unstatedSoftware = "unstated"
 	// softwareRetryAfter is the Retry-After if the software version of a resumed stream
@@ -100,7 +102,11 @@
 	b.recordSoftware(now)
 	for _, a := range list {
 		s, at := serviceSoftware{a.Service, a.Version}, now-time.Duration(a.Millis)*time.Millisecond
-		if last, ok := b.peerSoftware[s]; !ok || at > last {
+		last, ok := b.peerSoftware[s]
+		if !ok && (len(b.peerSoftware) >= maxHeardSoftware || len(a.Service)+len(a.Version) > maxSoftwareBytes) {
+			continue
+		}
+		if !ok || at > last {
 			b.peerSoftware[s] = at
 		}
 	}
