Origins: bound the memory of software versions

Cause: a table of origins is bounded by the number of streams, 131,072; with another version of 280 bytes for each, as datagrams of strangers may name, it took more than the memory of a small front. Change: all versions of a table take 4 MiB at most; the oldest origins are dropped for new ones. A fleet has some dozens of versions, and each is held once.

--- a/peridotorigin/table.go
+++ b/peridotorigin/table.go
@@ -19,6 +19,11 @@
 	// MaxVersionBytes limits the length of a software version. The front records the name
 	// of the service with it, which has 200 bytes at most.
 	MaxVersionBytes = 280
+	// maxVersionsBytes limits the memory of all software versions in a table, which has each
+	// of them once: a fleet has some dozens.
+	maxVersionsBytes = 4 << 20
+	// versionOverheadBytes is about the memory of a version in a table without its text.
+	versionOverheadBytes = 100
 )
 
 // Key identifies a stream.
@@ -43,6 +48,8 @@
 	// interned contains each version in use once, with the number of its streams, so
 	// that streams don't hold the datagrams that brought their versions.
 	interned map[string]*internedVersion
+	// internedBytes is about the memory of interned.
+	internedBytes int
 }
 
 type origin struct {
@@ -68,7 +75,7 @@
 
 // Record adds the origin of a stream. The first version recorded for a stream stays; if
 // it is recorded again in the second half of its time, because the stream was resumed,
-// its time begins anew. A full table drops its oldest origin. Record reports whether it
+// its time begins anew. A full table drops its oldest origins. Record reports whether it
 // added or renewed the origin; it refuses a version of more than MaxVersionBytes. The
 // times of consecutive calls must not decrease.
 func (t *Table) Record(now time.Duration, key Key, version string) bool {
@@ -81,7 +88,7 @@
 	case known && (o.version != version || o.expiresAt-now > t.ttl/2):
 		return false
 	case !known:
-		for t.Len() >= t.limit {
+		for t.Len() >= t.limit || !t.hasRoomFor(version) {
 			t.removeOldest()
 		}
 		o.version = t.intern(version)
@@ -138,12 +145,18 @@
 	}
 }
 
+// hasRoomFor reports whether the table can hold a version.
+func (t *Table) hasRoomFor(version string) bool {
+	return t.interned[version] != nil || t.internedBytes+versionOverheadBytes+len(version) <= maxVersionsBytes
+}
+
 // intern returns the shared copy of a version.
 func (t *Table) intern(version string) string {
 	v := t.interned[version]
 	if v == nil {
 		v = &internedVersion{text: version}
 		t.interned[version] = v
+		t.internedBytes += versionOverheadBytes + len(version)
 	}
 	v.streams++
 	return v.text
@@ -155,5 +168,6 @@
 	v.streams--
 	if v.streams == 0 {
 		delete(t.interned, version)
+		t.internedBytes -= versionOverheadBytes + len(version)
 	}
 }
--- a/peridotorigin/table_test.go
+++ b/peridotorigin/table_test.go
@@ -68,3 +68,23 @@
 		t.Errorf("all expired: got length %d, origins %d, interned %d, want 0", table.Len(), len(table.origins), len(table.interned))
 	}
 }
+
+// TestVersionsAreBounded guards against long versions that take all memory, each of them for
+// one stream.
+func TestVersionsAreBounded(t *testing.T) {
+	table := NewTable(time.Minute, MaxOrigins)
+	const streams = 40_000
+	for i := range Key(streams) {
+		table.Record(0, i, fmt.Sprintf("%0*d", MaxVersionBytes, i))
+	}
+	if got, most := table.Len(), maxVersionsBytes/MaxVersionBytes; got < most/2 || got > most || table.internedBytes > maxVersionsBytes {
+		t.Errorf("got %d origins and %d bytes, want %d to %d and at most %d", got, table.internedBytes, most/2, most, maxVersionsBytes)
+	}
+	if _, ok := table.Version(0, streams-1); !ok {
+		t.Error("got no version for the latest stream, want it")
+	}
+	table.Expire(time.Minute)
+	if table.internedBytes != 0 {
+		t.Errorf("got %d bytes after expiry, want 0", table.internedBytes)
+	}
+}
