Origins: bound the answers that wait for the link in bytes

Cause: 32,768 datagrams of up to 8 KiB could wait for a narrow link, 256 MiB, most of them answers to questions of anybody; questions without a key were not limited at all. Change: a datagram is dropped if its size times the number of waiting ones exceeds 4 MiB, so that all take 21 MiB at most while small questions may still fill the queue; a message has at most 64 questions, also empty ones. Measured: TestQueuedAnswersAreBounded: 4 MiB wait of 10,000 answers of 5 KB.

--- a/peridotfront/origins.go
+++ b/peridotfront/origins.go
@@ -28,6 +28,10 @@
 	// maxQueuedDatagrams limits the number of datagrams about origins that wait to be
 	// sent.
 	maxQueuedDatagrams = 32768
+	// maxQueuedBytes limits the number of waiting datagrams times the size of a new one. Small
+	// questions may fill the queue; all in it take 21 MiB at most, some of which are answers
+	// of 8 KiB to questions of anybody.
+	maxQueuedBytes = 4 << 20
 	// maxJoinedDatagrams and maxJoinedBytes limit the questions and answers for one front
 	// that are joined into one datagram. A receiver's buffer holds some hundred datagrams,
 	// however small they are.
@@ -92,7 +96,7 @@
 	}
 	keys := 0
 	for _, q := range m.questions() {
-		keys += len(q.Keys)
+		keys += max(1, len(q.Keys)) // Each question is answered.
 	}
 	return keys <= maxQuestionKeys
 }
@@ -244,9 +248,11 @@
 	for {
 		select {
 		case d := <-o.outbox:
-			queued := []datagram{d}
-			for len(queued) < cap(o.outbox) && len(o.outbox) > 0 {
-				queued = append(queued, <-o.outbox)
+			queued, bytes := []datagram{d}, len(d.data)
+			for len(queued) < cap(o.outbox) && len(o.outbox) > 0 && bytes < maxQueuedBytes {
+				next := <-o.outbox
+				queued = append(queued, next)
+				bytes += len(next.data)
 			}
 			for _, joined := range joinDatagrams(queued) {
 				if _, err := conn.WriteToUDPAddrPort(joined.data, joined.to); err != nil {
@@ -353,6 +359,10 @@
 		return
 	}
 	for _, address := range to {
+		if len(o.outbox)*len(data) > maxQueuedBytes {
+			o.front.metrics.Count("datagrams_not_sent")
+			continue
+		}
 		select {
 		case o.outbox <- datagram{to: address, data: data, question: m.Question, answer: m.Answer}:
 		default:
--- a/peridotfront/origins_test.go
+++ b/peridotfront/origins_test.go
@@ -394,3 +394,29 @@
 		t.Errorf("old datagram at a new process: got %+v and error %v, want its load and no origins", m, err)
 	}
 }
+
+// TestQueuedAnswersAreBounded guards against questions whose answers wait in memory for a
+// narrow link.
+func TestQueuedAnswersAreBounded(t *testing.T) {
+	o := newFront(t, newPlatform(), "front").origins
+	from := strangerAddress(1)
+	var keys []uint64
+	for k := range uint64(20) {
+		keys = append(keys, k)
+		o.handleMessage(from, &message{Origins: []originGroup{{Version: fmt.Sprintf("%0250d", k), Keys: []uint64{k}}}})
+	}
+	for range 10_000 {
+		o.handleMessage(from, &message{Question: &originQuestion{Keys: keys}})
+	}
+	bytes := 0
+	for n := len(o.outbox); n > 0; n-- {
+		bytes += len((<-o.outbox).data)
+	}
+	if bytes < maxQueuedBytes || bytes > maxQueuedBytes+maxDatagramBytes {
+		t.Errorf("got %d bytes in the queue, want %d", bytes, maxQueuedBytes)
+	}
+	o.handleMessage(from, &message{Questions: make([]originQuestion, maxQuestionKeys+1)})
+	if got := len(o.outbox); got != 0 {
+		t.Errorf("too many empty questions: got %d answers, want none", got)
+	}
+}
