--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -78,6 +78,8 @@
 	lastRequestAt atomicDuration
 	// bodies is the memory for request bodies.
 	bodies *peridotreserve.Pool
+	// snapshots is the memory for snapshots that are being sent.
+	snapshots *peridotreserve.Pool
 
 	// backendsChanged gets a value when the backend servers have changed.
 	backendsChanged chan struct{}
@@ -151,6 +153,7 @@
 		backendsChanged: make(chan struct{}, 1),
 	}
 	f.bodies = peridotreserve.NewPool(limits.BodyBytes, smallBodyBytes)
+	f.snapshots = peridotreserve.NewPool(snapshotMemory, smallSnapshotCost)
 	f.closing, f.startClosing = context.WithCancel(context.Background())
 	f.backends.byID = make(map[string]peridotsite.Backend)
 	f.backends.departures = make(departures)
--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -326,11 +326,18 @@
 	return true
 }
 
-// all returns all accusations.
-func (q *quarantine) all() []peridotquarantine.Accusation {
+// some returns up to limit accusations.
+func (q *quarantine) some(limit int) []peridotquarantine.Accusation {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.table.All()
+	return q.table.Some(limit)
+}
+
+// count returns the number of accusations.
+func (q *quarantine) count() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Len()
 }
 
 // load adds the accusations that another front knows.
--- a/peridotfront/quarantine_test.go
+++ b/peridotfront/quarantine_test.go
@@ -171,7 +171,7 @@
 			f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: "s", Born: 1, At: testSoftware, Parts: badParts, Begun: true, Address: test.address})
 			time.Sleep(3 * secondProbeDelay) // Both probes have ended.
 			f.SetBackends(test.next)
-			if got := len(f.quarantine.all()) > 0; got != test.want {
+			if got := f.quarantine.count() > 0; got != test.want {
 				t.Errorf("got accusations %v, want %v", got, test.want)
 			}
 		})
@@ -248,7 +248,7 @@
 		}
 		f.quarantine.recordBreak(peridotquarantine.Suspicion{ID: fmt.Sprint(server), At: at, Parts: parts, Begun: true, Address: closedAddress(t)})
 	}
-	peridotawait.Until(t, "accusations", func() bool { return len(f.quarantine.all()) == 240 })
+	peridotawait.Until(t, "accusations", func() bool { return f.quarantine.count() == 240 })
 	f.quarantine.recordAnswered([]peridotquarantine.Part{1, 2, 3}, at)
 	seen := 0
 	for range 3 * 240 / maxNewsPerDatagram {
@@ -265,9 +265,9 @@
 		t.Errorf("got %d accusations in the datagrams, want 240 or more", seen)
 	}
 	long := &quarantineReport{Accusations: []accusation{{Part: 9, Service: strings.Repeat("s", 300)}}}
-	before := len(f.quarantine.all())
+	before := f.quarantine.count()
 	f.quarantine.handleReport(long, nil)
-	if got := len(f.quarantine.all()); got != before {
+	if got := f.quarantine.count(); got != before {
 		t.Errorf("got %d accusations after a report with a long name, want %d", got, before)
 	}
 }
--- a/peridotfront/snapshot.go
+++ b/peridotfront/snapshot.go
@@ -29,6 +29,21 @@
 	// maxSnapshotBytes limits the size of a snapshot: a configuration is a row of at
 	// most 64 KB, and each backend server takes about 200 bytes.
 	maxSnapshotBytes = 4 << 20
+	// snapshotMemory limits the memory of all snapshots that are being sent. Anybody may ask
+	// for one and read it slowly; 48 ordinary ones of 100 backend servers take 9 MiB.
+	snapshotMemory = 12 << 20
+	// snapshotBaseCost, snapshotBackendCost and snapshotAccusationCost estimate the memory of a
+	// snapshot and its encoded form: a base with the configuration, and for each backend server
+	// and each accusation.
+	snapshotBaseCost       = 128 << 10
+	snapshotBackendCost    = 512
+	snapshotAccusationCost = 1 << 10
+	// smallSnapshotCost is the cost up to which a snapshot may use the memory kept for small
+	// ones.
+	smallSnapshotCost = 256 << 10
+	// maxSnapshotAccusations limits the accusations in a snapshot, so that those of datagrams
+	// from anybody don't make it too large.
+	maxSnapshotAccusations = 4 << 10
 )
 
 // stateSnapshot is a front's copy of the data in the table service. A front that
@@ -61,15 +76,23 @@
 }
 
 // writeSnapshot answers with the state of this front, or with status 503 if it has
-// no configuration yet.
+// no configuration yet or too many snapshots are being sent.
 func (f *Front) writeSnapshot(w http.ResponseWriter, _ *http.Request) {
+	claim := f.snapshots.NewClaim()
+	defer claim.Release()
+	if !claim.Grow(f.snapshotCost()) {
+		f.metrics.Count("snapshots_refused")
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	f.mu.Lock()
 	snapshot := stateSnapshot{Config: f.config.Load(), Software: f.backends.software.ages(f.now())}
 	for _, s := range f.backends.byID {
 		snapshot.Backends = append(snapshot.Backends, s)
 	}
 	f.mu.Unlock()
-	snapshot.Accusations = f.quarantine.all()
+	snapshot.Accusations = f.quarantine.some(maxSnapshotAccusations)
 	if snapshot.Config == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -79,6 +102,14 @@
 	}
 }
 
+// snapshotCost returns the estimated memory of a snapshot and its encoded form, in bytes.
+func (f *Front) snapshotCost() int64 {
+	f.mu.Lock()
+	backends := len(f.backends.byID)
+	f.mu.Unlock()
+	return snapshotBaseCost + snapshotBackendCost*int64(backends) + snapshotAccusationCost*int64(min(f.quarantine.count(), maxSnapshotAccusations))
+}
+
 // newSnapshotClient returns a client for snapshots of other fronts.
 func newSnapshotClient() *http.Client {
 	return &http.Client{Timeout: snapshotTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
--- a/peridotfront/snapshot_test.go
+++ b/peridotfront/snapshot_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"peridotstack/peridotawait"
+	"peridotstack/peridotquarantine"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottable"
 )
@@ -127,3 +128,28 @@
 	}
 	return address
 }
+
+// TestSnapshotsAreBounded guards against many slow readers of a large state.
+func TestSnapshotsAreBounded(t *testing.T) {
+	f := newFront(t, newPlatform(), "front")
+	f.SetConfig(&peridotsite.Config{Version: 1})
+	for n := range 2 * maxSnapshotAccusations {
+		f.quarantine.accuse(f.trueTime(), peridotquarantine.Accusation{Part: peridotquarantine.Part(n / 4), End: peridotquarantine.End(n + 1), Begun: true, UnixSeconds: f.trueTime().Unix()})
+	}
+	claims := f.snapshots.NewClaim()
+	for _, test := range []struct {
+		held int64
+		want int
+	}{
+		{held: 0, want: http.StatusOK},
+		{held: snapshotMemory / 4, want: http.StatusOK},
+		{held: snapshotMemory * 3 / 4, want: http.StatusServiceUnavailable},
+	} {
+		claims.Grow(test.held)
+		w := httptest.NewRecorder()
+		f.writeSnapshot(w, nil)
+		if w.Code != test.want || w.Body.Len() > maxSnapshotBytes {
+			t.Errorf("%d bytes held: got status %d and %d bytes, want %d and at most %d", test.held, w.Code, w.Body.Len(), test.want, maxSnapshotBytes)
+		}
+	}
+}
--- a/peridotquarantine/table.go
+++ b/peridotquarantine/table.go
@@ -315,11 +315,26 @@
 	return list
 }
 
+// Len returns the number of accusations.
+func (t *Table) Len() int {
+	n := 0
+	for _, list := range t.accused {
+		n += len(list)
+	}
+	return n
+}
+
 // All returns all accusations.
 func (t *Table) All() []Accusation {
+	return t.Some(t.Len())
+}
+
+// Some returns up to limit accusations.
+func (t *Table) Some(limit int) []Accusation {
 	var list []Accusation
 	for _, part := range t.sortedParts() {
-		list = append(list, t.accused[part]...)
+		accused := t.accused[part]
+		list = append(list, accused[:min(len(accused), limit-len(list))]...)
 	}
 	return list
 }
