Link: write large bodies without a copy

Cause: each request was copied into one buffer with its head before it was written, so that bodies that wait for slow servers took twice the memory that was reserved for them. Change: a body over 2 KiB is written from its own buffer behind the head.

--- a/peridotlink/exchange.go
+++ b/peridotlink/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -91,7 +92,7 @@
 // the verdict NotRun if no byte was written.
 func (c *Conn) writeRequest(r Request, written *atomic.Bool) error {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	b.Grow(1024 + min(len(r.Body), maxInlineBodyBytes))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		for _, value := range values {
@@ -102,8 +103,12 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	n, err := c.Write(b.Bytes())
+	data := net.Buffers{b.Bytes(), r.Body} // A copy of a large body would take as much memory again.
+	if len(r.Body) <= maxInlineBodyBytes {
+		b.Write(r.Body)
+		data = net.Buffers{b.Bytes()}
+	}
+	n, err := data.WriteTo(c.Conn)
 	if err != nil {
 		verdict := peridotverdict.MayHaveRun
 		if n == 0 {
