Front: reserve the memory of whole responses

Cause: a front collected whole responses of up to 8 MiB each without a bound, and held them for callers that read nothing for as long as these stayed connected. Change: responses are reserved in the pool of bodies as they arrive: 16 KiB before the request is sent, else 503. Without memory for all of it, a response is forwarded as it arrives. While memory or connections are short, a caller that has taken no byte for 15 s is closed. TestSlowReaderGetsWholeResponse passes.

--- a/peridotfront/body.go
+++ b/peridotfront/body.go
@@ -68,6 +68,7 @@
 	for int64(len(x.body)) < most {
 		if len(x.body) == cap(x.body) && !x.growBody(x.nextBuffer(first, most)) {
 			x.front.metrics.Count("bodies_refused")
+			x.front.noteMemoryPressure()
 			return peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "too many request bodies are held", peridotverdict.RetryAfter(memoryRetryAfter))
 		}
 		// Without a deadline, a slow sender could keep its body in memory indefinitely.
--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -44,6 +44,12 @@
 	// headerTimeoutMargin is added to the limit of the configuration: a busy instance reads
 	// headers later than they arrive.
 	headerTimeoutMargin = time.Second
+	// callerStallTimeout is the time for which a caller may take no byte of its response while
+	// memory or connections are short. A slow caller with a receive buffer of 64 KiB takes some
+	// at 5 KB/s.
+	callerStallTimeout = 15 * time.Second
+	// pressureTime is how long memory or connections count as short after a refusal.
+	pressureTime = 5 * time.Second
 	// pruneInterval is the time between two calls of removeExpired.
 	pruneInterval = 250 * time.Millisecond
 	// keptUsageWindows is the number of usage windows kept in memory.
@@ -76,8 +82,10 @@
 	activeRequests atomic.Int64
 	// lastRequestAt is the value of now when the last request arrived.
 	lastRequestAt atomicDuration
-	// bodies is the memory for request bodies.
+	// bodies is the memory for request bodies and whole responses.
 	bodies *peridotreserve.Pool
+	// pressedAt is the value of now when memory or connections were short last.
+	pressedAt atomicDuration
 	// snapshots is the memory for snapshots that are being sent.
 	snapshots *peridotreserve.Pool
 
@@ -246,9 +254,21 @@
 	limits := peridotreserve.LimitsOf(f.settings.MemoryBytes, f.settings.MaxDescriptors)
 	g := newGuard(listener, limits.Connections, peridotreserve.NewPool(limits.HeadBytes, smallHeadCost), f.headLimits)
 	g.metrics = f.metrics
+	g.stallTimeout, g.isPressed, g.press = callerStallTimeout, f.isPressed, f.noteMemoryPressure
 	return g
 }
 
+// noteMemoryPressure records that a client was refused for want of memory or connections.
+func (f *Front) noteMemoryPressure() {
+	f.pressedAt.Store(f.now())
+}
+
+// isPressed reports whether a client was refused within pressureTime.
+func (f *Front) isPressed() bool {
+	at := time.Duration(f.pressedAt.Load())
+	return at > 0 && f.now()-at < pressureTime
+}
+
 // headLimits returns the limits of the configuration, or the defaults where it has none.
 func (f *Front) headLimits() headLimits {
 	l := headLimits{bytes: maxHeaderBytes, timeout: callerHeaderTimeout, idle: callerIdleTimeout}
--- a/peridotfront/guard.go
+++ b/peridotfront/guard.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"peridotstack/peridotmetric"
 	"peridotstack/peridotreserve"
@@ -27,6 +29,8 @@
 	lingerBytes = 256 << 10
 	// refusalWriteTimeout limits the writing of such a refusal.
 	refusalWriteTimeout = 100 * time.Millisecond
+	// stallCheckTime is the time between two checks whether a client takes its response.
+	stallCheckTime = time.Second
 )
 
 // headLimits limits the heads of requests.
@@ -47,6 +51,12 @@
 	// limit.
 	readTimeout time.Duration
 	metrics     *peridotmetric.Metrics
+	// stallTimeout is the time without a byte taken by a client after which the writing of a
+	// response fails while isPressed returns true; 0 means that the server sets the deadlines.
+	// press is called if a connection is refused.
+	stallTimeout time.Duration
+	isPressed    func() bool
+	press        func()
 
 	// mu guards the fields below and guardedConn.place.
 	mu   sync.Mutex
@@ -87,6 +97,9 @@
 			return g.add(tcp), nil
 		}
 		g.metrics.Count("connections_refused")
+		if g.press != nil {
+			g.press()
+		}
 		_ = tcp.Close() // No request has been read.
 	}
 }
@@ -239,6 +252,48 @@
 	return n, err
 }
 
+// Write writes a part of a response. While memory or connections are short, it fails if the
+// client has taken no byte for the stall timeout of the guard.
+func (c *guardedConn) Write(data []byte) (int, error) {
+	if c.guard.stallTimeout == 0 {
+		return c.TCPConn.Write(data)
+	}
+	written, taken, takenAt := 0, uint64(0), time.Now()
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(stallCheckTime)); err != nil {
+			return written, err
+		}
+		n, err := c.TCPConn.Write(data[written:])
+		written += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		if now := c.acknowledged(); now != taken { // Also at the first check.
+			taken, takenAt = now, time.Now()
+		}
+		if time.Since(takenAt) >= c.guard.stallTimeout && c.guard.isPressed() {
+			c.guard.metrics.Count("callers_stalled")
+			return written, err
+		}
+	}
+}
+
+// acknowledged returns the number of bytes that the client has taken, or 0 if it can't be
+// read.
+func (c *guardedConn) acknowledged() uint64 {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var taken uint64
+	_ = raw.Control(func(fd uintptr) { // Fails if the connection is closed.
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			taken = info.Bytes_acked
+		}
+	})
+	return taken
+}
+
 // measure reserves the memory for more of a head. It returns a refusal if there is none.
 func (c *guardedConn) measure(data []byte) (refusal string) {
 	c.mu.Lock()
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -50,6 +50,8 @@
 	body    []byte
 	// bodyClaim is the memory reserved for body.
 	bodyClaim peridotreserve.Claim
+	// responseClaim is the memory reserved for whole responses.
+	responseClaim peridotreserve.Claim
 	// identity is what all requests have in common that ask the same.
 	identity peridotquarantine.Part
 	// suspects are the parts under which servers may end: identity and those of the prompt.
@@ -168,6 +170,8 @@
 	}
 	x.bodyClaim = f.bodies.NewClaim()
 	defer x.bodyClaim.Release()
+	x.responseClaim = f.bodies.NewClaim()
+	defer x.responseClaim.Release()
 	if err := x.prepareRequest(); err != nil {
 		x.limitDiscard()
 		x.refuse(err)
@@ -177,6 +181,10 @@
 	defer cancel()
 	defer context.AfterFunc(f.closing, cancel)()
 	x.ctx = ctx
+	if err := x.reserveResponse(); err != nil {
+		x.refuse(err)
+		return
+	}
 	f.recordDemand(x.service.Name)
 	if err := x.takeQuota(); err != nil {
 		x.refuse(err)
--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -155,11 +155,11 @@
 // it returns an error instead.
 func (s *stream) forwardWhole(ctx context.Context, to peridotsite.Backend, answer *peridotlink.Answer, head AnswerHead) *peridotverdict.Error {
 	x := s.exchange
-	whole, err := x.readWhole(ctx, to, answer, head)
+	whole, err := x.readWhole(ctx, s.watch, to, answer, head)
 	if err != nil {
 		return err
 	}
-	if x.answerStarted {
+	if x.answerStarted && !whole.isForwarded {
 		return failureError(whole.status)
 	}
 	if whole.isFailure() {
--- a/peridotfront/whole.go
+++ b/peridotfront/whole.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,7 +17,7 @@
 
 const (
 	// maxAnswerBytes limits an answer that is no stream of events, which is buffered whole
-	// before it is sent to the caller.
+	// before it is sent to the caller if there is memory.
 	maxAnswerBytes = 8 << 20
 	// tryTimeoutShare is the fraction of the route's objective after which a safe
 	// request is retried if another server can take it.
@@ -28,6 +29,9 @@
 	status int
 	header http.Header
 	body   []byte
+	// isForwarded is set if the caller has got it as it arrived. The header and the body are
+	// empty then.
+	isForwarded bool
 }
 
 // isFailure reports whether another server may answer the request better.
@@ -96,7 +100,7 @@
 	}
 	x.runs++
 	x.countRun()
-	whole, err := x.readWhole(ctx, to, answer, head)
+	whole, err := x.readWhole(ctx, watch, to, answer, head)
 	if err != nil {
 		f.endFlight(flight, x.failureOutcome(err))
 		return nil, err
@@ -105,10 +109,24 @@
 	return whole, nil
 }
 
-// readWhole reads the rest of an answer. ctx is that of the try.
-func (x *exchange) readWhole(ctx context.Context, from peridotsite.Backend, answer *peridotlink.Answer, head AnswerHead) (*bufferedAnswer, *peridotverdict.Error) {
+// readWhole reads the rest of an answer. ctx is that of the try. If there is no memory for
+// the whole answer, it forwards the answer to the caller as it arrives.
+func (x *exchange) readWhole(ctx context.Context, watch *stallWatch, from peridotsite.Backend, answer *peridotlink.Answer, head AnswerHead) (*bufferedAnswer, *peridotverdict.Error) {
 	f := x.front
-	body, readErr := answer.ReadAll(maxAnswerBytes)
+	c := &collector{claim: &x.responseClaim}
+	if x.failure != nil {
+		c.held = int64(cap(x.failure.body))
+	}
+	readErr := c.read(answer.Body, answer.ContentLength)
+	if c.isFull {
+		return x.forwardWhole(ctx, watch, from, answer, head, c)
+	}
+	if readErr != nil {
+		answer.Abandon()
+		readErr = brokenError(readErr)
+	} else {
+		answer.Finish()
+	}
 	if readErr == nil && f.mayBeCut(ctx, from, answer) {
 		readErr = peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the server ended with the answer")
 	}
@@ -117,7 +135,7 @@
 		x.recordBreak(ctx, from, err, x.suspects)
 		return nil, err
 	}
-	whole := &bufferedAnswer{status: answer.StatusCode, body: body}
+	whole := &bufferedAnswer{status: answer.StatusCode, body: c.data}
 	if x.service.Engine == nil || !whole.isFailure() { // An engine may fail before it has read the prompt.
 		f.quarantine.recordAnswered(x.suspects, softwareOf(from))
 	}
@@ -128,6 +146,86 @@
 	return whole, nil
 }
 
+// brokenError returns the error of an answer that could not be read to its end.
+func brokenError(cause error) *peridotverdict.Error {
+	return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the answer broke off", peridotverdict.Cause(cause))
+}
+
+// forwardWhole forwards an answer as it arrives. c contains its beginning. After an error the
+// answer can't be completed, and the request is not tried again if its caller has got a part.
+func (x *exchange) forwardWhole(ctx context.Context, watch *stallWatch, from peridotsite.Backend, answer *peridotlink.Answer, head AnswerHead, c *collector) (*bufferedAnswer, *peridotverdict.Error) {
+	f := x.front
+	f.metrics.Count("responses_forwarded")
+	f.noteMemoryPressure()
+	whole := &bufferedAnswer{status: answer.StatusCode, isForwarded: true}
+	if x.answerStarted || whole.isFailure() {
+		answer.Abandon()
+		return nil, failureError(answer.StatusCode)
+	}
+	if !head.Sealed && answer.StatusCode < http.StatusMultipleChoices {
+		answer.Abandon()
+		return nil, peridotverdict.New(peridotverdict.EngineFailed, peridotverdict.MayHaveRun, "the answer bears no seal")
+	}
+	watch.pause() // A caller that reads slowly is no silence of the server.
+	h := x.writer.Header()
+	for name, values := range f.protocol.AnswerHeader(answer.Header) {
+		h[name] = values
+	}
+	if answer.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
+	}
+	x.writer.WriteHeader(answer.StatusCode)
+	x.answerStarted = true
+	if err := x.forwardRest(answer, c); err != nil {
+		answer.Abandon()
+		x.recordBreak(ctx, from, err, x.suspects)
+		return nil, err
+	}
+	answer.Finish()
+	if f.mayBeCut(ctx, from, answer) {
+		err := peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the server ended with the answer")
+		x.recordBreak(ctx, from, err, x.suspects)
+		return nil, err
+	}
+	f.quarantine.recordAnswered(x.suspects, softwareOf(from))
+	return whole, nil
+}
+
+// forwardRest sends what c contains and the rest of an answer to the caller.
+func (x *exchange) forwardRest(answer *peridotlink.Answer, c *collector) *peridotverdict.Error {
+	if err := x.write(c.data); err != nil {
+		return err
+	}
+	forwarded := len(c.data)
+	buffer := c.drop()
+	for {
+		n, readErr := answer.Body.Read(buffer)
+		if forwarded += n; forwarded > maxAnswerBytes {
+			return brokenError(peridotlink.ErrTooLong)
+		}
+		if err := x.write(buffer[:n]); err != nil {
+			return err
+		}
+		if readErr == io.EOF {
+			return nil
+		}
+		if readErr != nil {
+			return brokenError(readErr)
+		}
+	}
+}
+
+// reserveResponse reserves the memory for the beginning of a whole response. It returns an
+// error if there is none.
+func (x *exchange) reserveResponse() *peridotverdict.Error {
+	if x.route.Kind == peridotsite.Stream || x.responseClaim.Grow(forwardBufferBytes) {
+		return nil
+	}
+	x.front.metrics.Count("responses_refused")
+	x.front.noteMemoryPressure()
+	return peridotverdict.New(peridotverdict.Overloaded, peridotverdict.NotRun, "too many responses are held", peridotverdict.RetryAfter(memoryRetryAfter))
+}
+
 // tryTimeout returns the limit of one try of a safe request that may be retried, which
 // leaves time for the retry. It returns 0 for other requests.
 func (x *exchange) tryTimeout() time.Duration {
@@ -139,6 +237,10 @@
 
 // deliver sends a buffered answer to the caller.
 func (x *exchange) deliver(a *bufferedAnswer) {
+	if a.isForwarded {
+		x.log(log.DebugLevel, "answered", a.status)
+		return
+	}
 	h := x.writer.Header()
 	for name, values := range a.header {
 		h[name] = values
