Site: engines with many slots aren't scarce

Cause: engines were scarce also if the KV cache per slot was small. With many slots interactive answers hardly suffer from the prefills beside them, but long prompts are put behind them and kept from engines.

--- a/peridotsite/config.go
+++ b/peridotsite/config.go
@@ -102,18 +102,18 @@
 }
 
 const (
-	// maxScarceSlots is the number of slots of an engine up to which engines are scarce,
-	// and minTokensPerSlot the size of the KV cache for each slot from which on they aren't.
-	maxScarceSlots   = 8
-	minTokensPerSlot = 7000
+	// maxScarceSlots is the number of slots of an engine up to which engines are scarce. With
+	// many slots, request priority costs long prompts more than interactive ones gain, also
+	// if the KV cache is small.
+	maxScarceSlots = 8
 	// maxScarceObjectives is the number of objectives in a timeout up to which plain
 	// servers are scarce.
 	maxScarceObjectives = 5
 )
 
-// isScarce reports whether the engines have few slots or little memory for each slot.
+// isScarce reports whether the engines have few slots.
 func (e *Engine) isScarce() bool {
-	return e.Slots > 0 && (e.Slots <= maxScarceSlots || e.CacheTokens > 0 && e.CacheTokens/e.Slots < minTokensPerSlot)
+	return e.Slots > 0 && e.Slots <= maxScarceSlots
 }
 
 // isTight reports whether requests on the route have little time beyond their objective.
