Account limits: a restarted front whose first report names no account

A front that starts again reports before its first request, so the report that carries its new start names no account. The others kept its former totals, and took its next total for a fall by all it had ever admitted: the account had no limit at the other fronts for one window. A new start now resets the totals of all accounts. TestRestartWithoutUse got 504 times the burst left before (a former total of 500 times the burst) and passes now, as do all tests of the package.

--- a/peridotquota/report.go
+++ b/peridotquota/report.go
@@ -58,20 +58,34 @@
 		t.interval += time.Duration(intervalSmoothing * float64(min(now-p.heardAt, silenceTime)-t.interval))
 	}
 	p.heardAt, p.start = now, r.Start
+	if hasRestarted {
+		t.restartTotals(now, instance)
+	}
 	for _, u := range r.Usages {
 		if a := t.accounts[u.Account]; a != nil && isPlausible(u) {
 			t.advance(now, a)
 			if r.HasLevels && now-t.start < t.tolerance.Window {
 				t.adoptLevel(a, u.Level)
 			}
-			a.observe(now, t.interval, instance, u, hasRestarted, isNew && now-t.start < joinTime)
+			a.observe(now, t.interval, instance, u, isNew && now-t.start < joinTime)
 		}
 	}
-	if !hasRestarted && !isNew {
+	if !isNew {
 		t.correctUnreported(now, instance, r)
 	}
 }
 
+// restartTotals sets what another instance has reported of all accounts to 0, including those
+// that its first report after a restart does not name.
+func (t *Table) restartTotals(now time.Duration, instance string) {
+	for _, a := range t.accounts {
+		if u := a.others[instance]; u != nil {
+			t.advance(now, a)
+			u.total, u.rate = 0, 0
+		}
+	}
+}
+
 // adoptLevel sets what is left of a limit to what another instance tells that has run for
 // longer, less what this one has admitted since its start.
 func (t *Table) adoptLevel(a *account, level float64) {
@@ -110,7 +124,7 @@
 
 // observe applies what another instance reports of the account. wasBefore is set if its
 // total is from before the start of this instance.
-func (a *account) observe(now, interval time.Duration, instance string, reported Usage, hasRestarted, wasBefore bool) {
+func (a *account) observe(now, interval time.Duration, instance string, reported Usage, wasBefore bool) {
 	u := a.others[instance]
 	if u == nil {
 		u = &usage{reportedAt: now}
@@ -119,9 +133,6 @@
 		}
 		a.others[instance] = u
 	}
-	if hasRestarted {
-		u.total, u.rate = 0, 0
-	}
 	u.demand = reported.Demand
 	a.correct(now, interval, u, reported.Total)
 }
--- a/peridotquota/table_test.go
+++ b/peridotquota/table_test.go
@@ -324,3 +324,23 @@
 		})
 	}
 }
+
+// TestRestartWithoutUse guards against limits that are lifted for a window because the first
+// report after the restart of another instance names no account, and its later total was
+// taken for a fall of the former one.
+func TestRestartWithoutUse(t *testing.T) {
+	table := NewTable(tolerance)
+	table.SetLimits(0, map[string]Limit{"a": {tokenRate, tokenRate}})
+	now := 10 * time.Second
+	table.Observe(now, "other", Report{Start: 1, Usages: []Usage{{Account: "a", Total: 0}}})
+	table.Observe(now+100*time.Millisecond, "other", Report{Start: 1, Usages: []Usage{{Account: "a", Total: 1e9}}})
+	now += 20 * time.Second
+	table.Observe(now, "other", Report{Start: 2})
+	table.Observe(now+100*time.Millisecond, "other", Report{Start: 2, Usages: []Usage{{Account: "a", Total: 1000}}})
+	unused := NewTable(tolerance)
+	unused.SetLimits(0, map[string]Limit{"a": {tokenRate, tokenRate}})
+	want, _ := unused.State(now, "a")
+	if got, _ := table.State(now+100*time.Millisecond, "a"); got.Level > want.Level {
+		t.Errorf("got %v times the burst left after a restart, want %v at most", got.Level, want.Level)
+	}
+}
