Account limits: an old total that is heard for the first time

Another front's total was counted as used just now when it was first heard: after a partition of more than 20 s (Forget), or in a second report if the first did not name the account. All fronts then refused the account for a window. What counts is now bounded by the front's demand over the window. TestFirstTotalIsOld got -499,996 times the burst left before, with a total of 1e12, and passes now; TestFirstTotalIsNew holds that new use still counts. All other tests of the package pass.

--- a/peridotquota/report.go
+++ b/peridotquota/report.go
@@ -67,7 +67,7 @@
 			if r.HasLevels && now-t.start < t.tolerance.Window {
 				t.adoptLevel(a, u.Level)
 			}
-			a.observe(now, t.interval, instance, u, isNew && now-t.start < joinTime)
+			a.observe(now, t.interval, t.tolerance.Window, instance, u, isNew && now-t.start < joinTime)
 		}
 	}
 	if !isNew {
@@ -124,13 +124,16 @@
 
 // observe applies what another instance reports of the account. wasBefore is set if its
 // total is from before the start of this instance.
-func (a *account) observe(now, interval time.Duration, instance string, reported Usage, wasBefore bool) {
+func (a *account) observe(now, interval, window time.Duration, instance string, reported Usage, wasBefore bool) {
 	u := a.others[instance]
 	if u == nil {
-		u = &usage{reportedAt: now}
+		// The total may be hours old, as after a partition. In the window the instance has
+		// admitted at most about what is asked of it.
+		recent := reported.Demand * window.Seconds()
 		if wasBefore {
-			u.total = reported.Total
+			recent = 0
 		}
+		u = &usage{reportedAt: now, total: min(reported.Total, max(0, reported.Total-recent))}
 		a.others[instance] = u
 	}
 	u.demand = reported.Demand
--- a/peridotquota/table_test.go
+++ b/peridotquota/table_test.go
@@ -344,3 +344,43 @@
 		t.Errorf("got %v times the burst left after a restart, want %v at most", got.Level, want.Level)
 	}
 }
+
+// TestFirstTotalIsOld guards against accounts that are refused for a window because the first
+// total that an instance hears of another one, after a partition or a round of reports that
+// did not name the account, is what that one has admitted in hours.
+func TestFirstTotalIsOld(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		hear func(table *Table, now time.Duration)
+	}{
+		{name: "forgotten in a partition", hear: func(table *Table, now time.Duration) {
+			table.Observe(now-30*time.Second, "other", Report{Usages: []Usage{{Account: "a", Total: 1e12}}})
+			table.Forget(now, 20*time.Second)
+		}},
+		{name: "not named by the first report", hear: func(table *Table, now time.Duration) {
+			table.Observe(now-100*time.Millisecond, "other", Report{})
+		}},
+	} {
+		table := NewTable(tolerance)
+		now := time.Minute
+		table.SetLimits(now-40*time.Second, map[string]Limit{"a": {tokenRate, tokenRate}})
+		test.hear(table, now)
+		table.Observe(now, "other", Report{Usages: []Usage{{Account: "a", Total: 1e12 + 1e6, Demand: tokenRate / 10}}})
+		if got, _ := table.State(now, "a"); got.Level < 3 || got.IsStrict {
+			t.Errorf("%s: got %v times the burst left, want 3 at least", test.name, got.Level)
+		}
+	}
+}
+
+// TestFirstTotalIsNew guards against the use of another instance that is not counted because
+// it is the first that is heard of it.
+func TestFirstTotalIsNew(t *testing.T) {
+	table := NewTable(tolerance)
+	table.SetLimits(0, map[string]Limit{"a": {tokenRate, tokenRate}})
+	now := 20 * time.Second
+	before, _ := table.State(now, "a")
+	table.Observe(now, "other", Report{Usages: []Usage{{Account: "a", Total: tokenRate, Demand: tokenRate}}})
+	if got, _ := table.State(now, "a"); got.Level > before.Level-1 {
+		t.Errorf("got %v times the burst left after a use of 1, want %v at most", got.Level, before.Level-1)
+	}
+}
