Account limits: a limit that is lowered and raised again

A lowered limit scaled down what was used, and nothing undid that when it was raised again: use was forgotten with each change, as when two versions of a configuration follow each other and the second restores the first. The window keeps what it discounts; each change scales all of it anew, to the largest limit of the last window.

--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -121,6 +121,10 @@
 	limit Limit
 	// size is what all instances may admit in a window.
 	size float64
+	// peak is the largest size that was in force in the last window, until peakAt. It is set
+	// when the limit changes.
+	peak   float64
+	peakAt time.Duration
 	// startSlot is the slot of window that holds what was used before the start. Once
 	// another instance has told what is left, knowsPast is set.
 	startSlot int64
@@ -168,7 +172,7 @@
 }
 
 // SetLimits replaces the limits. If the limit of an account is lowered, what it has used
-// counts in proportion.
+// counts in proportion, and in full once it is raised again.
 func (t *Table) SetLimits(now time.Duration, limits map[string]Limit) {
 	t.begin(now)
 	for name, a := range t.accounts {
@@ -179,7 +183,10 @@
 		t.advance(now, a)
 		if next := limits[name]; next != a.limit {
 			size := t.sizeOf(next)
-			a.window.scale(min(1, size/max(a.size, 1)))
+			if a.size >= a.peak || now-a.peakAt > t.tolerance.Window+2*a.window.slot {
+				a.peak, a.peakAt = a.size, now
+			}
+			a.window.scale(min(1, size/max(a.peak, 1)))
 			a.credit = min(a.credit, 0)
 			a.limit, a.size = next, size
 		}
--- a/peridotquota/table_test.go
+++ b/peridotquota/table_test.go
@@ -384,3 +384,28 @@
 		t.Errorf("got %v times the burst left after a use of 1, want %v at most", got.Level, before.Level-1)
 	}
 }
+
+// TestLimitBackAndForth guards against use that is forgotten because a limit is lowered, which
+// counts it in proportion, and raised again.
+func TestLimitBackAndForth(t *testing.T) {
+	for _, low := range []float64{tokenRate / 2, tokenRate / 100, 1e-9} {
+		table := NewTable(tolerance)
+		table.SetLimits(0, map[string]Limit{"a": {tokenRate, tokenRate}})
+		now := 20 * time.Second
+		admitted := 0.0
+		for range 10 {
+			for _, rate := range []float64{tokenRate, low} {
+				table.SetLimits(now, map[string]Limit{"a": {rate, rate}})
+				for range 5000 {
+					if ok, _ := table.Take(now, "a", 10_000); ok {
+						admitted += 10_000
+					}
+				}
+				now += 100 * time.Millisecond
+			}
+		}
+		if want := (tokenRate*windowTime.Seconds()+tokenRate)*(1+tolerance.Excess) + tolerance.Slack; admitted > want {
+			t.Errorf("lowered to %v: got %.0f admitted in 2 s, want %.0f at most", low, admitted, want)
+		}
+	}
+}
--- a/peridotquota/window.go
+++ b/peridotquota/window.go
@@ -6,11 +6,13 @@
 type window struct {
 	// slot is the length of a slot.
 	slot time.Duration
-	// used is the use in each slot, current the number of the slot in use since time 0, and
-	// sum the use in all of them.
-	used    [slots + 2]float64
-	current int64
-	sum     float64
+	// used is the use in each slot that counts, current the number of the slot in use since
+	// time 0, and sum the use in all of them.
+	used [slots + 2]float64
+	// discounted is the use in each slot that scale has taken away.
+	discounted [slots + 2]float64
+	current    int64
+	sum        float64
 }
 
 // fill sets the use in each slot before the current one, and that in the current one, whose
@@ -46,7 +48,7 @@
 		return
 	}
 	for n := max(w.current+1, next-int64(len(w.used))+1); n <= next; n++ {
-		w.used[n%int64(len(w.used))] = 0
+		w.used[n%int64(len(w.used))], w.discounted[n%int64(len(w.used))] = 0, 0
 	}
 	w.current = next
 	w.sum = 0 // Added up anew, so that rounding errors don't accumulate.
@@ -60,12 +62,16 @@
 	w.change(w.current, use)
 }
 
-// scale multiplies the use in all slots.
-func (w *window) scale(factor float64) {
+// scale sets the use in all slots to the given share, from 0 to 1, of what it was before any
+// earlier scale.
+func (w *window) scale(share float64) {
+	w.sum = 0
 	for i := range w.used {
-		w.used[i] *= factor
+		all := w.used[i] + w.discounted[i]
+		w.used[i] = all * share
+		w.discounted[i] = all - w.used[i]
+		w.sum += w.used[i]
 	}
-	w.sum *= factor
 }
 
 // expiring returns the use that leaves the window in the given time.
