Account limits: expected use is taken back from where it was counted

An instance that is cut off expects the others to go on for up to 20 s. The correction at the end of the partition subtracted all of that from the slot in use, though most had left the window or was about to leave it: the limit was lifted for a window. Expected use is now spread over the slots of its time, and a correction takes it from the same ones. TestEndOfPartition got 14.0 times the burst left before (4.3 without any use) and passes now, as do all tests of the package.

--- a/peridotquota/report.go
+++ b/peridotquota/report.go
@@ -145,7 +145,9 @@
 // in the short time until the next.
 func (a *account) correct(now, interval time.Duration, u *usage, total float64) {
 	used := total - u.total
-	a.window.add(used - u.expected)
+	a.window.add(used)
+	// Taken from the slots that it is in: what has left the window must not be taken again.
+	a.window.spread(u.reportedAt, u.expectedUntil, -u.expected)
 	if now > u.reportedAt {
 		u.rate += (max(0, used)/max(now-u.reportedAt, interval).Seconds() - u.rate) * smoothing
 		u.reportedAt = now
--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -149,7 +149,9 @@
 	// rate is what it admitted in a second between its last two reports, and expected what
 	// was deducted for the time since the last one.
 	rate, expected float64
-	reportedAt     time.Duration
+	// reportedAt is the time of the last report, and expectedUntil the end of the time since
+	// then for which expected was deducted.
+	reportedAt, expectedUntil time.Duration
 }
 
 // NewTable returns a table without limits.
@@ -293,9 +295,11 @@
 	expected := t.expectedFor(now)
 	for _, u := range a.others {
 		until := min(now, u.reportedAt+expected)
-		if dt := (until - max(a.updatedAt, u.reportedAt)).Seconds(); dt > 0 && u.rate > 0 {
-			a.window.add(u.rate * dt)
+		from := max(a.updatedAt, u.reportedAt)
+		if dt := (until - from).Seconds(); dt > 0 && u.rate > 0 {
+			a.window.spread(from, until, u.rate*dt)
 			u.expected += u.rate * dt
+			u.expectedUntil = until
 		}
 	}
 	part := t.part(now, a)
--- a/peridotquota/table_test.go
+++ b/peridotquota/table_test.go
@@ -409,3 +409,35 @@
 		}
 	}
 }
+
+// TestEndOfPartition guards against limits that are exceeded after a partition: the expected
+// use of the others that has left the window meanwhile must not be subtracted from it.
+func TestEndOfPartition(t *testing.T) {
+	limits := map[string]Limit{"a": {tokenRate, tokenRate}}
+	table := NewTable(tolerance)
+	table.SetLimits(0, limits)
+	now := 20 * time.Second
+	total := 0.0
+	for range 50 {
+		table.Observe(now, "other", Report{Usages: []Usage{{Account: "a", Total: total, Demand: tokenRate}}})
+		now += 100 * time.Millisecond
+		total += tokenRate / 10
+	}
+	table.Observe(now, "other", Report{Usages: []Usage{{Account: "a", Total: total, Demand: tokenRate}}})
+	unused := NewTable(tolerance)
+	unused.SetLimits(0, limits)
+	for range 18 {
+		now += time.Second
+		table.State(now, "a")
+	}
+	table.Observe(now, "other", Report{Usages: []Usage{{Account: "a", Total: total}}})
+	// What is left must be that of an account that has not been used, at most.
+	for range 80 {
+		got, _ := table.State(now, "a")
+		want, _ := unused.State(now, "a")
+		if got.Level > want.Level+0.01 {
+			t.Fatalf("got %v times the burst left, want %v at most", got.Level, want.Level)
+		}
+		now += 100 * time.Millisecond
+	}
+}
--- a/peridotquota/window.go
+++ b/peridotquota/window.go
@@ -62,6 +62,17 @@
 	w.change(w.current, use)
 }
 
+// spread adds a use, which may be negative, evenly to the slots of a time that has passed,
+// without those that have left the window.
+func (w *window) spread(from, to time.Duration, use float64) {
+	for n := max(int64(from/w.slot), w.current-int64(len(w.used))+1); n <= min(int64(to/w.slot), w.current); n++ {
+		slot := time.Duration(n) * w.slot
+		if part := min(to, slot+w.slot) - max(from, slot); part > 0 {
+			w.change(n, use*part.Seconds()/(to-from).Seconds())
+		}
+	}
+}
+
 // scale sets the use in all slots to the given share, from 0 to 1, of what it was before any
 // earlier scale.
 func (w *window) scale(share float64) {
