Account limits: tell callers to come back when there is room

A refusal told 30 s after a large overdraft, though all use has left the window after 8.5 s; with a tiny rate the time overflowed and was negative. The time is now at most the window's, except for requests larger than the whole limit, and is bounded before it is converted to a time.Duration.

--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -225,7 +225,7 @@
 	t.advance(now, a)
 	a.addDemand(now, cost)
 	if t.level(a)-cost < t.reserve(a) && a.credit <= 0 {
-		return false, t.untilCredit(now, a)
+		return false, t.untilCredit(now, a, cost)
 	}
 	a.use(cost)
 	return true, 0
@@ -340,18 +340,29 @@
 	return rate * (own + least) / (sum + least*float64(n))
 }
 
-// untilCredit returns the time until this instance may admit a request again.
-func (t *Table) untilCredit(now time.Duration, a *account) time.Duration {
+// untilCredit returns the time until this instance may admit a request of the given cost
+// again. All that was used has left the window after its length; only a request that is
+// larger than what an account without any use has left may have to wait longer.
+func (t *Table) untilCredit(now time.Duration, a *account, cost float64) time.Duration {
 	wait := a.window.untilFree(a.window.sum - a.size)
 	if level := t.level(a); level < 0 {
-		wait = max(wait, time.Duration(-level/(startRate*a.limit.Rate)*float64(time.Second)))
+		wait = max(wait, retryTime(-level/(startRate*a.limit.Rate)))
 	}
 	if part := t.part(now, a); part > 0 {
-		wait = max(wait, time.Duration(-a.credit/part*float64(time.Second)))
+		wait = max(wait, retryTime(-a.credit/part))
+	}
+	if t.cap(a, 0)-cost >= t.reserve(a) {
+		wait = min(wait, time.Duration(len(a.window.used))*a.window.slot)
 	}
 	return min(wait.Truncate(time.Millisecond)+time.Millisecond, maxRetryAfter)
 }
 
+// retryTime converts seconds to a time of at most maxRetryAfter: a small rate gives more than
+// a time.Duration can hold.
+func retryTime(seconds float64) time.Duration {
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // addDemand counts a request in the demand.
 func (a *account) addDemand(now time.Duration, cost float64) {
 	a.demand = a.demandAtTime(now) + cost/demandTime.Seconds()
--- a/peridotquota/table_test.go
+++ b/peridotquota/table_test.go
@@ -441,3 +441,24 @@
 		now += 100 * time.Millisecond
 	}
 }
+
+// TestRetryAfterIsInTime guards against callers that are told to come back long after the
+// account has room again, or too early because the time is too large for a time.Duration.
+func TestRetryAfterIsInTime(t *testing.T) {
+	for _, rate := range []float64{1000, 1, 1e-3, 1e-9, 1e-300} {
+		table := NewTable(Tolerance{Window: windowTime})
+		table.SetLimits(0, map[string]Limit{"a": {rate, 1000}})
+		now := 20 * time.Second
+		table.Take(now, "a", 50)
+		now += 100 * time.Millisecond
+		table.Take(now, "a", 50_000) // Overdraws the limit.
+		now += 100 * time.Millisecond
+		ok, retryAfter := table.Take(now, "a", 50)
+		if want := windowTime + windowTime/8; ok || retryAfter > want {
+			t.Errorf("rate %v: got %v, retry after %v; want a refusal and %v at most", rate, ok, retryAfter, want)
+		}
+		if ok, _ := table.Take(now+retryAfter, "a", 50); !ok {
+			t.Errorf("rate %v: got a refusal after the %v that were told, want none", rate, retryAfter)
+		}
+	}
+}
