Account limits: ignore reports from before a restart

A report that was sent before a front's restart and comes after it was taken for a further restart: all that the front had ever admitted counted as used now, twice if more followed, and the account was refused for a window. Reports of the start before the present one are now ignored. TestReportOfEarlierStart got -1,079 times the burst left before (4.3 without the late report) and passes now, as do all tests of the package (24.9 s).

--- a/peridotquota/report.go
+++ b/peridotquota/report.go
@@ -44,7 +44,8 @@
 	return r
 }
 
-// Observe applies the report of another instance. Every report counts as a sign of life.
+// Observe applies the report of another instance. Every report counts as a sign of
+// life, except one from before the instance's last restart, which is ignored.
 func (t *Table) Observe(now time.Duration, instance string, r Report) {
 	t.begin(now)
 	p := t.peers[instance]
@@ -54,13 +55,17 @@
 		t.peers[instance] = p
 	}
 	hasRestarted := p.start != r.Start
+	if hasRestarted && p.hasRestarted && p.previousStart == r.Start {
+		return // Sent before the restart, and delayed.
+	}
 	if !isNew && !hasRestarted {
 		t.interval += time.Duration(intervalSmoothing * float64(min(now-p.heardAt, silenceTime)-t.interval))
 	}
-	p.heardAt, p.start = now, r.Start
 	if hasRestarted {
+		p.previousStart, p.hasRestarted = p.start, true
 		t.restartTotals(now, instance)
 	}
+	p.heardAt, p.start = now, r.Start
 	for _, u := range r.Usages {
 		if a := t.accounts[u.Account]; a != nil && isPlausible(u) {
 			t.advance(now, a)
--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -114,6 +114,9 @@
 type peer struct {
 	heardAt time.Duration
 	start   uint64
+	// previousStart is the start before that, if hasRestarted is set.
+	previousStart uint64
+	hasRestarted  bool
 }
 
 // account counts the use of one account.
--- a/peridotquota/table_test.go
+++ b/peridotquota/table_test.go
@@ -462,3 +462,24 @@
 		}
 	}
 }
+
+// TestReportOfEarlierStart guards against accounts that are refused for a window because a
+// report from before the restart of another instance comes after one from since then.
+func TestReportOfEarlierStart(t *testing.T) {
+	table := NewTable(tolerance)
+	table.SetLimits(0, map[string]Limit{"a": {tokenRate, tokenRate}})
+	now := 20 * time.Second
+	report := func(start uint64, total float64) {
+		table.Observe(now, "other", Report{Start: start, Usages: []Usage{{Account: "a", Total: total}}})
+		now += 100 * time.Millisecond
+	}
+	report(1, 0)
+	report(2, 0)
+	want, _ := table.State(now, "a")
+	report(1, 1e9)
+	report(2, 1000)
+	report(1, 1e9)
+	if got, _ := table.State(now, "a"); got.Level < want.Level-0.1 {
+		t.Errorf("got %v times the burst left after a late report, want %v", got.Level, want.Level)
+	}
+}
