--- a/peridotquota/table_test.go
+++ b/peridotquota/table_test.go
@@ -179,6 +179,12 @@
 		}
 		return Limit{tokenRate, tokenRate}
 	}
+	changing := func(at time.Duration) Limit {
+		if at > 9*time.Second && at/(500*time.Millisecond)%2 == 1 {
+			return Limit{tokenRate / 2, tokenRate / 2}
+		}
+		return Limit{tokenRate, tokenRate}
+	}
 	between := func(from, to time.Duration, isOne func(i, n int) bool) func(time.Duration, int, int) bool {
 		return func(at time.Duration, i, n int) bool { return at > from && at < to && isOne(i, n) }
 	}
@@ -196,6 +202,11 @@
 		{name: "hot while a sixth is killed", demand: hot(7.5), limit: full, weight: even, isDown: between(9*time.Second, 11*time.Second, sixth), maxShortfall: 0.3},
 		{name: "hot while all are killed", demand: hot(7.5), limit: full, weight: even, isDown: between(9500*time.Millisecond, 10*time.Second, func(int, int) bool { return true }), maxShortfall: 0.6},
 		{name: "hot while all are killed, later", demand: hot(7.5), limit: full, weight: even, isDown: between(11*time.Second, 11500*time.Millisecond, func(int, int) bool { return true }), maxShortfall: 0.6},
+		{name: "hot while each is killed in turn", demand: hot(7.5), limit: full, weight: even, isDown: func(at time.Duration, i, n int) bool {
+			down := 8500*time.Millisecond + time.Duration(i)*5*time.Second/time.Duration(n)
+			return at > down && at < down+300*time.Millisecond
+		}, maxShortfall: 0.1},
+		{name: "limit falls and rises", demand: constant(4), limit: changing, weight: uneven, maxShortfall: 0.05},
 		{name: "each starts again in turn", demand: constant(1 / 1.4), limit: full, weight: uneven, isDown: func(at time.Duration, i, n int) bool {
 			return int(at/(2*time.Second))%n == i && at%(2*time.Second) < 500*time.Millisecond
 		}, maxShortfall: 0.02},
