--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -121,6 +121,8 @@
 	// quotaCost is what the request was counted as against the limit of its account; 0 if
 	// it was not.
 	quotaCost float64
+	// quotaTakenAt is the value of Front.now when it was counted.
+	quotaTakenAt time.Duration
 	// logFields contains the fields of the request's log line.
 	logFields log.Fields
 }
--- a/peridotfront/quota.go
+++ b/peridotfront/quota.go
@@ -126,7 +126,7 @@
 		log.WithFields(log.Fields{"account": x.account, "strict": state.IsStrict, "level": state.Level, "rate": limit.Rate, "burst": limit.Burst}).Info(logPrefix + "client account crossed the reserve of its limit")
 	}
 	if ok {
-		x.quotaCost = cost
+		x.quotaCost, x.quotaTakenAt = cost, now
 		return nil
 	}
 	f.metrics.Count("quota_refusals")
@@ -143,5 +143,5 @@
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.quota.table.Return(f.now(), x.account, x.quotaCost)
+	f.quota.table.Return(f.now(), x.account, x.quotaCost, x.quotaTakenAt)
 }
--- a/peridotquota/report.go
+++ b/peridotquota/report.go
@@ -44,7 +44,8 @@
 	return r
 }
 
-// Observe applies the report of another instance. Every report counts as a sign of life.
+// Observe applies the report of another instance. Every report counts as a sign of
+// life, except one from before the instance's last restart, which is ignored.
 func (t *Table) Observe(now time.Duration, instance string, r Report) {
 	t.begin(now)
 	p := t.peers[instance]
@@ -54,9 +55,16 @@
 		t.peers[instance] = p
 	}
 	hasRestarted := p.start != r.Start
+	if hasRestarted && p.hasRestarted && p.previousStart == r.Start {
+		return // Sent before the restart, and delayed.
+	}
 	if !isNew && !hasRestarted {
 		t.interval += time.Duration(intervalSmoothing * float64(min(now-p.heardAt, silenceTime)-t.interval))
 	}
+	if hasRestarted {
+		p.previousStart, p.hasRestarted = p.start, true
+		t.restartTotals(now, instance)
+	}
 	p.heardAt, p.start = now, r.Start
 	for _, u := range r.Usages {
 		if a := t.accounts[u.Account]; a != nil && isPlausible(u) {
@@ -64,14 +72,25 @@
 			if r.HasLevels && now-t.start < t.tolerance.Window {
 				t.adoptLevel(a, u.Level)
 			}
-			a.observe(now, t.interval, instance, u, hasRestarted, isNew && now-t.start < joinTime)
+			a.observe(now, t.interval, t.tolerance.Window, instance, u, isNew && now-t.start < joinTime)
 		}
 	}
-	if !hasRestarted && !isNew {
+	if !isNew {
 		t.correctUnreported(now, instance, r)
 	}
 }
 
+// restartTotals sets what another instance has reported of all accounts to 0, including those
+// that its first report after a restart does not name.
+func (t *Table) restartTotals(now time.Duration, instance string) {
+	for _, a := range t.accounts {
+		if u := a.others[instance]; u != nil {
+			t.advance(now, a)
+			u.total, u.rate = 0, 0
+		}
+	}
+}
+
 // adoptLevel sets what is left of a limit to what another instance tells that has run for
 // longer, less what this one has admitted since its start.
 func (t *Table) adoptLevel(a *account, level float64) {
@@ -110,18 +129,18 @@
 
 // observe applies what another instance reports of the account. wasBefore is set if its
 // total is from before the start of this instance.
-func (a *account) observe(now, interval time.Duration, instance string, reported Usage, hasRestarted, wasBefore bool) {
+func (a *account) observe(now, interval, window time.Duration, instance string, reported Usage, wasBefore bool) {
 	u := a.others[instance]
 	if u == nil {
-		u = &usage{reportedAt: now}
+		// The total may be hours old, as after a partition. In the window the instance has
+		// admitted at most about what is asked of it.
+		recent := reported.Demand * window.Seconds()
 		if wasBefore {
-			u.total = reported.Total
+			recent = 0
 		}
+		u = &usage{reportedAt: now, total: min(reported.Total, max(0, reported.Total-recent))}
 		a.others[instance] = u
 	}
-	if hasRestarted {
-		u.total, u.rate = 0, 0
-	}
 	u.demand = reported.Demand
 	a.correct(now, interval, u, reported.Total)
 }
@@ -131,7 +150,9 @@
 // in the short time until the next.
 func (a *account) correct(now, interval time.Duration, u *usage, total float64) {
 	used := total - u.total
-	a.window.add(used - u.expected)
+	a.window.add(used)
+	// Taken from the slots that it is in: what has left the window must not be taken again.
+	a.window.spread(u.reportedAt, u.expectedUntil, -u.expected)
 	if now > u.reportedAt {
 		u.rate += (max(0, used)/max(now-u.reportedAt, interval).Seconds() - u.rate) * smoothing
 		u.reportedAt = now
--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -114,6 +114,9 @@
 type peer struct {
 	heardAt time.Duration
 	start   uint64
+	// previousStart is the start before that, if hasRestarted is set.
+	previousStart uint64
+	hasRestarted  bool
 }
 
 // account counts the use of one account.
@@ -121,6 +124,10 @@
 	limit Limit
 	// size is what all instances may admit in a window.
 	size float64
+	// peak is the largest size that was in force in the last window, until peakAt. It is set
+	// when the limit changes.
+	peak   float64
+	peakAt time.Duration
 	// startSlot is the slot of window that holds what was used before the start. Once
 	// another instance has told what is left, knowsPast is set.
 	startSlot int64
@@ -145,7 +152,9 @@
 	// rate is what it admitted in a second between its last two reports, and expected what
 	// was deducted for the time since the last one.
 	rate, expected float64
-	reportedAt     time.Duration
+	// reportedAt is the time of the last report, and expectedUntil the end of the time since
+	// then for which expected was deducted.
+	reportedAt, expectedUntil time.Duration
 }
 
 // NewTable returns a table without limits.
@@ -168,7 +177,7 @@
 }
 
 // SetLimits replaces the limits. If the limit of an account is lowered, what it has used
-// counts in proportion.
+// counts in proportion, and in full once it is raised again.
 func (t *Table) SetLimits(now time.Duration, limits map[string]Limit) {
 	t.begin(now)
 	for name, a := range t.accounts {
@@ -179,7 +188,10 @@
 		t.advance(now, a)
 		if next := limits[name]; next != a.limit {
 			size := t.sizeOf(next)
-			a.window.scale(min(1, size/max(a.size, 1)))
+			if a.size >= a.peak || now-a.peakAt > t.tolerance.Window+2*a.window.slot {
+				a.peak, a.peakAt = a.size, now
+			}
+			a.window.scale(min(1, size/max(a.peak, 1)))
 			a.credit = min(a.credit, 0)
 			a.limit, a.size = next, size
 		}
@@ -216,17 +228,20 @@
 	t.advance(now, a)
 	a.addDemand(now, cost)
 	if t.level(a)-cost < t.reserve(a) && a.credit <= 0 {
-		return false, t.untilCredit(now, a)
+		return false, t.untilCredit(now, a, cost)
 	}
 	a.use(cost)
 	return true, 0
 }
 
-// Return takes back what Take admitted for a request that did not run.
-func (t *Table) Return(now time.Duration, name string, cost float64) {
+// Return takes back what Take admitted at takenAt for a request that did not run. What has
+// left the window meanwhile must not make room for other requests.
+func (t *Table) Return(now time.Duration, name string, cost float64, takenAt time.Duration) {
 	if a := t.accounts[name]; a != nil {
 		t.advance(now, a)
-		a.use(-cost)
+		a.window.change(int64(takenAt/a.window.slot), -cost)
+		a.credit += cost
+		a.total -= cost
 	}
 }
 
@@ -286,9 +301,11 @@
 	expected := t.expectedFor(now)
 	for _, u := range a.others {
 		until := min(now, u.reportedAt+expected)
-		if dt := (until - max(a.updatedAt, u.reportedAt)).Seconds(); dt > 0 && u.rate > 0 {
-			a.window.add(u.rate * dt)
+		from := max(a.updatedAt, u.reportedAt)
+		if dt := (until - from).Seconds(); dt > 0 && u.rate > 0 {
+			a.window.spread(from, until, u.rate*dt)
 			u.expected += u.rate * dt
+			u.expectedUntil = until
 		}
 	}
 	part := t.part(now, a)
@@ -329,18 +346,29 @@
 	return rate * (own + least) / (sum + least*float64(n))
 }
 
-// untilCredit returns the time until this instance may admit a request again.
-func (t *Table) untilCredit(now time.Duration, a *account) time.Duration {
+// untilCredit returns the time until this instance may admit a request of the given cost
+// again. All that was used has left the window after its length; only a request that is
+// larger than what an account without any use has left may have to wait longer.
+func (t *Table) untilCredit(now time.Duration, a *account, cost float64) time.Duration {
 	wait := a.window.untilFree(a.window.sum - a.size)
 	if level := t.level(a); level < 0 {
-		wait = max(wait, time.Duration(-level/(startRate*a.limit.Rate)*float64(time.Second)))
+		wait = max(wait, retryTime(-level/(startRate*a.limit.Rate)))
 	}
 	if part := t.part(now, a); part > 0 {
-		wait = max(wait, time.Duration(-a.credit/part*float64(time.Second)))
+		wait = max(wait, retryTime(-a.credit/part))
+	}
+	if t.cap(a, 0)-cost >= t.reserve(a) {
+		wait = min(wait, time.Duration(len(a.window.used))*a.window.slot)
 	}
 	return min(wait.Truncate(time.Millisecond)+time.Millisecond, maxRetryAfter)
 }
 
+// retryTime converts seconds to a time of at most maxRetryAfter: a small rate gives more than
+// a time.Duration can hold.
+func retryTime(seconds float64) time.Duration {
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // addDemand counts a request in the demand.
 func (a *account) addDemand(now time.Duration, cost float64) {
 	a.demand = a.demandAtTime(now) + cost/demandTime.Seconds()
--- a/peridotquota/table_test.go
+++ b/peridotquota/table_test.go
@@ -179,6 +179,12 @@
 		}
 		return Limit{tokenRate, tokenRate}
 	}
+	changing := func(at time.Duration) Limit {
+		if at > 9*time.Second && at/(500*time.Millisecond)%2 == 1 {
+			return Limit{tokenRate / 2, tokenRate / 2}
+		}
+		return Limit{tokenRate, tokenRate}
+	}
 	between := func(from, to time.Duration, isOne func(i, n int) bool) func(time.Duration, int, int) bool {
 		return func(at time.Duration, i, n int) bool { return at > from && at < to && isOne(i, n) }
 	}
@@ -196,6 +202,11 @@
 		{name: "hot while a sixth is killed", demand: hot(7.5), limit: full, weight: even, isDown: between(9*time.Second, 11*time.Second, sixth), maxShortfall: 0.3},
 		{name: "hot while all are killed", demand: hot(7.5), limit: full, weight: even, isDown: between(9500*time.Millisecond, 10*time.Second, func(int, int) bool { return true }), maxShortfall: 0.6},
 		{name: "hot while all are killed, later", demand: hot(7.5), limit: full, weight: even, isDown: between(11*time.Second, 11500*time.Millisecond, func(int, int) bool { return true }), maxShortfall: 0.6},
+		{name: "hot while each is killed in turn", demand: hot(7.5), limit: full, weight: even, isDown: func(at time.Duration, i, n int) bool {
+			down := 8500*time.Millisecond + time.Duration(i)*5*time.Second/time.Duration(n)
+			return at > down && at < down+300*time.Millisecond
+		}, maxShortfall: 0.1},
+		{name: "limit falls and rises", demand: constant(4), limit: changing, weight: uneven, maxShortfall: 0.05},
 		{name: "each starts again in turn", demand: constant(1 / 1.4), limit: full, weight: uneven, isDown: func(at time.Duration, i, n int) bool {
 			return int(at/(2*time.Second))%n == i && at%(2*time.Second) < 500*time.Millisecond
 		}, maxShortfall: 0.02},
@@ -292,7 +303,20 @@
 		if ok, _ := table.Take(time.Second, "a", 300); !ok {
 			t.Fatal("got a refusal, want none: all requests are returned")
 		}
-		table.Return(time.Second, "a", 300)
+		table.Return(time.Second, "a", 300, time.Second)
+	}
+}
+
+// TestLateReturn guards against room for other requests because a request is returned whose
+// cost has left the window already.
+func TestLateReturn(t *testing.T) {
+	table := NewTable(tolerance)
+	table.SetLimits(0, map[string]Limit{"a": {tokenRate, tokenRate}})
+	want, _ := table.State(40*time.Second, "a")
+	table.Take(40*time.Second, "a", tokenRate)
+	table.Return(56*time.Second, "a", tokenRate, 40*time.Second)
+	if got, _ := table.State(56*time.Second, "a"); got.Level > want.Level {
+		t.Errorf("got %v times the burst left, want %v", got.Level, want.Level)
 	}
 }
 
@@ -324,3 +348,162 @@
 		})
 	}
 }
+
+// TestRestartWithoutUse guards against limits that are lifted for a window because the first
+// report after the restart of another instance names no account, and its later total was
+// taken for a fall of the former one.
+func TestRestartWithoutUse(t *testing.T) {
+	table := NewTable(tolerance)
+	table.SetLimits(0, map[string]Limit{"a": {tokenRate, tokenRate}})
+	now := 10 * time.Second
+	table.Observe(now, "other", Report{Start: 1, Usages: []Usage{{Account: "a", Total: 0}}})
+	table.Observe(now+100*time.Millisecond, "other", Report{Start: 1, Usages: []Usage{{Account: "a", Total: 1e9}}})
+	now += 20 * time.Second
+	table.Observe(now, "other", Report{Start: 2})
+	table.Observe(now+100*time.Millisecond, "other", Report{Start: 2, Usages: []Usage{{Account: "a", Total: 1000}}})
+	unused := NewTable(tolerance)
+	unused.SetLimits(0, map[string]Limit{"a": {tokenRate, tokenRate}})
+	want, _ := unused.State(now, "a")
+	if got, _ := table.State(now+100*time.Millisecond, "a"); got.Level > want.Level {
+		t.Errorf("got %v times the burst left after a restart, want %v at most", got.Level, want.Level)
+	}
+}
+
+// TestFirstTotalIsOld guards against accounts that are refused for a window because the first
+// total that an instance hears of another one, after a partition or a round of reports that
+// did not name the account, is what that one has admitted in hours.
+func TestFirstTotalIsOld(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		hear func(table *Table, now time.Duration)
+	}{
+		{name: "forgotten in a partition", hear: func(table *Table, now time.Duration) {
+			table.Observe(now-30*time.Second, "other", Report{Usages: []Usage{{Account: "a", Total: 1e12}}})
+			table.Forget(now, 20*time.Second)
+		}},
+		{name: "not named by the first report", hear: func(table *Table, now time.Duration) {
+			table.Observe(now-100*time.Millisecond, "other", Report{})
+		}},
+	} {
+		table := NewTable(tolerance)
+		now := time.Minute
+		table.SetLimits(now-40*time.Second, map[string]Limit{"a": {tokenRate, tokenRate}})
+		test.hear(table, now)
+		table.Observe(now, "other", Report{Usages: []Usage{{Account: "a", Total: 1e12 + 1e6, Demand: tokenRate / 10}}})
+		if got, _ := table.State(now, "a"); got.Level < 1.7 || got.IsStrict {
+			t.Errorf("%s: got %v times the burst left, want 1.7 at least", test.name, got.Level)
+		}
+	}
+}
+
+// TestFirstTotalIsNew guards against the use of another instance that is not counted because
+// it is the first that is heard of it.
+func TestFirstTotalIsNew(t *testing.T) {
+	table := NewTable(tolerance)
+	table.SetLimits(0, map[string]Limit{"a": {tokenRate, tokenRate}})
+	now := 20 * time.Second
+	before, _ := table.State(now, "a")
+	table.Observe(now, "other", Report{Usages: []Usage{{Account: "a", Total: tokenRate, Demand: tokenRate}}})
+	if got, _ := table.State(now, "a"); got.Level > before.Level-1 {
+		t.Errorf("got %v times the burst left after a use of 1, want %v at most", got.Level, before.Level-1)
+	}
+}
+
+// TestLimitBackAndForth guards against use that is forgotten because a limit is lowered, which
+// counts it in proportion, and raised again.
+func TestLimitBackAndForth(t *testing.T) {
+	for _, low := range []float64{tokenRate / 2, tokenRate / 100, 1e-9} {
+		table := NewTable(tolerance)
+		table.SetLimits(0, map[string]Limit{"a": {tokenRate, tokenRate}})
+		now := 20 * time.Second
+		admitted := 0.0
+		for range 10 {
+			for _, rate := range []float64{tokenRate, low} {
+				table.SetLimits(now, map[string]Limit{"a": {rate, rate}})
+				for range 5000 {
+					if ok, _ := table.Take(now, "a", 10_000); ok {
+						admitted += 10_000
+					}
+				}
+				now += 100 * time.Millisecond
+			}
+		}
+		if want := (tokenRate*windowTime.Seconds()+tokenRate)*(1+tolerance.Excess) + tolerance.Slack; admitted > want {
+			t.Errorf("lowered to %v: got %.0f admitted in 2 s, want %.0f at most", low, admitted, want)
+		}
+	}
+}
+
+// TestEndOfPartition guards against limits that are exceeded after a partition: the expected
+// use of the others that has left the window meanwhile must not be subtracted from it.
+func TestEndOfPartition(t *testing.T) {
+	limits := map[string]Limit{"a": {tokenRate, tokenRate}}
+	table := NewTable(tolerance)
+	table.SetLimits(0, limits)
+	now := 20 * time.Second
+	total := 0.0
+	for range 50 {
+		table.Observe(now, "other", Report{Usages: []Usage{{Account: "a", Total: total, Demand: tokenRate}}})
+		now += 100 * time.Millisecond
+		total += tokenRate / 10
+	}
+	table.Observe(now, "other", Report{Usages: []Usage{{Account: "a", Total: total, Demand: tokenRate}}})
+	unused := NewTable(tolerance)
+	unused.SetLimits(0, limits)
+	for range 18 {
+		now += time.Second
+		table.State(now, "a")
+	}
+	table.Observe(now, "other", Report{Usages: []Usage{{Account: "a", Total: total}}})
+	// What is left must be that of an account that has not been used, at most.
+	for range 80 {
+		got, _ := table.State(now, "a")
+		want, _ := unused.State(now, "a")
+		if got.Level > want.Level+0.01 {
+			t.Fatalf("got %v times the burst left, want %v at most", got.Level, want.Level)
+		}
+		now += 100 * time.Millisecond
+	}
+}
+
+// TestRetryAfterIsInTime guards against callers that are told to come back long after the
+// account has room again, or too early because the time is too large for a time.Duration.
+func TestRetryAfterIsInTime(t *testing.T) {
+	for _, rate := range []float64{1000, 1, 1e-3, 1e-9, 1e-300} {
+		table := NewTable(Tolerance{Window: windowTime})
+		table.SetLimits(0, map[string]Limit{"a": {rate, 1000}})
+		now := 20 * time.Second
+		table.Take(now, "a", 50)
+		now += 100 * time.Millisecond
+		table.Take(now, "a", 50_000) // Overdraws the limit.
+		now += 100 * time.Millisecond
+		ok, retryAfter := table.Take(now, "a", 50)
+		if want := windowTime + windowTime/8; ok || retryAfter > want {
+			t.Errorf("rate %v: got %v, retry after %v; want a refusal and %v at most", rate, ok, retryAfter, want)
+		}
+		if ok, _ := table.Take(now+retryAfter, "a", 50); !ok {
+			t.Errorf("rate %v: got a refusal after the %v that were told, want none", rate, retryAfter)
+		}
+	}
+}
+
+// TestReportOfEarlierStart guards against accounts that are refused for a window because a
+// report from before the restart of another instance comes after one from since then.
+func TestReportOfEarlierStart(t *testing.T) {
+	table := NewTable(tolerance)
+	table.SetLimits(0, map[string]Limit{"a": {tokenRate, tokenRate}})
+	now := 20 * time.Second
+	report := func(start uint64, total float64) {
+		table.Observe(now, "other", Report{Start: start, Usages: []Usage{{Account: "a", Total: total}}})
+		now += 100 * time.Millisecond
+	}
+	report(1, 0)
+	report(2, 0)
+	want, _ := table.State(now, "a")
+	report(1, 1e9)
+	report(2, 1000)
+	report(1, 1e9)
+	if got, _ := table.State(now, "a"); got.Level < want.Level-0.1 {
+		t.Errorf("got %v times the burst left after a late report, want %v", got.Level, want.Level)
+	}
+}
--- a/peridotquota/window.go
+++ b/peridotquota/window.go
@@ -6,11 +6,13 @@
 type window struct {
 	// slot is the length of a slot.
 	slot time.Duration
-	// used is the use in each slot, current the number of the slot in use since time 0, and
-	// sum the use in all of them.
-	used    [slots + 2]float64
-	current int64
-	sum     float64
+	// used is the use in each slot that counts, current the number of the slot in use since
+	// time 0, and sum the use in all of them.
+	used [slots + 2]float64
+	// discounted is the use in each slot that scale has taken away.
+	discounted [slots + 2]float64
+	current    int64
+	sum        float64
 }
 
 // fill sets the use in each slot before the current one, and that in the current one, whose
@@ -46,7 +48,7 @@
 		return
 	}
 	for n := max(w.current+1, next-int64(len(w.used))+1); n <= next; n++ {
-		w.used[n%int64(len(w.used))] = 0
+		w.used[n%int64(len(w.used))], w.discounted[n%int64(len(w.used))] = 0, 0
 	}
 	w.current = next
 	w.sum = 0 // Added up anew, so that rounding errors don't accumulate.
@@ -60,12 +62,27 @@
 	w.change(w.current, use)
 }
 
-// scale multiplies the use in all slots.
-func (w *window) scale(factor float64) {
+// spread adds a use, which may be negative, evenly to the slots of a time that has passed,
+// without those that have left the window.
+func (w *window) spread(from, to time.Duration, use float64) {
+	for n := max(int64(from/w.slot), w.current-int64(len(w.used))+1); n <= min(int64(to/w.slot), w.current); n++ {
+		slot := time.Duration(n) * w.slot
+		if part := min(to, slot+w.slot) - max(from, slot); part > 0 {
+			w.change(n, use*part.Seconds()/(to-from).Seconds())
+		}
+	}
+}
+
+// scale sets the use in all slots to the given share, from 0 to 1, of what it was before any
+// earlier scale.
+func (w *window) scale(share float64) {
+	w.sum = 0
 	for i := range w.used {
-		w.used[i] *= factor
+		all := w.used[i] + w.discounted[i]
+		w.used[i] = all * share
+		w.discounted[i] = all - w.used[i]
+		w.sum += w.used[i]
 	}
-	w.sum *= factor
 }
 
 // expiring returns the use that leaves the window in the given time.
