--- a/peridotquota/report.go
+++ b/peridotquota/report.go
@@ -24,7 +24,7 @@
 func (t *Table) Report(now time.Duration, start uint64, limit int, all bool) Report {
 	t.begin(now)
 	r := Report{Start: start, HasLevels: true}
-	news := func(a *account) float64 { return math.Abs(a.total-a.told) / max(a.limit.Burst, 1) }
+	news := func(a *account) float64 { return math.Abs(a.total-a.reportedTotal) / max(a.limit.Burst, 1) }
 	var names []string
 	for name, a := range t.accounts {
 		if news(a) >= minNews || all && a.total != 0 {
@@ -37,7 +37,7 @@
 	for _, name := range names[:min(limit, len(names))] {
 		a := t.accounts[name]
 		t.advance(now, a)
-		a.told = a.total
+		a.reportedTotal = a.total
 		r.HasLevels = r.HasLevels && (a.knowsPast || now-t.start >= t.tolerance.Window)
 		r.Usages = append(r.Usages, Usage{Account: name, Total: a.total, Demand: a.demandAtTime(now), Level: t.level(a)})
 	}
--- a/peridotquota/table.go
+++ b/peridotquota/table.go
@@ -140,8 +140,8 @@
 	// total and demand are those of Usage; demandAt is when demand was computed.
 	total, demand float64
 	demandAt      time.Duration
-	// told is the total in the last report.
-	told float64
+	// reportedTotal is the total in the last report.
+	reportedTotal float64
 	// others contains what the other instances have reported.
 	others map[string]*usage
 }
