review: case 8, streams of a worker that shuts down gracefully are broken off

One of four workers, whose answers have neither a length nor chunks, reports draining, serves on for 2.5 s, stops listening and finishes its streams. The fronts break all of them off after the last event, around a SIGHUP.

--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -3,15 +3,19 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +27,8 @@
 	WorkMillis int
 	// EventMillis is the time between two events.
 	EventMillis int
+	// Unframed is set if the streams have no length and end with their channels.
+	Unframed bool
 }
 
 // report is what a worker process tells about a request.
@@ -44,7 +50,11 @@
 	}
 	go w.beat()
 	go w.sendReports()
-	return http.Serve(listener, w)
+	terminated := make(chan os.Signal, 1)
+	signal.Notify(terminated, syscall.SIGTERM)
+	go func() { _ = http.Serve(listener, w) }() // Ends with the listener.
+	<-terminated
+	return w.leave(listener)
 }
 
 type worker struct {
@@ -52,27 +62,58 @@
 	born    int64
 	slots   chan struct{}
 	reports chan report
+	// draining is set once the worker leaves, and active counts its requests.
+	draining atomic.Bool
+	seq      atomic.Int64
+	active   sync.WaitGroup
+}
+
+// leave reports that the worker drains, serves on for longer than drain-ms, listens no more,
+// finishes its requests and ends.
+func (w *worker) leave(listener net.Listener) error {
+	w.draining.Store(true)
+	w.writeEntry()
+	w.tell("", "reports draining")
+	time.Sleep(drainBound + 500*time.Millisecond)
+	listener.Close()
+	w.tell("", "listens no more")
+	w.active.Wait()
+	w.tell("", "has finished all requests and ends")
+	time.Sleep(200 * time.Millisecond) // For the reports.
+	response, err := http.Post("http://"+w.spec.Control+"/gone?id="+w.spec.ID, "", http.NoBody)
+	if err == nil {
+		response.Body.Close()
+	}
+	return errors.New("left")
 }
 
 // beat writes the worker's entry every heartbeat.
 func (w *worker) beat() {
-	for seq := 1; ; seq++ {
-		entry := map[string]any{
-			"service": w.spec.Service, "addr": w.spec.Address, "zone": "recife-a", "version": w.spec.Version, "slots": w.spec.Slots,
-			"state": "ready", "cold-left-ms": 0, "seq": seq, "born": w.born,
-		}
-		if w.spec.Stage != "" {
-			entry["stage"] = w.spec.Stage
-		}
-		data, _ := json.Marshal(entry)
-		response, err := http.Post("http://"+w.spec.Control+"/beat?id="+w.spec.ID, "application/json", bytes.NewReader(data))
-		if err == nil {
-			response.Body.Close()
-		}
+	for {
+		w.writeEntry()
 		time.Sleep(heartbeat)
 	}
 }
 
+func (w *worker) writeEntry() {
+	state := "ready"
+	if w.draining.Load() {
+		state = "draining"
+	}
+	entry := map[string]any{
+		"service": w.spec.Service, "addr": w.spec.Address, "zone": "recife-a", "version": w.spec.Version, "slots": w.spec.Slots,
+		"state": state, "cold-left-ms": 0, "seq": w.seq.Add(1), "born": w.born,
+	}
+	if w.spec.Stage != "" {
+		entry["stage"] = w.spec.Stage
+	}
+	data, _ := json.Marshal(entry)
+	response, err := http.Post("http://"+w.spec.Control+"/beat?id="+w.spec.ID, "application/json", bytes.NewReader(data))
+	if err == nil {
+		response.Body.Close()
+	}
+}
+
 // sendReports sends the reports in the order in which they were made.
 func (w *worker) sendReports() {
 	for r := range w.reports {
@@ -120,6 +161,12 @@
 		return
 	}
 	w.tell(id, "runs")
+	w.active.Add(1)
+	defer w.active.Done()
+	if w.spec.Unframed {
+		w.streamUnframed(out, r, id)
+		return
+	}
 	out.Header().Set("X-Peridotstack-Response-Seal", "s."+w.spec.ID)
 	if w.spec.EventMillis > 0 {
 		w.stream(out, r, id)
@@ -151,6 +198,28 @@
 	w.tell(id, "has run")
 }
 
+// streamUnframed sends a stream that has neither a length nor chunks, and closes the channel.
+func (w *worker) streamUnframed(out http.ResponseWriter, r *http.Request, id string) {
+	_, tokens, _ := strings.Cut(r.Header.Get("X-Peridotstack-Token-Counts"), ",")
+	events, _ := strconv.Atoi(tokens)
+	conn, _, err := http.NewResponseController(out).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Peridotstack-Request-Id: %s\r\nX-Peridotstack-Response-Seal: s.%s\r\nX-Peridotstack-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", id, w.spec.ID)
+	time.Sleep(time.Duration(w.spec.WorkMillis) * time.Millisecond)
+	for i := 1; i <= events; i++ {
+		if _, err := fmt.Fprintf(conn, "%sid: %d\ndata: event %d of %s\n\n", head, i, i, id); err != nil {
+			w.tell(id, "is broken off by the front")
+			return
+		}
+		head = ""
+		time.Sleep(time.Duration(w.spec.EventMillis) * time.Millisecond)
+	}
+	w.tell(id, "has run")
+}
+
 // workerProcess is a worker as the lab sees it.
 type workerProcess struct {
 	spec    workerSpec
@@ -193,6 +262,10 @@
 		}
 		return
 	}
+	if r.URL.Path == "/gone" {
+		c.leave(r.URL.Query().Get("id"))
+		return
+	}
 	var list []report
 	if json.NewDecoder(r.Body).Decode(&list) != nil {
 		return
