--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -42,6 +42,8 @@
 	timeout            time.Duration
 	// events is the number of events of a whole stream; 0 means that the answer is no stream.
 	events int
+	// host is the Host header; empty means testHost.
+	host string
 }
 
 // send sends one request to a front and records its end.
@@ -67,7 +69,9 @@
 	if err != nil {
 		return err
 	}
-	q.Host = testHost
+	if q.Host = testHost; r.host != "" {
+		q.Host = r.host
+	}
 	q.GetBody = nil // Never sent again by the client itself.
 	q.Header.Set("X-Peridotstack-Request-Id", t.id)
 	q.Header.Set("X-Peridotstack-Deadline-Ms", fmt.Sprint(r.timeout.Milliseconds()))
