review: case 10, no new channel while bodies of a crowd don't end

2,000 channels with chunked bodies that get a byte a second fill a front with the settings of DEPLOY.md.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -18,7 +18,7 @@
 	failed = 2
 )
 
-var cases = map[string]func(l *lab) (int, error){"added": playAdded, "drain": playDrain, "leave": playLeave, "recover": playRecover}
+var cases = map[string]func(l *lab) (int, error){"added": playAdded, "crowd": playCrowd, "drain": playDrain, "leave": playLeave, "recover": playRecover}
 
 func main() {
 	if len(os.Args) == 2 && os.Args[1] == "worker" {
