--- a/review/standins-2/leave.go
+++ b/review/standins-2/leave.go
@@ -72,7 +72,7 @@
 	wg.Wait()
 	time.Sleep(time.Second)
 	l.recordAll(c, list)
-	return l.judgeLeave(c, list, leaving.spec.ID, reloaded), nil
+	return l.judgeLeave(c, list, reloaded), nil
 }
 
 // busiest returns the worker with the most runs.
@@ -90,7 +90,7 @@
 
 // judgeLeave checks LOST around the SIGHUP: a request that a front has read and passed on gets a
 // complete answer, unless the worker broke off.
-func (l *lab) judgeLeave(c *control, list *attempts, leaving string, reloaded time.Time) int {
+func (l *lab) judgeLeave(c *control, list *attempts, reloaded time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hasRun := map[string]string{}
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -247,7 +247,7 @@
 	return c, nil
 }
 
-func (c *control) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (c *control) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/beat" {
 		id := r.URL.Query().Get("id")
 		var entry json.RawMessage
