Answers whose status is no status code are refused

What callers saw: a server answered with the status 000, 042 or 099 and sent a sound answer behind it; the caller got that one, 200 with its body. With nothing behind it the caller waited until its route's time was up (504 for 502). 600 and 999 were passed on with their body. On the own path an agent handed any such status on, 000 included, with the body.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads for a status, and everything below 200 was skipped as an interim answer; http.Transport skips 100 to 199 and returns the rest. Statuses outside 100 to 599 are invalid (RFC 9110, section 15).

Change: peridotanswer.Conn checks the lines of each head while they are read, before a parser sees them, and ends the connection with an error that quotes the malformed part. peridotlink, the adapters to backend servers, the clients of the platform, of other fronts and of the operator interface read through it. The request may have run, its connection is closed, the log names server and status, answers_malformed counts.

Why it works: the check stands between the connection and all parsers, so that no client can be more lenient than another. An interim answer is now one with a status from 100 to 199 only.

--- a/peridotagent/ends.go
+++ b/peridotagent/ends.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
+	"peridotstack/peridotanswer"
 	"peridotstack/peridotbackend"
 	"peridotstack/peridotquarantine"
 	"peridotstack/peridotstream"
@@ -89,6 +91,10 @@
 	if !isBreak || end.Err.Verdict == peridotverdict.NotRun || ctx.Err() != nil {
 		return
 	}
+	var malformed *peridotanswer.HeadError
+	if errors.As(end.Err, &malformed) {
+		log.WithError(malformed).WithField("request", r.RequestID).Warn(logPrefix + "backend server sent no valid answer")
+	}
 	for probe := range 2 {
 		peridotwait.Sleep(ctx, time.Duration(probe)*secondProbeDelay)
 		if !peridotbackend.IsListening(ctx, a.backend) {
--- /dev/null
+++ b/peridotanswer/head.go
@@ -0,0 +1,102 @@
+package peridotanswer
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// maxQuotedBytes limits the bytes of an answer that an error quotes.
+const maxQuotedBytes = 64
+
+// HeadError is the error of an answer with a malformed head. The request may have run.
+type HeadError struct {
+	// Part names the malformed part of the head.
+	Part string
+	// Text is the malformed part as it was received, at most 64 bytes of it.
+	Text string
+}
+
+// Error names the malformed part and quotes it.
+func (e *HeadError) Error() string {
+	return "malformed " + e.Part + " " + strconv.Quote(e.Text)
+}
+
+// newHeadError returns the error of a malformed part of a head.
+func newHeadError(part string, text []byte) *HeadError {
+	return &HeadError{Part: part, Text: string(text[:min(len(text), maxQuotedBytes)])}
+}
+
+// position is a place in a sequence of answers.
+type position int
+
+const (
+	atStatusLine position = iota
+	inFields
+	// behindHead is the place behind the head of a final answer.
+	behindHead
+)
+
+// headChecker checks the heads of the interim answers and the final answer to one request.
+// Its zero value is ready for the first status line.
+type headChecker struct {
+	position position
+	// isInterim is set while the position is in the head of an interim answer.
+	isInterim bool
+	// line is the beginning of the current line, if the line came in several pieces.
+	line []byte
+}
+
+// check checks the next bytes of the answers, which may be any part of them. It returns the
+// number of bytes before the first malformed line, and the error of that line.
+func (h *headChecker) check(data []byte) (int, error) {
+	checked := 0
+	for h.position != behindHead {
+		length := bytes.IndexByte(data[checked:], '\n')
+		if length < 0 {
+			h.line = append(h.line, data[checked:]...)
+			break
+		}
+		line := data[checked : checked+length]
+		if len(h.line) > 0 {
+			h.line = append(h.line, line...)
+			line = h.line
+		}
+		if err := h.checkLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+			return checked, err
+		}
+		h.line = h.line[:0]
+		checked += length + 1
+	}
+	return len(data), nil
+}
+
+// checkLine checks a line of a head, without its end.
+func (h *headChecker) checkLine(line []byte) error {
+	switch {
+	case h.position == atStatusLine:
+		status, ok := parseStatus(line)
+		if !ok {
+			return newHeadError("status line", line)
+		}
+		h.isInterim = status/100 == 1
+		h.position = inFields
+	case len(line) > 0:
+	case h.isInterim:
+		h.position = atStatusLine
+	default:
+		h.position = behindHead
+	}
+	return nil
+}
+
+// parseStatus returns the status code of a status line (RFC 9112, section 4). It returns
+// false unless that is a number of three digits from 100 to 599 (RFC 9110, section 15).
+func parseStatus(line []byte) (int, bool) {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if len(code) != 3 || len(bytes.Trim(code, "0123456789")) > 0 {
+		return 0, false
+	}
+	status, err := strconv.Atoi(string(code))
+	return status, err == nil && 100 <= status && status <= 599
+}
--- a/peridotbackend/backend.go
+++ b/peridotbackend/backend.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"peridotstack/peridotanswer"
 	"peridotstack/peridotstream"
 	"peridotstack/peridotverdict"
 )
@@ -63,13 +64,13 @@
 func newClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: peridotanswer.NewTransport(&http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableCompression: true,
 			// Answers don't name their request: on a connection that is used again, a late copy
 			// of one could pass for the next.
 			DisableKeepAlives: true,
-		},
+		}),
 		// A redirect is an answer, too. Following it would leave the backend server.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- /dev/null
+++ b/peridotbackend/malformed_test.go
@@ -0,0 +1,45 @@
+package peridotbackend
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"peridotstack/peridotanswer"
+	"peridotstack/peridotverdict"
+)
+
+// malformedHeads are answers that http.ReadResponse accepts, though their heads are malformed.
+var malformedHeads = []struct {
+	name, text string
+}{
+	{name: "status 000", text: "HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad"},
+	{name: "status 099 without a length", text: "HTTP/1.1 099 X\r\n\r\nbad"},
+	{name: "status 999", text: "HTTP/1.1 999 X\r\nContent-Length: 3\r\n\r\nbad"},
+	{name: "status 000 of a stream", text: "HTTP/1.1 000 X\r\nContent-Type: text/event-stream\r\n\r\ndata: bad\n\ndata: [DONE]\n\n"},
+	{name: "status 000 behind an interim answer", text: "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad"},
+}
+
+// TestMalformedHeadIsNoAnswer guards against answers with a malformed head that are passed on,
+// and against a claim that their request did not run.
+func TestMalformedHeadIsNoAnswer(t *testing.T) {
+	for _, test := range malformedHeads {
+		t.Run(test.name, func(t *testing.T) {
+			address, _ := serveConns(t, func(conn net.Conn, requests *bufio.Reader) {
+				if readRequest(requests) {
+					_, _ = io.WriteString(conn, test.text)
+				}
+			})
+			for _, b := range []Backend{NewService(address), NewEngine(address)} {
+				end, got := runRequest(t, b, Request{Method: http.MethodPost, Path: "/x", Body: "b"})
+				var headErr *peridotanswer.HeadError
+				if end.Err == nil || !errors.As(end.Err, &headErr) || end.Err.Verdict != peridotverdict.MayHaveRun || got != "" {
+					t.Errorf("%T: got status %d, body %q, error %v, want a HeadError that says that it may have run", b, end.Status, got, end.Err)
+				}
+			}
+		})
+	}
+}
--- a/peridotfront/snapshot.go
+++ b/peridotfront/snapshot.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"peridotstack/peridotanswer"
 	"peridotstack/peridotquarantine"
 	"peridotstack/peridotsite"
 	"peridotstack/peridottree"
@@ -112,7 +113,7 @@
 
 // newSnapshotClient returns a client for snapshots of other fronts.
 func newSnapshotClient() *http.Client {
-	return &http.Client{Timeout: snapshotTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
+	return &http.Client{Timeout: snapshotTimeout, Transport: peridotanswer.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes})}
 }
 
 // copyPeerState copies the state of another front if the table service is unavailable
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"peridotstack/peridotanswer"
 	"peridotstack/peridotlink"
 	"peridotstack/peridotplace"
 	"peridotstack/peridotsite"
@@ -182,8 +183,12 @@
 // further tries.
 func (x *exchange) recordFailure(backend string, err *peridotverdict.Error) {
 	x.lastErr = err
-	if errors.Is(err, peridotlink.ErrTooLong) {
+	var malformed *peridotanswer.HeadError
+	switch {
+	case errors.Is(err, peridotlink.ErrTooLong):
 		x.front.metrics.Count("answers_too_long")
+	case errors.As(err, &malformed):
+		x.front.metrics.Count("answers_malformed")
 	}
 	x.triedBackends = append(x.triedBackends, backend)
 	to, _ := x.front.backend(backend)
--- a/peridotlink/exchange.go
+++ b/peridotlink/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotstack/peridotanswer"
 	"peridotstack/peridotverdict"
 )
 
@@ -56,6 +57,7 @@
 func (c *Conn) Do(ctx context.Context, r Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	a := &Answer{conn: c, requestWritten: &atomic.Bool{}, stopAfterFunc: stop}
+	c.ExpectAnswer()
 	var writeErr chan error
 	if len(r.Body) <= maxInlineBodyBytes {
 		if err := c.writeRequest(r, a.requestWritten); err != nil {
@@ -70,17 +72,30 @@
 	response, err := c.readHead(r.Method)
 	if err != nil {
 		c.Close()
+		var sendErr error
 		if writeErr != nil {
-			if sendErr := <-writeErr; sendErr != nil {
-				return nil, a.closeWithError(sendErr)
-			}
+			sendErr = <-writeErr
 		}
-		return nil, a.closeWithError(peridotverdict.New(peridotverdict.PeerLost, peridotverdict.MayHaveRun, "backend server did not answer", peridotverdict.Cause(err)))
+		return nil, a.closeWithError(answerError(err, sendErr))
 	}
 	a.Response = response
 	return a, nil
 }
 
+// answerError returns the error of a request without a valid answer. sendErr is that of its
+// writer, or nil.
+func answerError(err, sendErr error) error {
+	var malformed *peridotanswer.HeadError
+	switch {
+	case errors.As(err, &malformed):
+		// The writer only failed because the connection was closed after the answer.
+		return peridotverdict.New(peridotverdict.PeerLost, peridotverdict.MayHaveRun, "backend server sent no valid answer", peridotverdict.Cause(err))
+	case sendErr != nil:
+		return sendErr
+	}
+	return peridotverdict.New(peridotverdict.PeerLost, peridotverdict.MayHaveRun, "backend server did not answer", peridotverdict.Cause(err))
+}
+
 // closeWithError closes the connection and returns err.
 func (a *Answer) closeWithError(err error) error {
 	a.stopAfterFunc()
@@ -108,7 +123,7 @@
 		b.Write(r.Body)
 		data = net.Buffers{b.Bytes()}
 	}
-	n, err := data.WriteTo(c.Conn)
+	n, err := data.WriteTo(c.Conn.Conn)
 	if err != nil {
 		verdict := peridotverdict.MayHaveRun
 		if n == 0 {
--- a/peridotlink/pool.go
+++ b/peridotlink/pool.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"peridotstack/peridotanswer"
 	"peridotstack/peridotverdict"
 )
 
@@ -54,7 +55,7 @@
 // Conn is a connection to a backend server. It carries one request at a time and is
 // not safe for concurrent use, except that Close may be called at any time.
 type Conn struct {
-	net.Conn
+	*peridotanswer.Conn
 	pool    *Pool
 	address string
 	source  *limitedReader
@@ -121,8 +122,14 @@
 		p.decrementOpen(address)
 		return nil, peridotverdict.New(peridotverdict.PeerLost, peridotverdict.NotRun, "backend server cannot be reached", peridotverdict.Cause(err))
 	}
-	source := &limitedReader{reader: conn, left: unlimited}
-	return &Conn{Conn: conn, pool: p, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
+	return p.newConn(address, conn), nil
+}
+
+// newConn returns the connection of the pool that reads from conn and writes to it.
+func (p *Pool) newConn(address string, conn net.Conn) *Conn {
+	checked := peridotanswer.NewConn(conn)
+	source := &limitedReader{reader: checked, left: unlimited}
+	return &Conn{Conn: checked, pool: p, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // unlimited is the limit of a limitedReader that reads on without end.
@@ -259,7 +266,7 @@
 	if !time.Now().Before(c.expiresAt) || c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/peridotoperator/client.go
+++ b/peridotoperator/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotstack/peridotanswer"
 	"peridotstack/peridotconfig"
 	"peridotstack/peridotintent"
 	"peridotstack/peridotverdict"
@@ -18,6 +19,9 @@
 // clientTimeout is the maximum duration of a call.
 const clientTimeout = 30 * time.Second
 
+// httpClient is shared by all clients.
+var httpClient = &http.Client{Transport: peridotanswer.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // Client calls the operator interface of an entry instance. It is safe for
 // concurrent use.
 type Client struct {
@@ -106,7 +110,7 @@
 		return errors.Wrap(err, "make request "+path)
 	}
 	request.Header.Set("Authorization", bearerPrefix+c.Key)
-	response, err := http.DefaultClient.Do(request)
+	response, err := httpClient.Do(request)
 	if err != nil {
 		return peridotverdict.New(peridotverdict.PeerLost, peridotverdict.MayHaveRun, "the entry instance did not answer", peridotverdict.Cause(err))
 	}
--- a/peridotplatform/client.go
+++ b/peridotplatform/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotstack/peridotanswer"
 	"peridotstack/peridottable"
 	"peridotstack/peridotverdict"
 )
@@ -34,7 +35,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{address: address, httpClient: &http.Client{
 		Timeout:   callTimeout,
-		Transport: &http.Transport{DialContext: dialer.DialContext},
+		Transport: peridotanswer.NewTransport(&http.Transport{DialContext: dialer.DialContext}),
 	}}
 }
 
--- a/peridotplatform/order.go
+++ b/peridotplatform/order.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotstack/peridotanswer"
 	"peridotstack/peridotverdict"
 )
 
@@ -80,10 +81,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode order")
 	}
-	conn, err := s.Dial(ctx)
+	dialed, err := s.Dial(ctx)
 	if err != nil {
 		return notSentError("the platform is out of reach", err)
 	}
+	conn := peridotanswer.NewConn(dialed)
 	defer conn.Close()
 	if err := conn.SetDeadline(time.Now().Add(OrderReadTimeout + orderAnswerTimeout)); err != nil {
 		return notSentError("the connection failed", err)
--- a/peridotplatform/order_test.go
+++ b/peridotplatform/order_test.go
@@ -1,7 +1,11 @@
 package peridotplatform_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -39,3 +43,47 @@
 		server.Close()
 	}
 }
+
+// TestMalformedAnswerToOrder guards against answers with a malformed head that let an order go
+// on, or say that it was carried out.
+func TestMalformedAnswerToOrder(t *testing.T) {
+	const proceed, done = "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	tests := []struct {
+		name string
+		// answers are sent after the head and after the body of the order.
+		answers [2]string
+		want    peridotverdict.Verdict
+	}{
+		{name: "sound", answers: [2]string{proceed, done}, want: peridotverdict.Ran},
+		{name: "status 000 before the body", answers: [2]string{"HTTP/1.1 000 X\r\n\r\n" + proceed, done}, want: peridotverdict.NotRun},
+		{name: "status 000", answers: [2]string{proceed, "HTTP/1.1 000 X\r\n\r\n" + done}, want: peridotverdict.MayHaveRun},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, test.answers[0])
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, test.answers[1])
+			}()
+			sender := peridotplatform.NewOrderSender(listener.Addr().String())
+			err = sender.Send(t.Context(), peridotplatform.BackendOrder{ID: "x", Kind: peridotplatform.AddBackend}, func(context.Context) error { return nil })
+			if got := peridotverdict.Of(err); got != test.want {
+				t.Errorf("got verdict %v (%v), want %v", got, err, test.want)
+			}
+		})
+	}
+}
--- a/peridotplatform/usage.go
+++ b/peridotplatform/usage.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"peridotstack/peridotanswer"
 	"peridotstack/peridotusage"
 	"peridotstack/peridotverdict"
 )
@@ -50,13 +51,13 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &UsageReporter{address: address, httpClient: &http.Client{
 		Timeout: callTimeout,
-		Transport: &http.Transport{
+		Transport: peridotanswer.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext,
 			// This is longer than Timeout, so that the body is not sent before the
 			// platform asks for it.
 			ExpectContinueTimeout: 2 * callTimeout,
 			DisableKeepAlives:     true,
-		},
+		}),
 	}}
 }
 
