Answers with a field name that is no token are refused

What callers saw: a server sent an answer with a blank in a field name, also just before the colon or at the begin of the line. The caller got it as a 200; where the name was that of Content-Length or Transfer-Encoding, with other bytes than the server had sent as its body. An interim answer with such a name was skipped. The store's client reported a commit as done on the word of such an answer, agents handed them to entries, the sender of orders let an order go on.

Cause: textproto keeps names with blanks uninterpreted, so that a "Content-Length " does not count, and joins a line that begins with a blank or a tab to the field before. Control bytes elsewhere in a name were refused already.

Change: the check of heads asks httpguts whether each name is a token (RFC 9112, section 5.1; RFC 9110, section 5.6.2). A folded line is refused as well: section 5.2 of RFC 9112 leaves a gateway the choice, and no sender may produce one.

Why it works: names are checked as they were received, before a parser joins or skips lines, in interim answers, too.

--- a/peridotanswer/head.go
+++ b/peridotanswer/head.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxQuotedBytes limits the bytes of an answer that an error quotes.
@@ -81,6 +83,7 @@
 		h.isInterim = status/100 == 1
 		h.position = inFields
 	case len(line) > 0:
+		return checkField(line)
 	case h.isInterim:
 		h.position = atStatusLine
 	default:
@@ -89,6 +92,17 @@
 	return nil
 }
 
+// checkField checks the name of a field line, which must be a token directly before the colon
+// (RFC 9112, section 5.1). It refuses the obsolete line folding, too: a parser would take the
+// line for a part of the field before (section 5.2).
+func checkField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return newHeadError("field name", name)
+	}
+	return nil
+}
+
 // parseStatus returns the status code of a status line (RFC 9112, section 4). It returns
 // false unless that is a number of three digits from 100 to 599 (RFC 9110, section 15).
 func parseStatus(line []byte) (int, bool) {
--- a/peridotanswer/transport_test.go
+++ b/peridotanswer/transport_test.go
@@ -50,6 +50,9 @@
 		"HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad",
 		"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad",
 		"HTTP/1.1 999 X\r\n\r\nbad",
+		"HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nbad",
+		"HTTP/1.1 103 X\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad",
+		"HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 3\r\n\r\nbad",
 	} {
 		client := &http.Client{Transport: NewTransport(&http.Transport{})}
 		url := startServer(t, sound, sound, malformed)
--- a/peridotbackend/malformed_test.go
+++ b/peridotbackend/malformed_test.go
@@ -20,6 +20,10 @@
 	{name: "status 099 without a length", text: "HTTP/1.1 099 X\r\n\r\nbad"},
 	{name: "status 999", text: "HTTP/1.1 999 X\r\nContent-Length: 3\r\n\r\nbad"},
 	{name: "status 000 of a stream", text: "HTTP/1.1 000 X\r\nContent-Type: text/event-stream\r\n\r\ndata: bad\n\ndata: [DONE]\n\n"},
+	{name: "blank before the colon", text: "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nbad"},
+	{name: "folded line", text: "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 1\r\n\r\nbad"},
+	{name: "blank in a name of an interim answer", text: "HTTP/1.1 103 X\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"},
+	{name: "blank in a name of a stream", text: "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Type: text/event-stream\r\n\r\ndata: bad\n\ndata: [DONE]\n\n"},
 	{name: "status 000 behind an interim answer", text: "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad"},
 }
 
--- a/peridotplatform/order_test.go
+++ b/peridotplatform/order_test.go
@@ -56,6 +56,8 @@
 	}{
 		{name: "sound", answers: [2]string{proceed, done}, want: peridotverdict.Ran},
 		{name: "status 000 before the body", answers: [2]string{"HTTP/1.1 000 X\r\n\r\n" + proceed, done}, want: peridotverdict.NotRun},
+		{name: "blank in a name before the body", answers: [2]string{"HTTP/1.1 100 Continue\r\nX A: 1\r\n\r\n", done}, want: peridotverdict.NotRun},
+		{name: "blank in a name", answers: [2]string{proceed, "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 2\r\n\r\n{}"}, want: peridotverdict.MayHaveRun},
 		{name: "status 000", answers: [2]string{proceed, "HTTP/1.1 000 X\r\n\r\n" + done}, want: peridotverdict.MayHaveRun},
 	}
 	for _, test := range tests {
