A reset during an upload does not end an answer as complete

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, on plain and stream routes.

Cause: an answer without a length ends with its connection, and the system reports a reset only once, to the Read or the Write that asks first. If the writer of the request got it, the reader found an ordinary end.

Change: peridotanswer.Conn sees the reads and the writes of a connection. A Read that finds the end asks the system whether both directions are gone; if so, it waits for a write that is about to return, and returns the error that the write has got. peridotlink writes through it, too.

Why it works: a Read finds the end only if the server ended its side or if the failure has been reported already, and then the write that got it is either in progress or recorded. EPIPE instead of a reset says that the server had ended its answer first; such an answer is complete as before. A server that ends its answer and goes on reading, or doesn't, holds nothing back, since then only one direction is gone.

--- a/peridotanswer/conn.go
+++ b/peridotanswer/conn.go
@@ -2,9 +2,13 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Conn is a connection to an HTTP/1.1 server whose answers are checked as they are read. It
@@ -17,6 +21,11 @@
 	err error
 	// isAnswerExpected is set when the next byte read is the first of an answer.
 	isAnswerExpected atomic.Bool
+
+	// writing is held while bytes are written.
+	writing sync.Mutex
+	// writeErr is the first error of a write, or nil. The holder of writing may use it.
+	writeErr error
 }
 
 // NewConn returns a connection that reads from conn. The first bytes must be the answer to
@@ -32,7 +41,9 @@
 }
 
 // Read reads from the connection. It returns a HeadError instead of a malformed line in the
-// head of an answer and of what follows it.
+// head of an answer and of what follows it. It returns io.EOF only if the server ended the
+// connection in order; if the connection failed, it returns the cause, also if a concurrent
+// write has already got it.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.err != nil {
 		return 0, c.err
@@ -46,9 +57,69 @@
 		c.err = headErr
 		return checked, headErr
 	}
+	if err == io.EOF {
+		err = c.endError()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.recordWriteError(err)
 	return n, err
 }
 
+// WriteBuffers writes the buffers, with one system call if the underlying connection can. It
+// returns the number of bytes written.
+func (c *Conn) WriteBuffers(buffers net.Buffers) (int64, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := buffers.WriteTo(c.Conn)
+	c.recordWriteError(err)
+	return n, err
+}
+
+// recordWriteError records the result of a write. The caller must hold c.writing.
+func (c *Conn) recordWriteError(err error) {
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+}
+
+// endError returns the error of a Read that found the end of the connection: io.EOF, or the
+// cause if the connection failed. The system reports a failure to one Read or Write only;
+// Reads after that find an ordinary end.
+func (c *Conn) endError() error {
+	if !c.isDisconnected() {
+		return io.EOF // The server may go on reading, so that a Write may take long.
+	}
+	c.writing.Lock() // Waits for a Write that has got the failure but has not returned yet.
+	defer c.writing.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) {
+		return io.EOF // EPIPE means that the server ended its answer before the connection failed.
+	}
+	return c.writeErr
+}
+
+// isDisconnected reports whether no more bytes can be sent or received. It also returns true
+// if that is unknown.
+func (c *Conn) isDisconnected() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	disconnected := true
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd)}}
+		_, pollErr := unix.Poll(fds, 0)
+		disconnected = pollErr != nil || fds[0].Revents&unix.POLLHUP != 0
+	})
+	return err != nil || disconnected
+}
+
 // SyscallConn implements syscall.Conn if the underlying connection does.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	conn, ok := c.Conn.(syscall.Conn)
--- a/peridotbackend/malformed_test.go
+++ b/peridotbackend/malformed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"peridotstack/peridotanswer"
@@ -47,3 +48,23 @@
 		})
 	}
 }
+
+// TestResetDuringUpload guards against a part of an answer without a length that is passed on
+// as a whole one, because its server resets the connection during the upload.
+func TestResetDuringUpload(t *testing.T) {
+	address, _ := serveConns(t, func(conn net.Conn, requests *bufio.Reader) {
+		request, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		_, _ = io.CopyN(io.Discard, request.Body, 1<<20)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	body := strings.Repeat("b", 4<<20)
+	for range 20 {
+		if end, got := runRequest(t, NewService(address), Request{Method: http.MethodPost, Path: "/x", Body: body}); end.Err == nil {
+			t.Errorf("got body %q as a whole answer, want an error", got)
+		}
+	}
+}
--- a/peridotlink/exchange.go
+++ b/peridotlink/exchange.go
@@ -123,7 +123,7 @@
 		b.Write(r.Body)
 		data = net.Buffers{b.Bytes()}
 	}
-	n, err := data.WriteTo(c.Conn.Conn)
+	n, err := c.WriteBuffers(data)
 	if err != nil {
 		verdict := peridotverdict.MayHaveRun
 		if n == 0 {
