Chunks in an answer before HTTP/1.1 are refused

What callers saw: a server answered with the version HTTP/1.0 and chunks; the caller got the chunk sizes as a part of a sealed body, or the first bytes of the chunks where there was a length as well.

Cause: http.ReadResponse ignores Transfer-Encoding below HTTP/1.1 and drops the field. The framing of such an answer is faulty (RFC 9112, section 6.1).

Change: the check of heads reads the version, too, and refuses the field Transfer-Encoding in such an answer. A status line with no version, which the parser refused already, is now named in the log.

Why it works: the field is refused before a parser drops it. HTTP/1.0 without chunks passes as before (TestSoundAnswerIsPassedOn).

--- a/peridotanswer/head.go
+++ b/peridotanswer/head.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -42,8 +44,8 @@
 // Its zero value is ready for the first status line.
 type headChecker struct {
 	position position
-	// isInterim is set while the position is in the head of an interim answer.
-	isInterim bool
+	// statusLine is that of the head at the position inFields.
+	statusLine statusLine
 	// line is the beginning of the current line, if the line came in several pieces.
 	line []byte
 }
@@ -76,15 +78,14 @@
 func (h *headChecker) checkLine(line []byte) error {
 	switch {
 	case h.position == atStatusLine:
-		status, ok := parseStatus(line)
+		statusLine, ok := parseStatusLine(line)
 		if !ok {
 			return newHeadError("status line", line)
 		}
-		h.isInterim = status/100 == 1
-		h.position = inFields
+		h.statusLine, h.position = statusLine, inFields
 	case len(line) > 0:
-		return checkField(line)
-	case h.isInterim:
+		return h.checkField(line)
+	case h.statusLine.isInterim():
 		h.position = atStatusLine
 	default:
 		h.position = behindHead
@@ -95,22 +96,42 @@
 // checkField checks the name of a field line, which must be a token directly before the colon
 // (RFC 9112, section 5.1). It refuses the obsolete line folding, too: a parser would take the
 // line for a part of the field before (section 5.2).
-func checkField(line []byte) error {
+func (h *headChecker) checkField(line []byte) error {
 	name, _, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
 		return newHeadError("field name", name)
 	}
+	if h.statusLine.isBeforeHTTP11() && strings.EqualFold(string(name), "Transfer-Encoding") {
+		return newHeadError("field before HTTP/1.1", name)
+	}
 	return nil
 }
 
-// parseStatus returns the status code of a status line (RFC 9112, section 4). It returns
-// false unless that is a number of three digits from 100 to 599 (RFC 9110, section 15).
-func parseStatus(line []byte) (int, bool) {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+// statusLine is a decoded status line.
+type statusLine struct {
+	major, minor, status int
+}
+
+// parseStatusLine decodes a status line (RFC 9112, section 4). It returns false unless the
+// status is a number of three digits from 100 to 599 (RFC 9110, section 15).
+func parseStatusLine(line []byte) (statusLine, bool) {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	major, minor, ok := http.ParseHTTPVersion(string(version))
 	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	if len(code) != 3 || len(bytes.Trim(code, "0123456789")) > 0 {
-		return 0, false
+	if !ok || len(code) != 3 || len(bytes.Trim(code, "0123456789")) > 0 {
+		return statusLine{}, false
 	}
 	status, err := strconv.Atoi(string(code))
-	return status, err == nil && 100 <= status && status <= 599
+	return statusLine{major: major, minor: minor, status: status}, err == nil && 100 <= status && status <= 599
+}
+
+// isInterim reports whether a further answer to the same request follows.
+func (s statusLine) isInterim() bool {
+	return s.status < http.StatusOK
+}
+
+// isBeforeHTTP11 reports whether the answer can't have a transfer coding. A parser ignores that
+// of such an answer, and takes chunk sizes for a part of the body (RFC 9112, section 6.1).
+func (s statusLine) isBeforeHTTP11() bool {
+	return s.major < 1 || s.major == 1 && s.minor < 1
 }
