A change of the protocol is no answer

What callers saw: on the own path an agent handed the status 101 on, with whatever the server sent behind it, though nobody had asked for another protocol.

Cause: http.Transport returns 101 as a final answer. A front refused it already, by a check of its own in peridotlink.

Evidence: on the code before, 2 cases of TestMalformedHeadIsNoAnswer fail.

Change: the check of heads refuses 101 for all clients (RFC 9110, sections 7.8 and 15.2.2); the one in peridotlink goes.

Why it works: no client of the system sends Upgrade, so that 101 is never sound, and one check stands before all readers.

--- a/peridotanswer/head.go
+++ b/peridotanswer/head.go
@@ -113,7 +113,8 @@
 }
 
 // parseStatusLine decodes a status line (RFC 9112, section 4). It returns false unless the
-// status is a number of three digits from 100 to 599 (RFC 9110, section 15).
+// status is a number of three digits from 100 to 599 (RFC 9110, section 15), and for 101, since
+// no client asks for another protocol (section 15.2.2).
 func parseStatusLine(line []byte) (statusLine, bool) {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	major, minor, ok := http.ParseHTTPVersion(string(version))
@@ -122,7 +123,8 @@
 		return statusLine{}, false
 	}
 	status, err := strconv.Atoi(string(code))
-	return statusLine{major: major, minor: minor, status: status}, err == nil && 100 <= status && status <= 599
+	isValid := err == nil && 100 <= status && status <= 599 && status != http.StatusSwitchingProtocols
+	return statusLine{major: major, minor: minor, status: status}, isValid
 }
 
 // isInterim reports whether a further answer to the same request follows.
--- a/peridotanswer/head_test.go
+++ b/peridotanswer/head_test.go
@@ -41,6 +41,7 @@
 		{name: "status 000", text: "HTTP/1.1 000 X\r\n" + end + ok + end, want: `status line "HTTP/1.1 000 X"`},
 		{name: "status below 100", text: "HTTP/1.1 099 X\r\n" + end, want: `status line "HTTP/1.1 099 X"`},
 		{name: "status above 599", text: "HTTP/1.1 600 X\r\n" + end, want: `status line "HTTP/1.1 600 X"`},
+		{name: "status 101", text: "HTTP/1.1 101 X\r\nUpgrade: x\r\n" + end, want: `status line "HTTP/1.1 101 X"`},
 		{name: "status with a sign", text: "HTTP/1.1 +20 X\r\n" + end, want: `status line "HTTP/1.1 +20 X"`},
 		{name: "status of two digits", text: "HTTP/1.1 20 X\r\n" + end, want: `status line "HTTP/1.1 20 X"`},
 		{name: "status of four digits", text: "HTTP/1.1 2000 X\r\n" + end, want: `status line "HTTP/1.1 2000 X"`},
--- a/peridotbackend/malformed_test.go
+++ b/peridotbackend/malformed_test.go
@@ -26,6 +26,8 @@
 	{name: "blank in a name of an interim answer", text: "HTTP/1.1 103 X\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"},
 	{name: "blank in a name of a stream", text: "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Type: text/event-stream\r\n\r\ndata: bad\n\ndata: [DONE]\n\n"},
 	{name: "chunks in HTTP/1.0", text: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
+	{name: "status 101", text: "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nbad"},
+	{name: "status 101 without a protocol", text: "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"},
 	{name: "status 000 behind an interim answer", text: "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad"},
 }
 
--- a/peridotlink/exchange.go
+++ b/peridotlink/exchange.go
@@ -151,9 +151,6 @@
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("backend server switched protocols")
-		}
 	}
 }
 
