--- a/peridotanswer/conn.go
+++ b/peridotanswer/conn.go
@@ -72,8 +72,8 @@
 	return n, err
 }
 
-// WriteBuffers writes the buffers, with one system call if the underlying connection can. It
-// returns the number of bytes written.
+// WriteBuffers writes the buffers, with one system call if the underlying connection can, and
+// clears the slice. It returns the number of bytes written.
 func (c *Conn) WriteBuffers(buffers net.Buffers) (int64, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
--- a/peridotlink/exchange.go
+++ b/peridotlink/exchange.go
@@ -88,7 +88,7 @@
 	var malformed *peridotanswer.HeadError
 	switch {
 	case errors.As(err, &malformed):
-		// The writer only failed because the connection was closed after the answer.
+		// The writer may have failed only because the connection was closed after the answer.
 		return peridotverdict.New(peridotverdict.PeerLost, peridotverdict.MayHaveRun, "backend server sent no valid answer", peridotverdict.Cause(err))
 	case sendErr != nil:
 		return sendErr
