--- a/peridotanswer/reset_test.go
+++ b/peridotanswer/reset_test.go
@@ -19,32 +19,15 @@
 // reads on for a moment, and calls end. It returns its address.
 func startUploadServer(t *testing.T, answer string, end func(conn *net.TCPConn)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				if _, err := http.ReadRequest(reader); err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, answer)
-				_ = conn.SetReadDeadline(time.Now().Add(30 * time.Millisecond))
-				_, _ = io.CopyN(io.Discard, reader, 1<<20)
-				time.Sleep(30 * time.Millisecond) // A reset discards what the client has not read.
-				end(conn.(*net.TCPConn))
-			}()
+	return startServer(t, func(conn *net.TCPConn, requests *bufio.Reader) {
+		if _, err := http.ReadRequest(requests); err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
+		_, _ = io.WriteString(conn, answer)
+		_, _ = io.CopyN(io.Discard, requests, 1<<20)
+		time.Sleep(30 * time.Millisecond) // A reset discards what the client has not read.
+		end(conn)
+	})
 }
 
 // reset closes a connection with a TCP reset.
--- a/peridotanswer/transport_test.go
+++ b/peridotanswer/transport_test.go
@@ -10,9 +10,9 @@
 	"testing"
 )
 
-// startServer starts a server that answers the requests on each connection with the given
-// texts in turn, and closes it. It returns its URL.
-func startServer(t *testing.T, answers ...string) string {
+// startServer starts a server that calls serve with each connection and closes it then. It
+// returns its address.
+func startServer(t *testing.T, serve func(conn *net.TCPConn, requests *bufio.Reader)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -27,19 +27,29 @@
 			}
 			go func() {
 				defer conn.Close()
-				requests := bufio.NewReader(conn)
-				for _, answer := range answers {
-					if _, err := http.ReadRequest(requests); err != nil {
-						return
-					}
-					if _, err := io.WriteString(conn, answer); err != nil {
-						return
-					}
-				}
+				serve(conn.(*net.TCPConn), bufio.NewReader(conn))
 			}()
 		}
 	}()
-	return "http://" + listener.Addr().String()
+	return listener.Addr().String()
+}
+
+// startAnsweringServer starts a server that answers the requests on each connection with the
+// given texts in turn.
+func startAnsweringServer(t *testing.T, answers ...string) string {
+	t.Helper()
+	return startServer(t, func(conn *net.TCPConn, requests *bufio.Reader) {
+		for _, answer := range answers {
+			request, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if _, err := io.WriteString(conn, answer); err != nil {
+				return
+			}
+		}
+	})
 }
 
 // TestTransportRefusesMalformedHeads guards against malformed answers that an HTTP client
@@ -55,9 +65,9 @@
 		"HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 3\r\n\r\nbad",
 	} {
 		client := &http.Client{Transport: NewTransport(&http.Transport{})}
-		url := startServer(t, sound, sound, malformed)
+		address := startAnsweringServer(t, sound, sound, malformed)
 		for i := range 3 {
-			response, err := client.Post(url, "text/plain", strings.NewReader("b"))
+			response, err := client.Post("http://"+address, "text/plain", strings.NewReader("b"))
 			var headErr *HeadError
 			if i == 2 {
 				if !errors.As(err, &headErr) {
