Front: an unframed answer of a server that shuts down in order is whole

The end of such an answer is that of its connection, which a process that crashes closes as well. The front asked whether the server still listened, and took a closed listener for an ended process.

A server now counts as running, too, if another connection to it is open and remains so for 50 ms, since all connections of a process end with it.

--- a/peridotanswer/conn.go
+++ b/peridotanswer/conn.go
@@ -7,10 +7,16 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// ProcessEndTime is the time in which a process that ends closes all its connections, and the
+// other side learns of it. It is short, because a server that shuts down in order may end soon
+// after its last answer.
+const ProcessEndTime = 50 * time.Millisecond
+
 // Conn is a connection to an HTTP/1.1 server whose answers are checked as they are read. It
 // carries one request at a time. Like every net.Conn it is safe for concurrent use, but only
 // one goroutine at a time may call Read.
@@ -107,17 +113,34 @@
 // isDisconnected reports whether no more bytes can be sent or received. It also returns true
 // if that is unknown.
 func (c *Conn) isDisconnected() bool {
+	return c.poll(0)&unix.POLLHUP != 0
+}
+
+// IsOpen reports whether the connection has neither ended nor failed. Bytes that have not been
+// read don't matter. It is safe for concurrent use.
+func (c *Conn) IsOpen() bool {
+	return c.poll(unix.POLLRDHUP) == 0
+}
+
+// poll returns which of events, POLLHUP and POLLERR the connection has. It returns POLLHUP if
+// that is unknown.
+func (c *Conn) poll(events int16) int16 {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return true
+		return unix.POLLHUP
 	}
-	disconnected := true
+	fds := []unix.PollFd{{Events: events}}
+	var pollErr error
 	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd)}}
-		_, pollErr := unix.Poll(fds, 0)
-		disconnected = pollErr != nil || fds[0].Revents&unix.POLLHUP != 0
+		fds[0].Fd = int32(fd)
+		for pollErr = unix.EINTR; pollErr == unix.EINTR; {
+			_, pollErr = unix.Poll(fds, 0)
+		}
 	})
-	return err != nil || disconnected
+	if err != nil || pollErr != nil {
+		return unix.POLLHUP
+	}
+	return fds[0].Revents
 }
 
 // SyscallConn implements syscall.Conn if the underlying connection does.
--- a/peridotfront/front.go
+++ b/peridotfront/front.go
@@ -364,7 +364,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			f.removeExpired()
+			f.removeExpired(ctx)
 		case <-ctx.Done():
 			return nil
 		}
@@ -373,13 +373,13 @@
 
 // removeExpired removes backend servers that did not register again in time and
 // expired origins, closes connections that have expired or lead to unregistered
-// backend servers, and updates the gauges.
-func (f *Front) removeExpired() {
+// backend servers, opens sentinels to those that leave, and updates the gauges.
+func (f *Front) removeExpired(ctx context.Context) {
 	f.mu.Lock()
 	if f.backends.removeExpired(f.now()) {
 		f.updatePlacer()
 	}
-	addresses := f.backends.addresses()
+	known, staying := f.backends.addresses()
 	for feed, at := range f.feedAnsweredAt {
 		f.metrics.SetGauge("feed_age_seconds_"+feed, (f.now() - at).Seconds())
 	}
@@ -391,5 +391,6 @@
 	f.metrics.SetGauge("fronts", float64(f.peers.frontCount()))
 	f.metrics.SetGauge("origins", float64(f.origins.removeExpired()))
 	f.quarantine.updateMetrics()
-	f.pool.Prune(time.Now(), func(address string) bool { return addresses[address] })
+	f.pool.Prune(time.Now(), func(address string) bool { return known[address] })
+	f.pool.UpdateSentinels(ctx, func(address string) bool { return !staying[address] })
 }
--- a/peridotfront/state.go
+++ b/peridotfront/state.go
@@ -102,13 +102,17 @@
 	return expired
 }
 
-// addresses returns the set of addresses of the known backend servers.
-func (b *backends) addresses() map[string]bool {
-	addresses := make(map[string]bool, len(b.byID))
+// addresses returns the set of addresses of the known backend servers, and that of those
+// that stay.
+func (b *backends) addresses() (known, staying map[string]bool) {
+	known, staying = make(map[string]bool, len(b.byID)), make(map[string]bool, len(b.byID))
 	for _, s := range b.byID {
-		addresses[s.Address] = true
+		known[s.Address] = true
+		if !s.Leaving {
+			staying[s.Address] = true
+		}
 	}
-	return addresses
+	return known, staying
 }
 
 // SetConfig implements Watcher. It ignores a version that is not newer than the
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -89,9 +89,9 @@
 }
 
 // mayBeCut reports whether an answer that seems complete may be a part of one: its end is
-// that of the connection, and the server has ended, too.
+// that of the connection, and the server may have ended, too.
 func (f *Front) mayBeCut(ctx context.Context, from peridotsite.Backend, answer *peridotlink.Answer) bool {
-	return answer.EndsWithConnection() && f.pool.Probe(ctx, from.Address) != peridotlink.Listening
+	return answer.EndsWithConnection() && !f.pool.IsAlive(ctx, from.Address)
 }
 
 // rejectionError returns the error of a try that the backend server rejected without
--- a/peridotfront/whole.go
+++ b/peridotfront/whole.go
@@ -122,19 +122,17 @@
 		return x.forwardWhole(ctx, watch, from, answer, head, c)
 	}
 	if readErr != nil {
-		answer.Abandon()
 		readErr = brokenError(readErr)
-	} else {
-		answer.Finish()
-	}
-	if readErr == nil && f.mayBeCut(ctx, from, answer) {
-		readErr = peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the server ended with the answer")
+	} else if f.mayBeCut(ctx, from, answer) {
+		readErr = serverEndedError()
 	}
 	if readErr != nil {
+		answer.Abandon()
 		err := peridotverdict.As(readErr)
 		x.recordBreak(ctx, from, err, x.suspects)
 		return nil, err
 	}
+	answer.Finish()
 	whole := &bufferedAnswer{status: answer.StatusCode, body: c.data}
 	x.recordSizes(len(c.data))
 	if x.service.Engine == nil || !whole.isFailure() { // An engine may fail before it has read the prompt.
@@ -152,6 +150,11 @@
 	return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the answer broke off", peridotverdict.Cause(cause))
 }
 
+// serverEndedError returns the error of an answer that may be a part of one.
+func serverEndedError() *peridotverdict.Error {
+	return peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the server ended with the answer")
+}
+
 // forwardWhole forwards an answer as it arrives. c contains its beginning. After an error the
 // answer can't be completed, and the request is not tried again if its caller has got a part.
 func (x *exchange) forwardWhole(ctx context.Context, watch *stallWatch, from peridotsite.Backend, answer *peridotlink.Answer, head AnswerHead, c *collector) (*bufferedAnswer, *peridotverdict.Error) {
@@ -182,12 +185,13 @@
 		x.recordBreak(ctx, from, err, x.suspects)
 		return nil, err
 	}
-	answer.Finish()
 	if f.mayBeCut(ctx, from, answer) {
-		err := peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.MayHaveRun, "the server ended with the answer")
+		answer.Abandon()
+		err := serverEndedError()
 		x.recordBreak(ctx, from, err, x.suspects)
 		return nil, err
 	}
+	answer.Finish()
 	f.quarantine.recordAnswered(x.suspects, softwareOf(from))
 	return whole, nil
 }
--- a/peridotlink/exchange.go
+++ b/peridotlink/exchange.go
@@ -79,6 +79,9 @@
 		return nil, a.closeWithError(answerError(err, sendErr))
 	}
 	a.Response = response
+	if a.EndsWithConnection() {
+		c.setUnframed()
+	}
 	return a, nil
 }
 
--- a/peridotlink/pool.go
+++ b/peridotlink/pool.go
@@ -43,13 +43,24 @@
 	// openCounts contains the number of open connections per address, including those
 	// that are being dialed.
 	openCounts map[string]int
+	// conns contains the connections per address that have not been closed.
+	conns map[string]map[*Conn]struct{}
+	// unframedCounts contains the number of answers per address that are being read and
+	// end with their connections.
+	unframedCounts map[string]int
+	// sentinels contains the sentinel connection per address. It is nil while it is being
+	// dialed, and once that has failed.
+	sentinels map[string]*Conn
 	// dialCount is the number of dials, including failed ones.
 	dialCount int64
 }
 
 // NewPool returns an empty pool. Each dial fails after dialTimeout.
 func NewPool(dialTimeout time.Duration) *Pool {
-	return &Pool{dialTimeout: dialTimeout, idleConns: make(map[string][]*Conn), openCounts: make(map[string]int)}
+	return &Pool{
+		dialTimeout: dialTimeout, idleConns: make(map[string][]*Conn), openCounts: make(map[string]int),
+		conns: make(map[string]map[*Conn]struct{}), unframedCounts: make(map[string]int), sentinels: make(map[string]*Conn),
+	}
 }
 
 // Conn is a connection to a backend server. It carries one request at a time and is
@@ -60,6 +71,9 @@
 	address string
 	source  *limitedReader
 	reader  *bufio.Reader
+	// isUnframed is set once an answer has begun that ends with the connection. It is guarded
+	// by Pool.mu.
+	isUnframed bool
 	// reused is set once a complete answer has been read from the connection.
 	reused bool
 	// expiresAt is when the idle connection must no longer be used.
@@ -129,7 +143,9 @@
 func (p *Pool) newConn(address string, conn net.Conn) *Conn {
 	checked := peridotanswer.NewConn(conn)
 	source := &limitedReader{reader: checked, left: unlimited}
-	return &Conn{Conn: checked, pool: p, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	c := &Conn{Conn: checked, pool: p, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	p.addConn(c)
+	return c
 }
 
 // unlimited is the limit of a limitedReader that reads on without end.
@@ -214,6 +230,7 @@
 	var err error
 	c.closeOnce.Do(func() {
 		c.pool.decrementOpen(c.address)
+		c.pool.removeConn(c)
 		err = c.Conn.Close()
 	})
 	return err
