Backend adapter: an unframed answer of a service that shuts down in order is whole

Callers of the own path got short_answer for a whole answer with neither a length nor chunks, if the service had stopped to listen before the end of it: the same cause as in the front, a closed listener taken for an ended process.

The adapter holds a connection without requests open beside each such answer. If the service listens no more at the end of the answer, it still runs if that connection is open for 50 ms more.

--- a/peridotbackend/backend.go
+++ b/peridotbackend/backend.go
@@ -76,13 +76,6 @@
 	}
 }
 
-// mayBeCut reports whether an answer that seems complete may be a part of one: it has neither
-// a length nor chunks, so that its end is that of the connection, and the server at address
-// has ended, too.
-func mayBeCut(ctx context.Context, address string, response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !isListening(ctx, address)
-}
-
 // IsListening reports whether a process accepts connections at the address of b.
 func IsListening(ctx context.Context, b Backend) bool {
 	switch b := b.(type) {
--- a/peridotbackend/service.go
+++ b/peridotbackend/service.go
@@ -54,11 +54,16 @@
 // as one chunk. If the body exceeds maxAnswerBytes, the end has an error with the code
 // TooLarge.
 func readBody(ctx context.Context, address string, response *http.Response, t *peridotstream.Timeline) peridotstream.End {
+	var s *sentinel
+	if isUnframed(response) {
+		s = openSentinel(ctx, address)
+		defer s.close()
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return peridotstream.End{Err: peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.Ran, "the answer broke off", peridotverdict.Cause(err))}
 	}
-	if mayBeCut(ctx, address, response) {
+	if s != nil && !isListening(ctx, address) && !s.staysOpen(ctx) {
 		return peridotstream.End{Err: peridotverdict.New(peridotverdict.ShortAnswer, peridotverdict.Ran, "the server ended with the answer")}
 	}
 	if len(body) > maxAnswerBytes {
