Quarantine: answers on an accused part last as long as its accusations

At a version without a known answer the ends at all versions count, so that a new front counted those at the version that was gone at the one that served. No answer could come any more, as all was refused. The answers to the callers name the part, and the rows the version of the ends. The same holds for a front that starts alone and copies the accusations.

Rows of answers on parts that aren't accused any more are deleted.

--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -122,10 +122,20 @@
 // caller must hold q.mu.
 func (q *quarantine) addAnswered(part peridotquarantine.Part, at peridotquarantine.Software) {
 	if answeredAt, ok := q.table.AnsweredAt(part, at); ok {
-		q.news.addAnswered(part, at, answeredAt)
+		q.news.addAnswered(peridotquarantine.NewAnswer(part, at, answeredAt))
 	}
 }
 
+// learnAnswer records a whole answer that another front has seen. now is in true time. The
+// caller must hold q.mu.
+func (q *quarantine) learnAnswer(now time.Time, a peridotquarantine.Answer) {
+	answeredAt := a.Time()
+	if answeredAt.After(now) {
+		answeredAt = now // A clock that is ahead must not refute ends to come.
+	}
+	q.table.RecordAnswered([]peridotquarantine.Part{a.Part}, a.At, answeredAt)
+}
+
 // kindOf returns the prefix of the metrics of a part.
 func kindOf(part peridotquarantine.Part) string {
 	if part.IsRequest() {
@@ -251,7 +261,10 @@
 		return
 	}
 	for _, a := range q.table.Of(part) {
-		q.rows.put(a)
+		q.rows.putAccusation(a)
+	}
+	for _, a := range q.table.LastingAnswers(part) {
+		q.rows.putAnswer(a)
 	}
 	notify(q.changed)
 }
@@ -327,11 +340,28 @@
 	return true
 }
 
-// some returns up to limit accusations.
-func (q *quarantine) some(limit int) []peridotquarantine.Accusation {
+// some returns up to limit accusations, and as many of the answers that must last like them.
+func (q *quarantine) some(limit int) (accusations []peridotquarantine.Accusation, answers []peridotquarantine.Answer) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.table.Some(limit)
+	accusations = q.table.Some(limit)
+	for _, part := range accusedParts(accusations) {
+		answers = append(answers, q.table.LastingAnswers(part)...)
+	}
+	return accusations, answers[:min(len(answers), limit)]
+}
+
+// accusedParts returns the parts of accusations, each once.
+func accusedParts(accusations []peridotquarantine.Accusation) []peridotquarantine.Part {
+	var parts []peridotquarantine.Part
+	seen := make(map[peridotquarantine.Part]bool)
+	for _, a := range accusations {
+		if !seen[a.Part] {
+			seen[a.Part] = true
+			parts = append(parts, a.Part)
+		}
+	}
+	return parts
 }
 
 // count returns the number of accusations.
@@ -341,11 +371,14 @@
 	return q.table.Len()
 }
 
-// load adds the accusations that another front knows.
-func (q *quarantine) load(list []peridotquarantine.Accusation) {
+// load adds the accusations and the answers that another front knows.
+func (q *quarantine) load(list []peridotquarantine.Accusation, answers []peridotquarantine.Answer) {
 	now := q.front.trueTime()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	for _, a := range answers {
+		q.learnAnswer(now, a)
+	}
 	for _, a := range list {
 		q.accuse(now, a)
 	}
--- a/peridotfront/quarantinenews.go
+++ b/peridotfront/quarantinenews.go
@@ -106,8 +106,8 @@
 	n.accusations = slices.DeleteFunc(n.accusations, func(news newAccusation) bool { return news.Part == a.Part && news.End == a.End })
 }
 
-func (n *quarantineNews) addAnswered(part peridotquarantine.Part, at peridotquarantine.Software, answeredAt time.Time) {
-	s := answeredPart{Part: uint64(part), Service: at.Service, Version: at.Version, UnixMillis: answeredAt.UnixMilli()}
+func (n *quarantineNews) addAnswered(a peridotquarantine.Answer) {
+	s := encodeAnswer(a)
 	for i := range n.answered {
 		if o := &n.answered[i]; o.Part == s.Part && o.Service == s.Service && o.Version == s.Version {
 			*o = newAnsweredPart{s, newsRounds}
@@ -142,6 +142,14 @@
 	return peridotquarantine.Accusation{Part: peridotquarantine.Part(a.Part), End: peridotquarantine.End(a.End), At: peridotquarantine.Software{Service: a.Service, Version: a.Version}, Begun: a.Begun, UnixSeconds: a.UnixSeconds}
 }
 
+func encodeAnswer(a peridotquarantine.Answer) answeredPart {
+	return answeredPart{Part: uint64(a.Part), Service: a.At.Service, Version: a.At.Version, UnixMillis: a.Time().UnixMilli()}
+}
+
+func (s answeredPart) decode() peridotquarantine.Answer {
+	return peridotquarantine.NewAnswer(peridotquarantine.Part(s.Part), peridotquarantine.Software{Service: s.Service, Version: s.Version}, time.UnixMilli(s.UnixMillis))
+}
+
 // report returns what the next round of datagrams tells of the quarantine, or nil. An
 // announcement repeats known accusations, for fronts that missed them.
 func (q *quarantine) report(announce bool) (*quarantineReport, *quarantineDetails) {
@@ -151,7 +159,9 @@
 	q.settle()
 	accusations, answered := q.news.take()
 	if announce {
-		accusations = append(accusations, q.table.Announce(now, maxNewsPerDatagram-len(accusations))...)
+		announced := q.table.Announce(now, maxNewsPerDatagram-len(accusations))
+		accusations = append(accusations, announced...)
+		answered = append(answered, q.answersOn(announced, maxNewsPerDatagram-len(answered))...)
 	}
 	if len(accusations)+len(answered) == 0 {
 		return nil, nil
@@ -165,6 +175,20 @@
 	return r, details
 }
 
+// answersOn returns up to limit answers on the parts of accusations, which decide how many
+// ends a front needs that knows nothing else of these parts. The caller must hold q.mu.
+func (q *quarantine) answersOn(accusations []peridotquarantine.Accusation, limit int) []answeredPart {
+	var list []answeredPart
+	for _, part := range accusedParts(accusations) {
+		for _, a := range q.table.LastingAnswers(part) {
+			if len(list) < limit {
+				list = append(list, encodeAnswer(a))
+			}
+		}
+	}
+	return list
+}
+
 // handleReport applies the report of another front; details is nil in those of older
 // program versions. It answers accusations with what this front knows of later answers.
 func (q *quarantine) handleReport(r *quarantineReport, details *quarantineDetails) {
@@ -179,17 +203,21 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, s := range details.Answered {
-		// A clock that is ahead must not refute ends to come.
-		answeredAt := time.UnixMilli(min(s.UnixMillis, now.UnixMilli()))
-		q.table.RecordAnswered([]peridotquarantine.Part{peridotquarantine.Part(s.Part)}, peridotquarantine.Software{Service: s.Service, Version: s.Version}, answeredAt)
+		q.learnAnswer(now, s.decode())
 	}
 	for i, encoded := range r.Accusations {
 		a := encoded.decode()
 		if len(details.Millis) > 0 {
 			a.Millis, a.HadEvents = int64(min(details.Millis[i], 999)), details.HadEvents[i]
 		}
-		if q.accuse(now, a) || q.table.IsRefuted(a) {
+		isNew := q.accuse(now, a)
+		if isNew || q.table.IsRefuted(a) {
 			q.addAnswered(a.Part, a.At)
 		}
+		if isNew {
+			for _, answer := range q.table.LastingAnswers(a.Part) {
+				q.news.addAnswered(answer)
+			}
+		}
 	}
 }
--- a/peridotfront/quarantinerows.go
+++ b/peridotfront/quarantinerows.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"peridotstack/peridotquarantine"
 	"peridotstack/peridottable"
@@ -17,6 +20,9 @@
 	// quarantinePrefix is the key prefix of the rows of accusations. There is one row for
 	// each part and end, so that fronts never write the same row with different values.
 	quarantinePrefix = "quarantine/"
+	// answerInfix follows the part in the keys of the rows of answers: the last known one on a
+	// part that is accused, at each software version.
+	answerInfix = "/answered/"
 	// quarantineReadInterval is the time between two reads of the rows.
 	quarantineReadInterval = 10 * time.Second
 	// quarantineRetryInterval is the time between two checks whether the rows have to be
@@ -35,9 +41,12 @@
 	deletes map[string]bool
 }
 
-// quarantinePut is a row to be written. sent is set once a transaction may have written it.
+// quarantinePut is a row to be written.
 type quarantinePut struct {
-	peridotquarantine.Accusation
+	value []byte
+	// isAnswer is set if the row is that of an answer.
+	isAnswer bool
+	// sent is set once a transaction may have written the row.
 	sent bool
 }
 
@@ -45,12 +54,28 @@
 	return fmt.Sprintf("%s%s/%016x", quarantinePrefix, a.Part, uint64(a.End))
 }
 
-func (r *quarantineRows) put(a peridotquarantine.Accusation) {
+func answerKey(a peridotquarantine.Answer) string {
+	return fmt.Sprintf("%s%s%s%016x", quarantinePrefix, a.Part, answerInfix, xxhash.Sum64String(a.At.Service+"\n"+a.At.Version))
+}
+
+func (r *quarantineRows) putAccusation(a peridotquarantine.Accusation) {
+	r.put(quarantineKey(a), a, false)
+}
+
+func (r *quarantineRows) putAnswer(a peridotquarantine.Answer) {
+	r.put(answerKey(a), a, true)
+}
+
+func (r *quarantineRows) put(key string, value any, isAnswer bool) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return // Marshaling an accusation or an answer can't fail.
+	}
 	if r.puts == nil {
 		r.puts = make(map[string]*quarantinePut)
 	}
-	r.puts[quarantineKey(a)] = &quarantinePut{Accusation: a}
-	delete(r.deletes, quarantineKey(a))
+	r.puts[key] = &quarantinePut{value: data, isAnswer: isAnswer}
+	delete(r.deletes, key)
 }
 
 // delete deletes the row of an accusation, or drops it if no transaction has had it.
@@ -72,15 +97,15 @@
 }
 
 // txn returns a transaction with some of the changes. It returns false if there are none.
+// Answers come first: without them, accusations would count at all software versions.
 func (r *quarantineRows) txn(id string) (peridottable.Txn, bool) {
 	t := peridottable.Txn{ID: id, Era: peridottable.AnyEra}
-	for key, a := range r.puts {
-		if len(t.Puts) == maxRowsPerCommit {
-			break
-		}
-		if data, err := json.Marshal(a.Accusation); err == nil { // Marshaling an accusation can't fail.
-			a.sent = true
-			t.Puts = append(t.Puts, peridottable.Put{Key: key, Value: data})
+	for _, answers := range []bool{true, false} {
+		for key, put := range r.puts {
+			if put.isAnswer == answers && len(t.Puts) < maxRowsPerCommit {
+				put.sent = true
+				t.Puts = append(t.Puts, peridottable.Put{Key: key, Value: put.value})
+			}
 		}
 	}
 	for key := range r.deletes {
@@ -151,24 +176,73 @@
 	known := make(map[string]bool, len(stored))
 	for _, row := range stored {
 		known[row.Key] = true
-		q.applyRow(now, row)
 	}
-	for _, a := range q.table.All() {
+	// Answers come first, because they decide which accusations count.
+	answers := slices.DeleteFunc(slices.Clone(stored), func(row peridottable.Row) bool { return !isAnswerRow(row) })
+	for _, row := range answers {
+		q.applyAnswerRow(now, row)
+	}
+	for _, row := range stored {
+		if !isAnswerRow(row) {
+			q.applyRow(now, row)
+		}
+	}
+	for _, row := range answers {
+		q.deleteUnusedAnswer(row)
+	}
+	accusations := q.table.All()
+	for _, a := range accusations {
 		if !known[quarantineKey(a)] && q.table.MustLast(a.Part) {
-			q.rows.put(a)
+			q.rows.putAccusation(a)
+		}
+	}
+	for _, part := range accusedParts(accusations) {
+		for _, a := range q.table.LastingAnswers(part) {
+			if !known[answerKey(a)] {
+				q.rows.putAnswer(a)
+			}
 		}
 	}
 	q.loaded = true
 	return true
 }
 
+// isAnswerRow reports whether a row is that of an answer.
+func isAnswerRow(row peridottable.Row) bool {
+	return strings.Contains(row.Key, answerInfix)
+}
+
+// applyAnswerRow applies the row of an answer. The caller must hold q.mu.
+func (q *quarantine) applyAnswerRow(now time.Time, row peridottable.Row) {
+	var a peridotquarantine.Answer
+	if err := json.Unmarshal(row.Value, &a); err != nil || answerKey(a) != row.Key {
+		q.recordUnreadableRow(row)
+		return
+	}
+	q.learnAnswer(now, a)
+}
+
+// deleteUnusedAnswer deletes the row of an answer on a part that is not accused. The caller
+// must hold q.mu.
+func (q *quarantine) deleteUnusedAnswer(row peridottable.Row) {
+	var a peridotquarantine.Answer
+	if err := json.Unmarshal(row.Value, &a); err == nil && answerKey(a) == row.Key && !q.table.IsAccused(a.Part) {
+		q.rows.deleteKey(row.Key)
+	}
+}
+
+// recordUnreadableRow records that a row is ignored.
+func (q *quarantine) recordUnreadableRow(row peridottable.Row) {
+	q.front.metrics.Count("unreadable_rows")
+	log.WithField("row", row.Key).Warn(logPrefix + "ignoring a row that cannot be decoded")
+}
+
 // applyRow applies one row. A row is deleted if it has expired or an answer refutes it. The
 // caller must hold q.mu.
 func (q *quarantine) applyRow(now time.Time, row peridottable.Row) {
 	var a peridotquarantine.Accusation
 	if err := json.Unmarshal(row.Value, &a); err != nil || quarantineKey(a) != row.Key {
-		q.front.metrics.Count("unreadable_rows")
-		log.WithField("row", row.Key).Warn(logPrefix + "ignoring a row that cannot be decoded")
+		q.recordUnreadableRow(row)
 		return
 	}
 	switch {
--- a/peridotfront/snapshot.go
+++ b/peridotfront/snapshot.go
@@ -56,6 +56,8 @@
 	Software []softwareAge
 	// Accusations tells under which parts of prompts servers ended.
 	Accusations []peridotquarantine.Accusation
+	// Answers tells at which software versions such parts were answered.
+	Answers []peridotquarantine.Answer
 }
 
 // serveSnapshots serves the state of this front to the other fronts until ctx is
@@ -93,7 +95,7 @@
 		snapshot.Backends = append(snapshot.Backends, s)
 	}
 	f.mu.Unlock()
-	snapshot.Accusations = f.quarantine.some(maxSnapshotAccusations)
+	snapshot.Accusations, snapshot.Answers = f.quarantine.some(maxSnapshotAccusations)
 	if snapshot.Config == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -183,6 +185,6 @@
 	if !answered {
 		f.SetBackends(snapshot.Backends)
 	}
-	f.quarantine.load(snapshot.Accusations)
+	f.quarantine.load(snapshot.Accusations, snapshot.Answers)
 	f.SetConfig(snapshot.Config.BuildIndex())
 }
--- a/peridotquarantine/accusation.go
+++ b/peridotquarantine/accusation.go
@@ -63,6 +63,26 @@
 	return now.Unix()-a.UnixSeconds >= int64(TTL.Seconds())
 }
 
+// Answer records that a whole answer on a part came from a server.
+type Answer struct {
+	Part Part
+	// At is the software that the server ran.
+	At Software
+	// UnixSeconds and Millis are when the answer came, in true time. Millis is below 1000.
+	UnixSeconds int64
+	Millis      int64 `json:",omitempty"`
+}
+
+// NewAnswer returns the record of a whole answer that came at the given time.
+func NewAnswer(part Part, at Software, answeredAt time.Time) Answer {
+	return Answer{Part: part, At: at, UnixSeconds: answeredAt.Unix(), Millis: int64(answeredAt.Nanosecond()) / int64(time.Millisecond)}
+}
+
+// Time returns when the answer came.
+func (a Answer) Time() time.Time {
+	return time.Unix(a.UnixSeconds, a.Millis*int64(time.Millisecond))
+}
+
 // Suspicion is a run that broke off before the end of its answer, for a reason that is not
 // known yet.
 type Suspicion struct {
--- a/peridotquarantine/table.go
+++ b/peridotquarantine/table.go
@@ -42,6 +42,11 @@
 	maxAnsweredRequests = 1 << 13
 	// maxBegunEnds limits the ends of which a begun run is remembered.
 	maxBegunEnds = 4096
+	// maxSoftware limits the software versions with known answers.
+	maxSoftware = 256
+	// minStoredEnds is the number of ends from which on the answers on a part must last as
+	// long as its accusations. With fewer ends a part is not quarantined.
+	minStoredEnds = min(minBegunEnds, minRequestEnds)
 )
 
 // Table adds up accusations. Create one with NewTable.
@@ -55,6 +60,8 @@
 	// and answeredRequests the same of whole requests, which are so many that parts would
 	// not be remembered beside them.
 	answered, answeredRequests *simplelru.LRU[partAt, time.Time]
+	// software contains the software versions of the answers.
+	software *simplelru.LRU[Software, struct{}]
 	// announced is the part up to which Announce has returned the accusations.
 	announced Part
 }
@@ -71,6 +78,7 @@
 	t.begunEnds, _ = simplelru.NewLRU[End, struct{}](maxBegunEnds, nil) // Fails only without a size.
 	t.answered, _ = simplelru.NewLRU[partAt, time.Time](maxAnsweredParts, nil)
 	t.answeredRequests, _ = simplelru.NewLRU[partAt, time.Time](maxAnsweredRequests, nil)
+	t.software, _ = simplelru.NewLRU[Software, struct{}](maxSoftware, nil)
 	return t
 }
 
@@ -139,6 +147,7 @@
 // RecordAnswered records that a whole answer on the parts came at a time, from a server of
 // a software version. It returns the accusations that this refutes.
 func (t *Table) RecordAnswered(parts []Part, at Software, answeredAt time.Time) (refuted []Accusation) {
+	t.software.Add(at, struct{}{})
 	for _, part := range parts {
 		if last, ok := t.AnsweredAt(part, at); ok && last.After(answeredAt) {
 			continue
@@ -173,6 +182,26 @@
 	return t.answeredOf(part).Peek(partAt{part, at})
 }
 
+// Answers returns the last whole answers on a part, one for each software version.
+func (t *Table) Answers(part Part) []Answer {
+	var list []Answer
+	for _, at := range t.software.Keys() {
+		if answeredAt, ok := t.AnsweredAt(part, at); ok {
+			list = append(list, NewAnswer(part, at, answeredAt))
+		}
+	}
+	return list
+}
+
+// LastingAnswers returns the last whole answers on a part that must outlive all instances:
+// without them, accusations at one software version would count at all others.
+func (t *Table) LastingAnswers(part Part) []Answer {
+	if len(t.accused[part]) < minStoredEnds {
+		return nil
+	}
+	return t.Answers(part)
+}
+
 // IsRefuted reports whether a whole answer on the part is known that is not older than the
 // end.
 func (t *Table) IsRefuted(a Accusation) bool {
