Quarantine: a part without a rival is tried again after some time

Such a part is now tried by one request 5 minutes after its last end, and six times as long after each trial that ended a server, 6 hours at most. The times follow from the accusations, so that all fronts agree; one front at a time may send one, in the first half of a slot of 10 s. The newest ends are kept if a part has more than fit, since the last one decides. Refusals say the time until the next trial. The own path does the same for whole requests.

TestTrialsAreFew passes the kind of trial, its check is as before.

--- a/peridotentry/quarantine.go
+++ b/peridotentry/quarantine.go
@@ -17,6 +17,8 @@
 type quarantine struct {
 	mu    sync.Mutex
 	table *peridotquarantine.Table
+	// trials are those of this instance alone.
+	trials peridotquarantine.Trials
 }
 
 func newQuarantine() *quarantine {
@@ -52,8 +54,14 @@
 	now, part := time.Now(), r.Identity()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if judgment, _ := q.table.Judge(now, []peridotquarantine.Part{part}, r.Software()); judgment != peridotquarantine.Refused {
+	judgment, _ := q.table.Judge(now, []peridotquarantine.Part{part}, r.Software())
+	switch judgment {
+	case peridotquarantine.Allowed, peridotquarantine.OnTrial:
 		return nil
+	case peridotquarantine.OnLoneTrial:
+		if q.trials.Claim(now, judgment, 0, 1) {
+			return nil
+		}
 	}
-	return peridotverdict.New(peridotverdict.RequestQuarantined, peridotverdict.NotRun, "backend servers ended when they ran this request", peridotverdict.RetryAfter(q.table.Until(part).Sub(now)))
+	return peridotverdict.New(peridotverdict.RequestQuarantined, peridotverdict.NotRun, "backend servers ended when they ran this request", peridotverdict.RetryAfter(q.table.Until(now, judgment, part, r.Software()).Sub(now)))
 }
--- a/peridotfront/handler.go
+++ b/peridotfront/handler.go
@@ -142,8 +142,9 @@
 	// quarantinedBackends contains the backend servers to which the request must not be
 	// sent. checkQuarantine sets it before each choice of a server.
 	quarantinedBackends []string
-	// onTrial is set if the next try may send a request that may have ended servers.
-	onTrial bool
+	// trial is OnTrial or OnLoneTrial if the next try may send a request with that judgment.
+	// Otherwise it is Allowed.
+	trial peridotquarantine.Judgment
 	// silentFor is how long the server of the last try had sent nothing when this
 	// instance gave the try up; 0 if the try ended otherwise. stallWatch.stop sets it,
 	// and recordFailure takes it back.
--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -1,7 +1,6 @@
 package peridotfront
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -25,9 +24,6 @@
 	quarantineLoadTime = 2 * time.Second
 	// quarantineLoadRetryAfter is the Retry-After until then.
 	quarantineLoadRetryAfter = 100 * time.Millisecond
-	// trialSlot is the time for which one front may send a request on trial. It exceeds the
-	// time in which the other fronts learn how the trial ended.
-	trialSlot = time.Second
 	// answeredSettleTime is how long accusations of a part that was answered before don't
 	// count. Most parts that ran at a server when it ended are answered again elsewhere
 	// within that time. Without it a frequent request was refused if several servers ended
@@ -39,7 +35,8 @@
 	// may break off for the server to count as crashed. One that leaves without saying so
 	// serves on for longer.
 	crashRemovalTime = time.Second
-	// trialRetryAfter is the Retry-After of a request that waits for the trial of another.
+	// trialRetryAfter is the Retry-After of a request that waits for the trial of another one
+	// whose part has a rival.
 	trialRetryAfter = 300 * time.Millisecond
 )
 
@@ -64,8 +61,7 @@
 	unsettled []unsettledAccusation
 	// loaded is set once the stored accusations, or those of another front, are known.
 	loaded bool
-	// lastTrialSlot is the number of the trialSlot, since 1970, of this front's last trial.
-	lastTrialSlot int64
+	trials peridotquarantine.Trials
 }
 
 // unsettledAccusation is an accusation that counts from a time of Front.now on, unless the
@@ -306,14 +302,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	judgment, part := q.table.Judge(now, parts, at)
-	retryAfter := trialRetryAfter
 	switch judgment {
 	case peridotquarantine.Allowed:
 		return judgment, nil
-	case peridotquarantine.Refused:
-		retryAfter = q.table.Until(part).Sub(now)
+	case peridotquarantine.OnTrial:
+		return judgment, quarantineError(part, trialRetryAfter)
 	}
-	return judgment, quarantineError(part, retryAfter)
+	return judgment, quarantineError(part, q.table.Until(now, judgment, part, at).Sub(now))
 }
 
 // quarantineError returns the error of a request that is refused because servers ended
@@ -326,17 +321,20 @@
 	return peridotverdict.New(code, peridotverdict.NotRun, message, peridotverdict.RetryAfter(retryAfter))
 }
 
-// claimTrial reports whether this front may send one request on trial now. Of all fronts
-// that know each other, one at a time may, so that trials are few in sum.
-func (q *quarantine) claimTrial() bool {
+// claimTrial reports whether this front may send one request of the given kind on trial now.
+func (q *quarantine) claimTrial(kind peridotquarantine.Judgment) bool {
 	index, count := q.front.peers.position()
-	slot := q.front.trueTime().UnixNano() / trialSlot.Nanoseconds()
+	now := q.front.trueTime()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if slot%int64(count) != int64(index) || slot == q.lastTrialSlot {
+	if !q.trials.Claim(now, kind, index, count) {
 		return false
 	}
-	q.lastTrialSlot = slot
+	if kind == peridotquarantine.OnLoneTrial {
+		q.front.metrics.Count("quarantine_lone_trials")
+	} else {
+		q.front.metrics.Count("quarantine_trials")
+	}
 	return true
 }
 
@@ -434,30 +432,27 @@
 // try.
 func (x *exchange) checkQuarantine() *peridotverdict.Error {
 	f := x.front
-	x.quarantinedBackends, x.onTrial = nil, false
+	x.quarantinedBackends, x.trial = nil, peridotquarantine.Allowed
 	if !f.quarantine.isAnyAccused(x.suspects) {
 		return nil
 	}
-	var refused, onTrial []string
+	list := f.backendsOf(x.service.Name)
+	judgments := make([]peridotquarantine.Judgment, len(list))
 	var refusal *peridotverdict.Error
-	allowed := 0
-	for _, b := range f.backendsOf(x.service.Name) {
-		switch judgment, err := f.quarantine.judge(x.suspects, softwareOf(b)); judgment {
-		case peridotquarantine.Allowed:
-			allowed++
-		case peridotquarantine.OnTrial:
-			onTrial, refusal = append(onTrial, b.ID), err
-		default:
-			refused, refusal = append(refused, b.ID), cmp.Or(refusal, err)
+	least := peridotquarantine.Allowed
+	for i, b := range list {
+		judgment, err := f.quarantine.judge(x.suspects, softwareOf(b))
+		if judgments[i] = judgment; i == 0 || judgment < least {
+			refusal, least = err, judgment
 		}
 	}
-	x.quarantinedBackends = refused
-	if allowed > 0 || refusal == nil {
-		x.quarantinedBackends = append(refused, onTrial...)
-		return nil
+	if (least == peridotquarantine.OnTrial || least == peridotquarantine.OnLoneTrial) && f.quarantine.claimTrial(least) {
+		x.trial, refusal = least, nil
 	}
-	if x.onTrial = len(onTrial) > 0 && f.quarantine.claimTrial(); x.onTrial {
-		return nil
+	for i, b := range list {
+		if judgments[i] > x.trial {
+			x.quarantinedBackends = append(x.quarantinedBackends, b.ID)
+		}
 	}
 	return refusal
 }
@@ -465,7 +460,7 @@
 // refuseQuarantined returns an error if the request must not be sent to a backend server.
 func (x *exchange) refuseQuarantined(to peridotsite.Backend) *peridotverdict.Error {
 	judgment, err := x.front.quarantine.judge(x.suspects, softwareOf(to))
-	if judgment == peridotquarantine.OnTrial && x.onTrial {
+	if judgment <= x.trial {
 		return nil
 	}
 	return err
--- a/peridotfront/quarantine_test.go
+++ b/peridotfront/quarantine_test.go
@@ -222,16 +222,17 @@
 	fronts, _ := startFronts(t, newPlatform(), 3)
 	begin := time.Now()
 	trials := 0
-	for time.Since(begin) < 2*trialSlot {
+	slot := peridotquarantine.Slot(peridotquarantine.OnTrial)
+	for time.Since(begin) < 2*slot {
 		for _, f := range fronts {
-			if f.quarantine.claimTrial() {
+			if f.quarantine.claimTrial(peridotquarantine.OnTrial) {
 				trials++
 			}
 		}
 		time.Sleep(time.Millisecond)
 	}
 	if trials < 2 || trials > 3 {
-		t.Errorf("got %d trials in %v, want 2 or 3", trials, 2*trialSlot)
+		t.Errorf("got %d trials in %v, want 2 or 3", trials, 2*slot)
 	}
 }
 
--- a/peridotquarantine/accusation.go
+++ b/peridotquarantine/accusation.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// TTL is how long an accusation counts. Until then a quarantined part is not tried again.
+// TTL is how long an accusation counts.
 const TTL = 24 * time.Hour
 
 // End identifies the end of a backend server: that of one incarnation.
--- a/peridotquarantine/table.go
+++ b/peridotquarantine/table.go
@@ -101,9 +101,14 @@
 	case len(list) == 0:
 		t.makeRoom(now)
 	case len(list) == maxEndsPerPart:
-		if list = t.dropUncounted(list); len(list) == maxEndsPerPart {
+		if list = t.dropUncounted(list); len(list) < maxEndsPerPart {
+			break
+		}
+		oldest := earliest(list)
+		if !list[oldest].Time().Before(a.Time()) {
 			return false
 		}
+		list = slices.Delete(list, oldest, oldest+1)
 	}
 	t.accused[a.Part] = append(list, a)
 	return true
@@ -118,6 +123,17 @@
 	return slices.Delete(list, i, i+1)
 }
 
+// earliest returns the index of the accusation with the earliest end.
+func earliest(list []Accusation) int {
+	earliest := 0
+	for i, a := range list {
+		if a.Time().Before(list[earliest].Time()) {
+			earliest = i
+		}
+	}
+	return earliest
+}
+
 // makeRoom removes expired accusations and, if the table is full, a part: the one with the
 // fewest ends.
 func (t *Table) makeRoom(now time.Time) {
@@ -241,6 +257,10 @@
 	// OnTrial requests have a part that may have ended servers, but another part that this
 	// one lacks may have done so as well. The answer to one such request tells.
 	OnTrial
+	// OnLoneTrial requests have a part that is the only one that may have ended servers, but
+	// none has ended under it for some time. The answer to one such request tells; more than
+	// one at a time must not be sent.
+	OnLoneTrial
 	// Refused requests must not be sent.
 	Refused
 )
@@ -253,14 +273,26 @@
 		if !t.IsQuarantined(now, part, at) {
 			continue
 		}
-		if !t.hasRival(now, t.countedEnds(now, part, at), part, at, parts) {
-			return Refused, part
+		if j := t.judgePart(now, part, at, parts); j > judgment {
+			judgment, reason = j, part
 		}
-		judgment, reason = OnTrial, part
 	}
 	return judgment, reason
 }
 
+// judgePart returns what becomes of a request because of one of its parts, which is
+// quarantined.
+func (t *Table) judgePart(now time.Time, part Part, at Software, request []Part) Judgment {
+	ends := t.countedEnds(now, part, at)
+	switch {
+	case t.hasRival(now, ends, part, at, request):
+		return OnTrial
+	case !now.Before(loneTrialAt(ends)):
+		return OnLoneTrial
+	}
+	return Refused
+}
+
 // IsQuarantined reports whether enough servers have ended under a part to keep it from
 // servers of a software version. Without a known answer at that version the ends at all
 // versions add up; with one, only those at that version since then count.
@@ -317,10 +349,13 @@
 	return false
 }
 
-// Until returns the time until which a part is quarantined at least: that of its last
-// accusation and TTL.
-func (t *Table) Until(part Part) time.Time {
-	return t.lastEnd(part).Add(TTL)
+// Until returns the time until which a request must wait at least that has the given judgment
+// because of a part, at servers of a software version: that of the next trial.
+func (t *Table) Until(now time.Time, j Judgment, part Part, at Software) time.Time {
+	if j == Refused {
+		return loneTrialAt(t.countedEnds(now, part, at))
+	}
+	return now.Add(Slot(j))
 }
 
 // lastEnd returns the time of the last accusation of a part.
