Quarantine: the first refused part of a request decides

With lone trials, all parts of a request were judged even after one of them had refused it, and each look for a rival goes through all accused parts. The result is the same; judging ends with the first part that refuses, as before. TestJudge passes.

--- a/peridotquarantine/table.go
+++ b/peridotquarantine/table.go
@@ -276,6 +276,9 @@
 		if j := t.judgePart(now, part, at, parts); j > judgment {
 			judgment, reason = j, part
 		}
+		if judgment == Refused {
+			break
+		}
 	}
 	return judgment, reason
 }
