Front: split the reading of the quarantine's rows

readRows read, applied and completed the rows in one function of 60 lines. The part that notes what the table service lacks is a function of its own now, and the field trials says whose they are. No change of behavior: the tests of the quarantine in peridotfront pass.

--- a/peridotfront/quarantine.go
+++ b/peridotfront/quarantine.go
@@ -61,6 +61,7 @@
 	unsettled []unsettledAccusation
 	// loaded is set once the stored accusations, or those of another front, are known.
 	loaded bool
+	// trials are those of this front.
 	trials peridotquarantine.Trials
 }
 
--- a/peridotfront/quarantinerows.go
+++ b/peridotfront/quarantinerows.go
@@ -190,6 +190,14 @@
 	for _, row := range answers {
 		q.deleteUnusedAnswer(row)
 	}
+	q.putMissingRows(known)
+	q.loaded = true
+	return true
+}
+
+// putMissingRows notes the rows that the table service lacks; known contains the keys of those
+// that it has. The caller must hold q.mu.
+func (q *quarantine) putMissingRows(known map[string]bool) {
 	accusations := q.table.All()
 	for _, a := range accusations {
 		if !known[quarantineKey(a)] && q.table.MustLast(a.Part) {
@@ -203,8 +211,6 @@
 			}
 		}
 	}
-	q.loaded = true
-	return true
 }
 
 // isAnswerRow reports whether a row is that of an answer.
