Front: only a sentinel tells that a server runs that listens no more

A part of an answer could have passed for the whole: with, any other open connection to a server that listens no more counted as a sign of life, also to one that was not known to leave. When a server crashes, each of its connections ends; if the end of one of many is lost on the way, that one seems open for 200 ms or more.

Now only the sentinel counts, which the front opens to servers that leave, so that one connection decides, and only where servers stop to listen in order. The pool no longer keeps all its connections by address. A sentinel is not replaced by a second one if two dials overlap.

--- a/peridotlink/alive.go
+++ b/peridotlink/alive.go
@@ -8,29 +8,21 @@
 )
 
 // IsAlive reports whether the process at address still runs after it has ended one of its
-// connections: it listens, or other connections to it remain open. A process that shuts down
-// in order stops to listen before it has sent its last answers.
+// connections: it listens, or its sentinel connection remains open. A process that shuts down
+// in order stops to listen before it has sent its last answers. Other connections tell less: of
+// many, one may seem open because its end was lost on the way.
 func (p *Pool) IsAlive(ctx context.Context, address string) bool {
 	if p.Probe(ctx, address) == Listening {
 		return true
 	}
-	if !p.hasOpenConn(address) {
+	p.mu.Lock()
+	sentinel := p.sentinels[address]
+	p.mu.Unlock()
+	if sentinel == nil || !sentinel.IsOpen() {
 		return false
 	}
 	peridotwait.Sleep(ctx, peridotanswer.ProcessEndTime)
-	return p.hasOpenConn(address)
-}
-
-// hasOpenConn reports whether the server has left a connection to address open.
-func (p *Pool) hasOpenConn(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.conns[address] {
-		if c.IsOpen() {
-			return true
-		}
-	}
-	return false
+	return sentinel.IsOpen()
 }
 
 // UpdateSentinels opens a sentinel connection to each address for which isLeaving returns
@@ -65,7 +57,8 @@
 		return
 	}
 	p.mu.Lock()
-	_, isWanted := p.sentinels[address]
+	other, isWanted := p.sentinels[address]
+	isWanted = isWanted && other == nil // Another dial may have been faster.
 	if isWanted {
 		p.sentinels[address] = c
 	}
@@ -75,46 +68,29 @@
 	}
 }
 
-// addConn records a connection that has been opened.
-func (p *Pool) addConn(c *Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conns[c.address] == nil {
-		p.conns[c.address] = make(map[*Conn]struct{})
-	}
-	p.conns[c.address][c] = struct{}{}
-}
-
-// removeConn forgets a connection that is being closed.
-func (p *Pool) removeConn(c *Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.conns[c.address], c)
-	if len(p.conns[c.address]) == 0 {
-		delete(p.conns, c.address)
-	}
-	if c.isUnframed {
-		c.isUnframed = false
-		p.decrementUnframed(c.address)
-	}
-}
-
-// setUnframed records that an answer has begun that ends with the connection.
-func (c *Conn) setUnframed() {
+// countUnframed records that an answer has begun that ends with the connection.
+func (c *Conn) countUnframed() {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if _, isOpen := c.pool.conns[c.address][c]; !isOpen {
+	if c.isClosed {
 		return
 	}
 	c.isUnframed = true
 	c.pool.unframedCounts[c.address]++
 }
 
-// decrementUnframed decrements the number of answers that end with their connections to
-// address. The caller must hold p.mu.
-func (p *Pool) decrementUnframed(address string) {
-	p.unframedCounts[address]--
-	if p.unframedCounts[address] <= 0 {
-		delete(p.unframedCounts, address)
+// uncountUnframed records that the connection is being closed, and with it the answer that
+// ends with it.
+func (c *Conn) uncountUnframed() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.isClosed = true
+	if !c.isUnframed {
+		return
+	}
+	c.isUnframed = false
+	c.pool.unframedCounts[c.address]--
+	if c.pool.unframedCounts[c.address] == 0 {
+		delete(c.pool.unframedCounts, c.address)
 	}
 }
--- a/peridotlink/exchange.go
+++ b/peridotlink/exchange.go
@@ -80,7 +80,7 @@
 	}
 	a.Response = response
 	if a.EndsWithConnection() {
-		c.setUnframed()
+		c.countUnframed()
 	}
 	return a, nil
 }
--- a/peridotlink/pool.go
+++ b/peridotlink/pool.go
@@ -43,8 +43,6 @@
 	// openCounts contains the number of open connections per address, including those
 	// that are being dialed.
 	openCounts map[string]int
-	// conns contains the connections per address that have not been closed.
-	conns map[string]map[*Conn]struct{}
 	// unframedCounts contains the number of answers per address that are being read and
 	// end with their connections.
 	unframedCounts map[string]int
@@ -59,7 +57,7 @@
 func NewPool(dialTimeout time.Duration) *Pool {
 	return &Pool{
 		dialTimeout: dialTimeout, idleConns: make(map[string][]*Conn), openCounts: make(map[string]int),
-		conns: make(map[string]map[*Conn]struct{}), unframedCounts: make(map[string]int), sentinels: make(map[string]*Conn),
+		unframedCounts: make(map[string]int), sentinels: make(map[string]*Conn),
 	}
 }
 
@@ -71,9 +69,9 @@
 	address string
 	source  *limitedReader
 	reader  *bufio.Reader
-	// isUnframed is set once an answer has begun that ends with the connection. It is guarded
-	// by Pool.mu.
-	isUnframed bool
+	// isUnframed is set while an answer is read that ends with the connection, and isClosed
+	// once Close has been called. Both are guarded by Pool.mu.
+	isUnframed, isClosed bool
 	// reused is set once a complete answer has been read from the connection.
 	reused bool
 	// expiresAt is when the idle connection must no longer be used.
@@ -143,9 +141,7 @@
 func (p *Pool) newConn(address string, conn net.Conn) *Conn {
 	checked := peridotanswer.NewConn(conn)
 	source := &limitedReader{reader: checked, left: unlimited}
-	c := &Conn{Conn: checked, pool: p, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
-	p.addConn(c)
-	return c
+	return &Conn{Conn: checked, pool: p, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // unlimited is the limit of a limitedReader that reads on without end.
@@ -230,7 +226,7 @@
 	var err error
 	c.closeOnce.Do(func() {
 		c.pool.decrementOpen(c.address)
-		c.pool.removeConn(c)
+		c.uncountUnframed()
 		err = c.Conn.Close()
 	})
 	return err
