Replace case 11 of the third review: streams of a server that shuts down (LOST)

The new one: a server that leaves closes its idle connections when it stops listening, and with them the front's sentinel.

--- a/review/standins-3/case11.go
+++ b/review/standins-3/case11.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -16,20 +15,19 @@
 func init() { cases["11"] = runCase11 }
 
 const (
-	case11Channels   = 8
-	case11Body       = 1 << 20 // a quarter of max-body-bytes
-	case11Events     = 50
-	case11Gap        = 120 * time.Millisecond // below gap-target-ms
-	case11MostCut    = 3
-	case11DeadlineMS = 15000
+	case11Workers = 4
+	case11Streams = 24
+	case11Events  = 46
+	case11Gap     = 100 * time.Millisecond // below gap-target-ms
+	// case11ServesOn is the time from the ack of draining to the begin of the shutdown. It exceeds
+	// drain-ms (2,000).
+	case11ServesOn = 2500 * time.Millisecond
 )
 
-// runCase11 sends long requests on kept channels to a worker that answers before it has read
-// their bodies, and checks that no answer is cut.
+// runCase11 lets one of four workers leave as a graceful shutdown does, while streams without a
+// length run at all of them, and checks that none is cut.
 func runCase11() {
 	fl := newFleet()
-	l := fl.listen(100)
-	go serveCase11(l, "i-1")
 	fl.store.put("op", "config", map[string]any{
 		"version": 3,
 		"routes": []map[string]any{{
@@ -40,143 +38,171 @@
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants":  []map[string]any{{"name": "parish", "api-keys": []string{"key-one"}, "prio": 1}},
 	})
-	fl.store.put("servers", "i-1", workerRow{Service: "desk", Addr: l.Addr().String(), Zone: "a", Version: "v1", Slots: 64, State: "ready", Seq: 1, Born: time.Now().UnixMilli()})
+	var workers []*gracefulWorker
+	for i := range case11Workers {
+		w := &gracefulWorker{id: fmt.Sprintf("i-%d", i+1), born: time.Now().UnixMilli(), channels: map[net.Conn]bool{}}
+		w.listener = fl.listen(100 + i)
+		go w.serve()
+		w.register(fl, "ready", 1)
+		workers = append(workers, w)
+	}
 	f := fl.addFront("a", fl.storeAddress(), fl.apiAddress())
 	f.start()
 	fl.awaitReady(10 * time.Second)
 	time.Sleep(4 * time.Second) // More than contact-ms: the front is in touch from now on.
 
-	var channels []*keptChannel
-	for range case11Channels {
-		channels = append(channels, openChannel(f.address()))
-	}
-	for i, c := range channels { // The channels are kept: each has carried a request.
-		if n, status, err := c.ask(fmt.Sprintf("%016x", 0xa00+i), "/ask/short", 600); n != 3 || status != 200 || err != nil {
-			cannotRun("short request %d: status %d, %d events, %v", i, status, n, err)
-		}
-	}
-	record("all channels have carried a short request")
 	f.signal(syscall.SIGHUP) // Planned work; the settings are the same.
-	time.Sleep(200 * time.Millisecond)
-
-	var complete, cut, failed atomic.Int64
+	var mu sync.Mutex
+	whole, cut, other := 0, 0, 0
 	var wg sync.WaitGroup
-	for i, c := range channels {
+	for n := range case11Streams {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			id := fmt.Sprintf("%016x", 0xb00+i)
-			begun := time.Now()
-			n, status, err := c.ask(id, "/ask/long", case11Body)
-			record("client %d: request %s got status %d and %d of %d events in %.1f s: %v", i, id, status, n, case11Events, time.Since(begun).Seconds(), err)
+			id := fmt.Sprintf("%016x", 0xb00+n)
+			record("client: sends request %s", id)
+			events, status, err := streamEvents(f.address(), id)
+			record("client: request %s got status %d and %d of %d events, %v", id, status, events, case11Events, err)
+			mu.Lock()
+			defer mu.Unlock()
 			switch {
-			case status == 200 && err == nil && n == case11Events:
-				complete.Add(1)
+			case status == 200 && err == nil && events == case11Events:
+				whole++
 			case err != nil:
-				cut.Add(1)
+				cut++
 			default:
-				failed.Add(1)
+				other++
 			}
 		}()
+		time.Sleep(30 * time.Millisecond)
+	}
+	if isTrouble() {
+		w := workers[0]
+		w.register(fl, "draining", 2)
+		record("the store has accepted that %s is draining", w.id)
+		time.Sleep(case11ServesOn)
+		w.shutDown()
 	}
 	wg.Wait()
-	text := fmt.Sprintf("of %d long requests on kept channels %d were answered whole, %d channels were closed without a complete answer, %d failed", case11Channels, complete.Load(), cut.Load(), failed.Load())
+	text := fmt.Sprintf("of %d streams %d came whole, %d channels ended without a complete answer, %d others", case11Streams, whole, cut, other)
 	switch {
-	case cut.Load() > case11MostCut:
+	case cut > 0:
 		finish(exitBroken, "LOST broken: %s", text)
-	case failed.Load() > 0:
+	case other > 0:
 		cannotRun("%s", text)
 	}
 	finish(exitHeld, "LOST held: %s", text)
 }
 
-// keptChannel is a client's channel for many requests.
-type keptChannel struct {
-	net.Conn
-	reader *bufio.Reader
+// gracefulWorker is a sound worker whose answers have no length and end with their channels.
+type gracefulWorker struct {
+	id       string
+	born     int64
+	listener net.Listener
+
+	mu       sync.Mutex
+	channels map[net.Conn]bool // true while a request runs
+	stopping bool
 }
 
-func openChannel(address string) *keptChannel {
-	c, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		cannotRun("%v", err)
-	}
-	return &keptChannel{c, bufio.NewReader(c)}
+func (w *gracefulWorker) register(fl *fleet, state string, seq int) {
+	fl.store.put("servers", w.id, workerRow{Service: "desk", Addr: w.listener.Addr().String(), Zone: "a", Version: "v1", Slots: 64, State: state, Seq: seq, Born: w.born})
 }
 
-// ask sends a request and counts the events of its answer. The error is nil only if the answer
-// came to its end.
-func (c *keptChannel) ask(id, path string, size int) (events, status int, err error) {
-	go func() {
-		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Peridotstack-Request-Id: %s\r\nX-Peridotstack-Deadline-Ms: %d\r\nAuthorization: Bearer key-one\r\nContent-Length: %d\r\n\r\n", path, id, case11DeadlineMS, size)
-		_, _ = c.Write(bytes.Repeat([]byte("p"), size)) // The reader notices an error.
-	}()
-	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
-	res, err := http.ReadResponse(c.reader, nil)
-	if err != nil {
-		return 0, 0, err
-	}
-	lines := bufio.NewScanner(res.Body)
-	for lines.Scan() {
-		if bytes.HasPrefix(lines.Bytes(), []byte("id:")) {
-			events++
+// shutDown stops listening, closes the idle channels, and lets the requests in progress end.
+func (w *gracefulWorker) shutDown() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopping = true
+	w.listener.Close()
+	idle, running := 0, 0
+	for c, isRunning := range w.channels {
+		if isRunning {
+			running++
+			continue
 		}
+		idle++
+		c.Close()
 	}
-	return events, res.StatusCode, lines.Err()
+	record("worker %s listens no more and has closed %d idle channels; %d requests go on", w.id, idle, running)
 }
 
-// serveCase11 is a worker. It answers long requests before it has read their bodies, keeps the
-// channel and reads on after the answer. Without trouble it reads the body first.
-func serveCase11(l net.Listener, instance string) {
+func (w *gracefulWorker) serve() {
 	for {
-		c, err := l.Accept()
+		c, err := w.listener.Accept()
 		if err != nil {
 			return
 		}
-		go func() {
-			defer c.Close()
-			reader := bufio.NewReader(c)
-			for {
-				r, err := http.ReadRequest(reader)
-				if err != nil || !answerCase11(c, r, instance) {
-					return
-				}
-			}
-		}()
+		w.setRunning(c, false)
+		go w.serveChannel(c)
 	}
 }
 
-// answerCase11 answers one request. It reports whether the channel can carry another one.
-func answerCase11(c net.Conn, r *http.Request, instance string) bool {
-	id := r.Header.Get("X-Peridotstack-Request-Id")
-	if r.Header.Get("X-Peridotstack-Expect-Instance") != instance {
-		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Peridotstack-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", instance)
-		return true
+// setRunning records whether a request runs on a channel.
+func (w *gracefulWorker) setRunning(c net.Conn, running bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.channels[c] = running
+}
+
+func (w *gracefulWorker) serveChannel(c net.Conn) {
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.channels, c)
+		c.Close() // Everything has been read, so that no reset is sent.
+		if w.stopping && len(w.channels) == 0 {
+			record("worker %s has ended its last request and exits", w.id)
+		}
+	}()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
 	}
-	events := 3
-	if r.URL.Path == "/ask/long" {
-		events = case11Events
+	w.setRunning(c, true)
+	id := r.Header.Get("X-Peridotstack-Request-Id")
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
 	}
-	if !isTrouble() || events == 3 {
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			record("worker: body of %s: %v", id, err)
-			return false
-		}
+	if r.Header.Get("X-Peridotstack-Expect-Instance") != w.id {
+		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Peridotstack-Instance-Id: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", w.id)
+		return
 	}
-	record("worker: begins to answer %s with a body of %d bytes, deadline %s ms", id, r.ContentLength, r.Header.Get("X-Peridotstack-Deadline-Ms"))
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Peridotstack-Request-Id: %s\r\nX-Peridotstack-Response-Seal: s.%s\r\n\r\n", id, id)
-	for i := 1; i <= events; i++ {
-		event := fmt.Sprintf("id: %d\ndata: line %d\n\n", i, i)
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
-			record("worker: the channel of %s is gone at event %d: %v", id, i, err)
-			return false
+	record("worker %s runs %s", w.id, id)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\nX-Peridotstack-Request-Id: %s\r\nX-Peridotstack-Response-Seal: %s.%s\r\n\r\n", id, w.id, id)
+	for i := 1; i <= case11Events; i++ {
+		if _, err := fmt.Fprintf(c, "id: %d\ndata: line %d\n\n", i, i); err != nil {
+			record("worker %s: the channel of %s is gone at event %d: %v", w.id, id, i, err)
+			return
 		}
-		if i < events {
+		if i < case11Events {
 			time.Sleep(case11Gap)
 		}
 	}
-	fmt.Fprint(c, "0\r\n\r\n")
-	n, err := io.Copy(io.Discard, r.Body)
-	record("worker: has answered %s whole; read %d bytes of its body after that: %v", id, n, err)
-	return err == nil
+	record("worker %s has answered %s whole and closes its channel", w.id, id)
+}
+
+// streamEvents sends one request and counts the events of its answer. The error is nil only if the
+// answer came to its end.
+func streamEvents(address, id string) (events, status int, err error) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := fmt.Fprintf(c, "POST /ask/q HTTP/1.1\r\nHost: h.example\r\nX-Peridotstack-Request-Id: %s\r\nX-Peridotstack-Deadline-Ms: 15000\r\nAuthorization: Bearer key-one\r\nContent-Length: 5\r\n\r\nquick", id); err != nil {
+		return 0, 0, err
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		if bytes.HasPrefix(lines.Bytes(), []byte("id:")) {
+			events++
+		}
+	}
+	return events, res.StatusCode, lines.Err()
 }
