--- a/review/standins-3/case14.go
+++ b/review/standins-3/case14.go
@@ -42,6 +42,9 @@
 	}
 	f := fl.addFront("a", old.address, fl.apiAddress())
 	f.start()
+	for range 2 { // These have the new address from their start.
+		fl.addFront("a", fl.storeAddress(), fl.apiAddress()).start()
+	}
 	fl.awaitReady(10 * time.Second)
 	time.Sleep(case14Contact + time.Second)
 
@@ -66,11 +69,15 @@
 	var ranOld, good, refused, other int
 	for n := 0; time.Since(ack) < 12*time.Second; n++ {
 		sent := time.Now()
-		if status, _, err := postKey(f.address(), "/set/board", fmt.Sprintf("%016x", 0xd000+n), "key-one"); status == 200 && err == nil {
+		id := fmt.Sprintf("%016x", 0xd000+n)
+		status, _, err := postKey(f.address(), "/set/board", id, "key-one")
+		record("client: request %s with the other key, sent %.1f s after the ack, got status %d, %v", id, sent.Sub(ack).Seconds(), status, err)
+		if status == 200 && err == nil {
 			good++
 		}
-		id := fmt.Sprintf("%016x", 0xe000+n)
-		status, _, err := postKey(f.address(), "/set/board", id, "key-two")
+		id = fmt.Sprintf("%016x", 0xe000+n)
+		sent = time.Now()
+		status, _, err = postKey(f.address(), "/set/board", id, "key-two")
 		record("client: request %s with the withdrawn key, sent %.1f s after the ack, got status %d, %v", id, sent.Sub(ack).Seconds(), status, err)
 		if since := sent.Sub(ack); since > case14ConfigApply+500*time.Millisecond {
 			switch {
