--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -300,6 +301,9 @@
 	}
 	record("case %s, trouble %v", os.Args[1], isTrouble())
 	time.AfterFunc(110*time.Second, func() { cannotRun("it took too long") })
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() { cannotRun("it got %v", <-interrupts) }()
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		cannotRun("no case %s", strings.TrimSpace(os.Args[1]))
