Front: a leaving server may close idle connections before its last answers

Cause: the end of an answer with neither a length nor chunks was believed only if the server listened or an idle connection to it, the sentinel, was open. A graceful shutdown closes just those first. The end of an idle connection was taken for the end of the process.

Change: the sentinel carries the beginning of OPTIONS *, a request without effect, so that it is not idle; the server waits for the rest, and the front closes it with the last answer that needs it. Without an open sentinel, bytes of another answer that arrive later than a process takes to end show that it runs. server_alive in the log says which sign it was.

Why it works: all connections of a process end with it, and those with a request in progress only then, or when the request does. A killed server, before or in its shutdown, in a lone stream or in the last of several, still looks cut.

--- a/peridotfront/stream.go
+++ b/peridotfront/stream.go
@@ -180,7 +180,7 @@
 	reader := bufio.NewReaderSize(answer.Body, streamBufferBytes)
 	for {
 		piece, err := readPiece(reader)
-		if err == io.EOF && s.mayEnd(answer) && !x.front.mayBeCut(ctx, to, answer) {
+		if err == io.EOF && s.mayEnd(answer) && !x.mayBeCut(ctx, to, answer) {
 			answer.Finish()
 			return s.finish(answer)
 		}
--- a/peridotfront/try.go
+++ b/peridotfront/try.go
@@ -90,8 +90,13 @@
 
 // mayBeCut reports whether an answer that seems complete may be a part of one: its end is
 // that of the connection, and the server may have ended, too.
-func (f *Front) mayBeCut(ctx context.Context, from peridotsite.Backend, answer *peridotlink.Answer) bool {
-	return answer.EndsWithConnection() && !f.pool.IsAlive(ctx, from.Address)
+func (x *exchange) mayBeCut(ctx context.Context, from peridotsite.Backend, answer *peridotlink.Answer) bool {
+	if !answer.EndsWithConnection() {
+		return false
+	}
+	proof := x.front.pool.ProveAlive(ctx, from.Address)
+	x.logFields["server_alive"] = string(proof)
+	return proof == peridotlink.Unproved
 }
 
 // rejectionError returns the error of a try that the backend server rejected without
--- a/peridotfront/whole.go
+++ b/peridotfront/whole.go
@@ -123,7 +123,7 @@
 	}
 	if readErr != nil {
 		readErr = brokenError(readErr)
-	} else if f.mayBeCut(ctx, from, answer) {
+	} else if x.mayBeCut(ctx, from, answer) {
 		readErr = serverEndedError()
 	}
 	if readErr != nil {
@@ -185,7 +185,7 @@
 		x.recordBreak(ctx, from, err, x.suspects)
 		return nil, err
 	}
-	if f.mayBeCut(ctx, from, answer) {
+	if x.mayBeCut(ctx, from, answer) {
 		answer.Abandon()
 		err := serverEndedError()
 		x.recordBreak(ctx, from, err, x.suspects)
--- a/peridotlink/exchange.go
+++ b/peridotlink/exchange.go
@@ -58,6 +58,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	a := &Answer{conn: c, requestWritten: &atomic.Bool{}, stopAfterFunc: stop}
 	c.ExpectAnswer()
+	c.beginReceiving()
 	var writeErr chan error
 	if len(r.Body) <= maxInlineBodyBytes {
 		if err := c.writeRequest(r, a.requestWritten); err != nil {
--- a/peridotlink/pool.go
+++ b/peridotlink/pool.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,9 +47,10 @@
 	// unframedCounts contains the number of answers per address that are being read and
 	// end with their connections.
 	unframedCounts map[string]int
-	// sentinels contains the sentinel connection per address. It is nil while it is being
-	// dialed, and once that has failed.
-	sentinels map[string]*Conn
+	// receiving contains the connections per address on which an answer is awaited or read.
+	receiving map[string]map[*Conn]bool
+	// sentinels contains the sentinel per address.
+	sentinels map[string]*sentinel
 	// dialCount is the number of dials, including failed ones.
 	dialCount int64
 }
@@ -57,7 +59,7 @@
 func NewPool(dialTimeout time.Duration) *Pool {
 	return &Pool{
 		dialTimeout: dialTimeout, idleConns: make(map[string][]*Conn), openCounts: make(map[string]int),
-		unframedCounts: make(map[string]int), sentinels: make(map[string]*Conn),
+		unframedCounts: make(map[string]int), receiving: make(map[string]map[*Conn]bool), sentinels: make(map[string]*sentinel),
 	}
 }
 
@@ -153,6 +155,8 @@
 	reader io.Reader
 	// left is the number of bytes that may still be read, or unlimited.
 	left int
+	// received is the number of bytes read so far. It may be read at any time.
+	received atomic.Int64
 }
 
 // limit sets the number of bytes that may be read from now on, or unlimited.
@@ -160,14 +164,17 @@
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.left == unlimited {
-		return l.reader.Read(p)
-	}
 	if l.left == 0 {
 		return 0, ErrTooLong
 	}
-	n, err := l.reader.Read(p[:min(len(p), l.left)])
-	l.left -= n
+	if l.left != unlimited {
+		p = p[:min(len(p), l.left)]
+	}
+	n, err := l.reader.Read(p)
+	l.received.Add(int64(n))
+	if l.left != unlimited {
+		l.left -= n
+	}
 	return n, err
 }
 
@@ -226,7 +233,7 @@
 	var err error
 	c.closeOnce.Do(func() {
 		c.pool.decrementOpen(c.address)
-		c.uncountUnframed()
+		c.recordClose()
 		err = c.Conn.Close()
 	})
 	return err
@@ -255,6 +262,7 @@
 	c.expiresAt = time.Now().Add(timeout)
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	c.setReceiving(false)
 	c.pool.idleConns[c.address] = append(c.pool.idleConns[c.address], c)
 }
 
