Front: record a stream's origin for each request that may be named next

Cause: the origin of a stream was kept under the ID that the caller named in Resumes only. A caller that names the last request instead of the first one named an ID that no front knew, and for 10 s after a restart an unknown origin is taken for the only version of before.

Change: a resuming request's own ID is recorded as well, once the origin is known, so that one that is then refused can be named, too.

Why it works: every ID that a caller can have from us leads to the origin now.

--- a/peridotfront/prompt.go
+++ b/peridotfront/prompt.go
@@ -229,7 +229,9 @@
 	err := s.run(to, requestHead)
 	if err == nil {
 		f.endFlight(flight, s.outcome)
-		f.endOrigin(x.streamID())
+		for _, id := range x.streamIDs() {
+			f.endOrigin(id)
+		}
 		return nil
 	}
 	f.endFlight(flight, x.failureOutcome(err))
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -202,6 +202,7 @@
 	x.logFields["origin"] = source
 	if ok {
 		x.logFields["origin_age_ms"] = f.originAge(x.call.Resumes)
+		f.recordOrigin(x.call.ID, origin) // The caller may name this request next, also if it is refused.
 		if err := x.resumeAt(decodeOrigin(origin)); err != nil {
 			x.countResumption(resumptionNoServer)
 			return err
@@ -267,17 +268,19 @@
 		x.countResumption(x.resumption)
 	}
 	if x.route.Idempotent() || x.resumesStream() {
-		x.front.recordOrigin(x.streamID(), encodeOrigin(x.service.Name, software))
+		for _, id := range x.streamIDs() {
+			x.front.recordOrigin(id, encodeOrigin(x.service.Name, software))
+		}
 	}
 }
 
-// streamID returns the ID of the request that brought the first event of the stream,
-// which a caller names each time it resumes the stream; empty if it is unknown.
-func (x *exchange) streamID() string {
-	if x.resumesStream() {
-		return x.call.Resumes
+// streamIDs returns the IDs of the requests that a caller may name when it resumes the stream:
+// this one, and the one that this one names.
+func (x *exchange) streamIDs() []string {
+	if x.resumesStream() && x.call.Resumes != x.call.ID {
+		return []string{x.call.Resumes, x.call.ID}
 	}
-	return x.call.ID
+	return []string{x.call.ID}
 }
 
 // softwareFits reports whether a server may serve the request: its software version must
