Front: store every stream's origin, and guess none from the past

A stream that no front knew went on at the only version that had served before the fronts started, for 10 s, also if another version had begun it: its events were joined of two versions, with 200 (ORDER).

Cause: absence of knowledge was used as knowledge. The guess stood in for origins that were stored only while several versions served.

Change: the guess is gone, with what fronts told each other for it. The origins of all streams that may be resumed are stored, so that those of before go on when a version registers while all fronts are down. From two to eight fronts write, a quarter of them. The rows are read only where several versions have served.

Why it works: an origin is either known, or the stream goes on where only one version has served at all, by a complete history, or it is refused.

--- a/peridotfront/gossip.go
+++ b/peridotfront/gossip.go
@@ -60,9 +60,6 @@
 	KnowsPast bool `cbor:"17,keyasint,omitempty"`
 	// StoredOrigins contains origins that the receiver is to store in the table service.
 	StoredOrigins []originGroup `cbor:"20,keyasint,omitempty"`
-	// PastSoftware contains the software versions that were the only ones of their services
-	// when the sender started.
-	PastSoftware []softwareAge `cbor:"21,keyasint,omitempty"`
 	// QuarantineDetails completes Quarantine; nil without one and from older program versions.
 	QuarantineDetails *quarantineDetails `cbor:"22,keyasint,omitempty"`
 	// Quota tells what client accounts with a limit have used at the sender, and QuotaStart
--- a/peridotfront/history.go
+++ b/peridotfront/history.go
@@ -32,10 +32,6 @@
 	historyReadInterval  = 30 * time.Second
 	historyRetryInterval = 500 * time.Millisecond
 	historyRetryPerFront = 5 * time.Millisecond
-	// pastSoftwareTime is how long after its first read of the history a front lets a stream
-	// of unknown origin go on at the only version of that time. Callers whose streams broke
-	// off when the fronts were restarted come back within it.
-	pastSoftwareTime = 10 * time.Second
 	// noHistoryEra is the era of a history that this front has not read or stored.
 	noHistoryEra = -1
 )
@@ -67,26 +63,16 @@
 	// missingSince is when this front noticed first that the rows lack something; zero if
 	// they lack nothing.
 	missingSince time.Duration
-	// past contains, by service, the only software version that had served when this front,
-	// or another one that has run since, first read the history.
-	past map[string]pastVersion
-}
-
-// pastVersion is the only software version that a service had at a time.
-type pastVersion struct {
-	version string
-	at      time.Duration
 }
 
 func newSoftwareHistory() softwareHistory {
-	return softwareHistory{completeEra: noHistoryEra, readEra: noHistoryEra, stored: make(map[serviceSoftware]int64), past: make(map[string]pastVersion)}
+	return softwareHistory{completeEra: noHistoryEra, readEra: noHistoryEra, stored: make(map[serviceSoftware]int64)}
 }
 
 // followHistory keeps the history up to date until ctx is done.
 func (f *Front) followHistory(ctx context.Context) error {
 	for ctx.Err() == nil {
 		f.syncHistory(ctx)
-		f.origins.updateMixed(f.mixedServices())
 		select {
 		case <-f.backendsChanged:
 		case <-time.After(historyCheckInterval):
@@ -179,67 +165,10 @@
 	h.hasReadPast = h.hasReadPast || h.completeEra == era
 	if h.completeEra == era && !h.knowsPast {
 		h.knowsPast = true
-		for service, version := range solePast(stored) {
-			h.past[service] = pastVersion{version: version, at: now}
-		}
 		log.WithFields(log.Fields{"era": era, "versions": len(stored)}).Info(logPrefix + "read which software versions have served")
 	}
 }
 
-// solePast returns the software version of each service that has just one.
-func solePast(stored map[serviceSoftware]int64) map[string]string {
-	past, versions := make(map[string]string), make(map[string]int)
-	for s := range stored {
-		versions[s.service]++
-		past[s.service] = s.version
-	}
-	for service, n := range versions {
-		if n > 1 {
-			delete(past, service)
-		}
-	}
-	return past
-}
-
-// pastSoftware returns the only software version that a service had when this front
-// started. A stream that no front knows began there, if its caller comes back soon: fronts
-// share the origins of streams that began later, unless one of them has failed.
-func (f *Front) pastSoftware(service string) (version string, ok bool) {
-	if f.peers.hasLostFront() {
-		return "", false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	p, ok := f.history.past[service]
-	return p.version, ok && f.now()-p.at <= pastSoftwareTime
-}
-
-// recentPast returns the entries of past that other fronts may use: one that started a
-// moment later may have read a history with the next software version in it. The caller must
-// hold f.mu.
-func (f *Front) recentPast() []softwareAge {
-	var list []softwareAge
-	for service, p := range f.history.past {
-		if age := f.now() - p.at; age <= pastSoftwareTime && len(p.version) <= maxAnnouncedBytes && len(list) < maxSoftwareAges {
-			list = append(list, softwareAge{Service: service, Version: p.version, Millis: uint32(age.Milliseconds())})
-		}
-	}
-	return list
-}
-
-// observePast records what another front has announced of the past, if this one has just
-// started, too. The caller must hold f.mu.
-func (f *Front) observePast(list []softwareAge) {
-	if f.now() > pastSoftwareTime {
-		return
-	}
-	for _, a := range list {
-		if _, ok := f.history.past[a.Service]; !ok && len(f.history.past) < maxHeardSoftware && len(a.Service)+len(a.Version) <= maxSoftwareBytes {
-			f.history.past[a.Service] = pastVersion{version: a.Version, at: f.now() - time.Duration(a.Millis)*time.Millisecond}
-		}
-	}
-}
-
 // historyTurn reports whether this front is to store what the history lacks in an era.
 func (f *Front) historyTurn(era int64) bool {
 	index, _ := f.peers.position()
@@ -384,23 +313,3 @@
 		delete(f.history.stored, s)
 	}
 }
-
-// mixedServices returns the services whose streams cannot be told apart by their service
-// alone: those of which several software versions have served, or may have.
-func (f *Front) mixedServices() map[string]bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.backends.recordSoftware(f.now())
-	knowsPast := f.knowsPastSoftware()
-	versions, mixed := make(map[string]string), make(map[string]bool)
-	for _, record := range []softwareRecord{f.backends.software, f.backends.peerSoftware} {
-		for s := range record {
-			version, known := versions[s.service]
-			if !knowsPast || known && version != s.version {
-				mixed[s.service] = true
-			}
-			versions[s.service] = s.version
-		}
-	}
-	return mixed
-}
--- a/peridotfront/originlookup.go
+++ b/peridotfront/originlookup.go
@@ -23,14 +23,15 @@
 
 // Results of look-ups in the metrics.
 const (
-	lookupOwn      = "own"
-	lookupFound    = "found"
-	lookupStored   = "stored"
-	lookupUnread   = "unread"
-	lookupUnknown  = "unknown"
-	lookupTimedOut = "timed_out"
-	lookupCanceled = "canceled"
-	lookupRejected = "rejected"
+	lookupOwn       = "own"
+	lookupFound     = "found"
+	lookupStored    = "stored"
+	lookupNotStored = "not_stored"
+	lookupUnread    = "unread"
+	lookupUnknown   = "unknown"
+	lookupTimedOut  = "timed_out"
+	lookupCanceled  = "canceled"
+	lookupRejected  = "rejected"
 )
 
 // originLookup is a look-up in progress. Its lookup is guarded by origins.mu.
@@ -54,7 +55,20 @@
 	software, result = f.origins.find(ctx, peridotorigin.KeyOf(request))
 	f.metrics.CountOriginLookup(result)
 	f.metrics.RecordDuration("origin_lookup", f.now()-start)
-	return software, result, result == lookupOwn || result == lookupFound || result == lookupStored
+	return software, result, result == lookupOwn || result == lookupFound
+}
+
+// findStoredOrigin is like findOrigin, but reads the table service. It returns false if the
+// origin is not there, or can't be read within originReadTimeout.
+func (f *Front) findStoredOrigin(ctx context.Context, request string) (software, result string, ok bool) {
+	result = lookupNotStored
+	if !f.origins.awaitRows(ctx) {
+		result = lookupUnread
+	} else if software, ok = f.origins.version(peridotorigin.KeyOf(request)); ok {
+		result = lookupStored
+	}
+	f.metrics.CountOriginLookup(result)
+	return software, result, ok
 }
 
 // originAge returns how long this front has known the origin of the stream of the given
@@ -65,30 +79,12 @@
 	return f.origins.table.Age(f.now(), peridotorigin.KeyOf(request))
 }
 
-// find looks an origin up and returns its version and the result for the metrics. If no
-// other front knows it, it may be in the table service.
+// find looks an origin up and returns its version and the result for the metrics.
 func (o *origins) find(ctx context.Context, key peridotorigin.Key) (version, result string) {
 	if version, ok := o.version(key); ok {
 		return version, lookupOwn
 	}
-	version, result = o.ask(ctx, key)
-	if !o.keepsAny() || result != lookupUnknown && result != lookupTimedOut {
-		return version, result
-	}
-	if !o.awaitRows(ctx) {
-		return "", lookupUnread
-	}
-	if version, ok := o.version(key); ok {
-		return version, lookupStored
-	}
-	return version, result
-}
-
-// keepsAny reports whether the origins of some service are in the table service.
-func (o *origins) keepsAny() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.stored.mixed) > 0 || !o.stored.loaded
+	return o.ask(ctx, key)
 }
 
 // ask asks the other fronts for an origin.
--- a/peridotfront/originrows.go
+++ b/peridotfront/originrows.go
@@ -24,10 +24,13 @@
 	// originRetryInterval is the time between two checks of what is due, also after a
 	// failure.
 	originRetryInterval = 100 * time.Millisecond
-	// maxOriginWriters is the number of fronts that write rows of origins; the others send
-	// theirs to these. With originStoreInterval, it limits the writes of all fronts
-	// together to 80 a second.
-	maxOriginWriters = 8
+	// One front in frontsPerOriginWriter writes rows of origins, but at least
+	// minOriginWriters and at most maxOriginWriters; the others send theirs to these. With
+	// originStoreInterval, maxOriginWriters limits the writes of all fronts together to 80 a
+	// second.
+	frontsPerOriginWriter = 4
+	minOriginWriters      = 2
+	maxOriginWriters      = 8
 	// originReadTimeout is how long a look-up waits for a read of the rows.
 	originReadTimeout = 300 * time.Millisecond
 	// minOriginReadInterval, and originReadIntervalPerFront multiplied by the number of
@@ -51,11 +54,6 @@
 	journal peridotorigin.Journal
 	// relayed contains the origins for the fronts that write rows, if this front is none.
 	relayed peridotorigin.Pending
-	// running contains the streams that began or went on at this front and have not ended,
-	// with their origins.
-	running map[peridotorigin.Key]string
-	// mixed contains the services of which the origins are stored.
-	mixed map[string]bool
 	// writers are the addresses of the fronts that write rows, in the same order at all
 	// fronts; isWriter is set if this front is one of them.
 	writers  []netip.AddrPort
@@ -77,12 +75,9 @@
 	at           time.Duration
 }
 
-// keep makes the origin of a stream outlive all fronts if several software versions of its
-// service serve. The caller must hold o.mu.
+// keep makes the origin of a stream outlive all fronts, also if only one software version of
+// its service serves: another one may register while they are away. The caller must hold o.mu.
 func (o *origins) keep(now time.Duration, key peridotorigin.Key, origin string) {
-	if service, _ := decodeOrigin(origin); !o.stored.mixed[service] {
-		return
-	}
 	if o.stored.isWriter {
 		o.stored.journal.Add(now, key, origin)
 	} else if o.stored.relayed.Add(key, origin) {
@@ -92,21 +87,6 @@
 	notify(o.added)
 }
 
-// updateMixed records the services of which several software versions serve. It keeps the
-// origins of the running streams of those that were none before.
-func (o *origins) updateMixed(mixed map[string]bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	before := o.stored.mixed
-	o.stored.mixed = mixed
-	now := o.front.now()
-	for key, origin := range o.stored.running {
-		if service, _ := decodeOrigin(origin); mixed[service] && !before[service] {
-			o.keep(now, key, origin)
-		}
-	}
-}
-
 // updateWriters chooses the fronts that write rows among this one and the others that are
 // alive. The caller must hold o.mu.
 func (o *origins) updateWriters(alive []netip.AddrPort) {
@@ -114,7 +94,8 @@
 	if err != nil {
 		return
 	}
-	writers := peridotorigin.NewFronts(append(alive, self)).Choose(peridotorigin.KeyOf(originRowPrefix), maxOriginWriters)
+	n := min(max((len(alive)+1)/frontsPerOriginWriter, minOriginWriters), maxOriginWriters)
+	writers := peridotorigin.NewFronts(append(alive, self)).Choose(peridotorigin.KeyOf(originRowPrefix), n)
 	o.stored.writers, o.stored.isWriter = writers, false
 	for _, address := range writers {
 		o.stored.isWriter = o.stored.isWriter || address == self
--- a/peridotfront/origins.go
+++ b/peridotfront/origins.go
@@ -141,7 +141,7 @@
 		front: f, added: make(chan struct{}, 1), outbox: make(chan datagram, maxQueuedDatagrams),
 		table:         peridotorigin.NewTable(peridotorigin.TTL, peridotorigin.MaxOrigins),
 		lookups:       make(map[uint64]*originLookup),
-		stored:        originStorage{running: make(map[peridotorigin.Key]string), read: make(chan struct{}), isWriter: true},
+		stored:        originStorage{read: make(chan struct{}), isWriter: true},
 		storedChanged: make(chan struct{}, 1), readWanted: make(chan struct{}, 1),
 	}
 }
@@ -162,9 +162,6 @@
 	now := f.now()
 	isNew := o.table.Record(now, key, software)
 	dropped := isNew && o.pending.Add(key, software)
-	if known, ok := o.table.Version(now, key); ok && known == software {
-		o.stored.running[key] = software
-	}
 	if isNew {
 		o.keep(now, key, software)
 	}
@@ -186,7 +183,6 @@
 	o.pending.End(key)
 	o.stored.relayed.End(key)
 	o.stored.journal.End(key)
-	delete(o.stored.running, key)
 }
 
 // frontSets contains the other fronts among which copies are distributed.
@@ -414,11 +410,6 @@
 	now := o.front.now()
 	o.table.Expire(now)
 	o.stored.journal.Expire(now)
-	for key := range o.stored.running {
-		if _, ok := o.table.Version(now, key); !ok {
-			delete(o.stored.running, key)
-		}
-	}
 	return o.table.Len()
 }
 
--- a/peridotfront/peers.go
+++ b/peridotfront/peers.go
@@ -230,7 +230,6 @@
 		ages := f.backends.software.ages(f.now())
 		first.Software = ages[:min(len(ages), maxSoftwareAges)]
 		first.KnowsPast = f.vouchesForPast(ages)
-		first.PastSoftware = f.recentPast()
 	}
 	f.mu.Unlock()
 	messages := []*message{first}
@@ -320,19 +319,6 @@
 	return slices.Collect(maps.Keys(p.alivePeers()))
 }
 
-// hasLostFront reports whether a front that has sent datagrams to this one is silent.
-func (p *peers) hasLostFront() bool {
-	now := p.front.now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, state := range p.byAddress {
-		if state.heardAt > 0 && now-state.heardAt >= peerAliveTimeout {
-			return true
-		}
-	}
-	return false
-}
-
 // storeAnsweredSince reports whether the table service has answered at least one
 // other front without interruption since the given time. Only fronts that are alive
 // are considered.
@@ -455,7 +441,6 @@
 	f.handleLimits(m)
 	f.quota.handleReport(f.now(), m)
 	f.backends.observeSoftware(f.now(), m.Software)
-	f.observePast(m.PastSoftware)
 	report := m.report(f.backends.idByHash)
 	m.Locality.addTo(&report, f.backends.idByHash, f.backends.serviceByHash)
 	f.placer.Observe(f.now(), m.From, report)
--- a/peridotfront/software.go
+++ b/peridotfront/software.go
@@ -174,9 +174,6 @@
 	// resumedSingle streams have an unknown origin and go on at the only software
 	// version of their service.
 	resumedSingle resumption = "single"
-	// resumedPast streams have an unknown origin and go on at the only software version that
-	// their service had before this front started.
-	resumedPast resumption = "past"
 	// resumptionUnknown streams have an unknown origin and are refused.
 	resumptionUnknown resumption = "refused_unknown"
 	// resumptionNoServer streams are refused because no server of their software
@@ -197,32 +194,32 @@
 		return nil
 	}
 	f := x.front
-	x.resumption = resumedKnown
 	origin, source, ok := f.findOrigin(x.ctx, x.call.Resumes)
+	if !ok {
+		x.software, x.softwareFixed = f.onlySoftware(x.service.Name)
+	}
+	if !x.softwareFixed && (source == lookupUnknown || source == lookupTimedOut) {
+		origin, source, ok = f.findStoredOrigin(x.ctx, x.call.Resumes)
+	}
 	x.logFields["origin"] = source
-	if ok {
+	switch {
+	case ok:
+		x.resumption = resumedKnown
 		x.logFields["origin_age_ms"] = f.originAge(x.call.Resumes)
 		f.recordOrigin(x.call.ID, origin) // The caller may name this request next, also if it is refused.
 		if err := x.resumeAt(decodeOrigin(origin)); err != nil {
 			x.countResumption(resumptionNoServer)
 			return err
 		}
-	}
-	if !x.softwareFixed {
+	case x.softwareFixed:
 		x.resumption = resumedSingle
-		x.software, x.softwareFixed = f.onlySoftware(x.service.Name)
-	}
-	if !x.softwareFixed && source == lookupUnknown {
-		x.resumption = resumedPast
-		x.software, x.softwareFixed = f.pastSoftware(x.service.Name)
+	default:
+		x.countResumption(resumptionUnknown)
+		return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the software version of the stream is unknown", peridotverdict.RetryAfter(softwareRetryAfter))
 	}
 	x.logFields["resumption"] = string(x.resumption)
-	if x.softwareFixed {
-		x.logFields["origin_software"] = x.software
-		return nil
-	}
-	x.countResumption(resumptionUnknown)
-	return peridotverdict.New(peridotverdict.NoBackend, peridotverdict.NotRun, "the software version of the stream is unknown", peridotverdict.RetryAfter(softwareRetryAfter))
+	x.logFields["origin_software"] = x.software
+	return nil
 }
 
 // resumeAt makes the request go on at the service and the software version that began
