Front: one front in 32 writes the rows of origins

Cause: the number of writers sets the number of writes, ten a second each, and two write where one can. Two are no safeguard for each other, since each row has one writer (writersOf). The price: while a writer that was killed alone is still taken for alive, 1.5 s, all origins are not stored, instead of half of them. They matter only if all fronts are killed within two minutes.

--- a/peridotfront/originrows.go
+++ b/peridotfront/originrows.go
@@ -24,12 +24,10 @@
 	// originRetryInterval is the time between two checks of what is due, also after a
 	// failure.
 	originRetryInterval = 100 * time.Millisecond
-	// One front in frontsPerOriginWriter writes rows of origins, but at least
-	// minOriginWriters and at most maxOriginWriters; the others send theirs to these. With
-	// originStoreInterval, maxOriginWriters limits the writes of all fronts together to 80 a
-	// second.
-	frontsPerOriginWriter = 16
-	minOriginWriters      = 2
+	// One front in frontsPerOriginWriter writes rows of origins, but at least one and at most
+	// maxOriginWriters; the others send theirs to these. With originStoreInterval,
+	// maxOriginWriters limits the writes of all fronts together to 80 a second.
+	frontsPerOriginWriter = 32
 	maxOriginWriters      = 8
 	// originReadTimeout is how long a look-up waits for a read of the rows.
 	originReadTimeout = 300 * time.Millisecond
@@ -94,7 +92,7 @@
 	if err != nil {
 		return
 	}
-	n := min(max((len(alive)+1)/frontsPerOriginWriter, minOriginWriters), maxOriginWriters)
+	n := min(max((len(alive)+1)/frontsPerOriginWriter, 1), maxOriginWriters)
 	writers := peridotorigin.NewFronts(append(alive, self)).Choose(peridotorigin.KeyOf(originRowPrefix), n)
 	o.stored.writers, o.stored.isWriter = writers, false
 	for _, address := range writers {
